--- /dev/null
+++ b/Source/Common/Endpoint.cpp
@@ -0,0 +1,38 @@
+#include "Common/Endpoint.h"
+
+#include "Common/Text.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+#include <arpa/inet.h>
+
+namespace auburnroute::common {
+
+absl::StatusOr<Endpoint> parseEndpoint(std::string_view text) {
+  const auto colon = text.rfind(':');
+  const auto fault = [&] {
+    return absl::InvalidArgumentError(
+        absl::StrCat("\"", toAbsl(text),
+                     "\" is not an address and port such as 192.0.2.1:8001"));
+  };
+  if (colon == std::string_view::npos)
+    return fault();
+  std::uint32_t port = 0;
+  if (!absl::SimpleAtoi(toAbsl(text.substr(colon + 1)), &port) || port == 0 ||
+      port > 65535)
+    return fault();
+  in_addr addr{};
+  if (inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &addr) !=
+      1)
+    return fault();
+  return Endpoint{ntohl(addr.s_addr), static_cast<std::uint16_t>(port)};
+}
+
+std::string toString(const Endpoint &endpoint) {
+  const auto a = endpoint.Address;
+  return absl::StrCat(a >> 24, ".", (a >> 16) & 255, ".", (a >> 8) & 255, ".",
+                      a & 255, ":", endpoint.Port);
+}
+
+} // namespace auburnroute::common
--- /dev/null
+++ b/Source/Common/Endpoint.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "absl/status/statusor.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace auburnroute::common {
+
+/// An IPv4 address and a port, both in host byte order.
+struct Endpoint {
+  std::uint32_t Address = 0;
+  std::uint16_t Port = 0;
+
+  auto operator<=>(const Endpoint &) const = default;
+
+  /// The endpoint as one integer, for use as a hash key.
+  std::uint64_t key() const { return (std::uint64_t{Address} << 16) | Port; }
+};
+
+/// Parses "a.b.c.d:port". Errors: InvalidArgument.
+absl::StatusOr<Endpoint> parseEndpoint(std::string_view text);
+
+/// Writes "a.b.c.d:port".
+std::string toString(const Endpoint &endpoint);
+
+} // namespace auburnroute::common
--- /dev/null
+++ b/Source/Coordination/PacketSummary.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "Common/Endpoint.h"
+
+#include <cstdint>
+
+namespace auburnroute::coordination {
+
+/// The part of a packet's headers that decisions look at.
+struct PacketSummary {
+  common::Endpoint Source;
+  common::Endpoint Destination;
+  bool Syn = false; ///< SYN without ACK.
+  bool Fin = false;
+  bool Rst = false;
+  bool HasTimestamps = false;
+  std::uint32_t TimestampValue = 0;
+  std::uint32_t TimestampEcho = 0;
+};
+
+} // namespace auburnroute::coordination
--- /dev/null
+++ b/Source/Programs/auburnctl.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/Source/StandIns/Empty.cpp
@@ -0,0 +1,1 @@
+namespace auburnroute {}
--- /dev/null
+++ b/Source/State/Cause.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <string_view>
+
+namespace auburnroute::state {
+
+/// Why an outcome was decided. Recorded where the decision is taken.
+enum class Cause {
+  None,
+  // Packets that are dropped.
+  Truncated,
+  NotIpv4,
+  NotTcp,
+  Fragment,
+  BadHeader,
+  BadChecksum,
+  UnknownAddress,     ///< No service listens on the destination.
+  UnknownSource,      ///< No backend server has the source address.
+  MissingTag,         ///< A flow packet without a tag.
+  UnknownTag,         ///< The tag names no backend server of the service.
+  BackendServerMoved, ///< The server reports that it serves another service.
+  BadHandOver,        ///< A hand-over datagram that fails authentication.
+  Unconfirmed,        ///< The host is not up to date and places no new flow.
+  NoSettings,         ///< No settings are in force yet.
+  // New flows that are refused; none of their payload was forwarded.
+  MissingTimestamps,
+  NoBackendServer, ///< No usable backend server.
+  QueueFull,
+  QueueTimeout,
+  ConnectionLimit, ///< All usable backend servers are at their limit.
+  // Flows that ended badly.
+  BackendServerRefused, ///< The backend server answered the SYN with a reset.
+  BackendServerReset,   ///< The backend server reset an established flow.
+  BackendServerDown,    ///< The backend server stopped answering.
+  // Causes that lead to others.
+  BackendServerDraining,
+  BackendServerEjected,
+  HostDead,
+  HostPaused,
+  HostLeaving,
+  PlatformUnreachable,
+  SettingsRefused,
+  SettingsApplied,
+  StopTimeout, ///< A graceful stop reached its limit.
+  Count,       ///< Number of causes; not a cause.
+};
+
+/// Stable name of a cause, as in reports and metrics.
+std::string_view toString(Cause cause);
+
+} // namespace auburnroute::state
--- /dev/null
+++ b/Source/State/ServiceTable.cpp
@@ -0,0 +1,67 @@
+#include "State/ServiceTable.h"
+
+#include <algorithm>
+
+namespace auburnroute::state {
+
+ServiceTable::ServiceTable(const Settings &settings, std::string_view zone)
+    : Revision(settings.Revision), FlowSeed(settings.FlowSeed) {
+  const auto zoneIndex = settings.zoneIndex(zone);
+  FirstOfService.push_back(0);
+  for (std::uint32_t i = 0; i < settings.Services.size(); ++i) {
+    const auto &service = settings.Services[i];
+    const auto policy =
+        zoneIndex ? service.PolicyByZone[*zoneIndex] : ServicePolicy{};
+    const auto firstListener = static_cast<std::uint32_t>(Listeners.size());
+    for (const auto &it : service.Listeners) {
+      ListenerByAddress[it.Address.key()] =
+          static_cast<std::uint32_t>(Listeners.size());
+      Listeners.push_back(
+          {it.Address, i, it.BackendPort, it.Kind, policy.Timestamps});
+    }
+    auto servers = service.BackendServers;
+    std::sort(servers.begin(), servers.end(),
+              [](const auto &a, const auto &b) { return a.Number < b.Number; });
+    for (const auto &it : servers) {
+      const auto id = static_cast<std::uint32_t>(BackendServers.size());
+      BackendServers.push_back(
+          {it.Address, it.Tunnel, i, id, it.Number, it.Weight, it.Mode});
+      for (auto n = firstListener; n < Listeners.size(); ++n)
+        SourceByAddress[common::Endpoint{it.Address, Listeners[n].BackendPort}
+                            .key()] = {id, n};
+    }
+    FirstOfService.push_back(static_cast<std::uint32_t>(BackendServers.size()));
+  }
+}
+
+const ListenerEntry *
+ServiceTable::findListener(common::Endpoint address) const {
+  const auto it = ListenerByAddress.find(address.key());
+  return it == ListenerByAddress.end() ? nullptr : &Listeners[it->second];
+}
+
+FlowSource ServiceTable::findSource(common::Endpoint source) const {
+  const auto it = SourceByAddress.find(source.key());
+  if (it == SourceByAddress.end())
+    return {};
+  return {&BackendServers[it->second.BackendServer],
+          &Listeners[it->second.Listener]};
+}
+
+const BackendServerEntry *
+ServiceTable::findBackendServer(std::uint32_t service,
+                                std::uint16_t number) const {
+  const auto servers = backendServersOf(service);
+  const auto it =
+      std::lower_bound(servers.begin(), servers.end(), number,
+                       [](const auto &a, auto n) { return a.Number < n; });
+  return it == servers.end() || it->Number != number ? nullptr : &*it;
+}
+
+std::span<const BackendServerEntry>
+ServiceTable::backendServersOf(std::uint32_t service) const {
+  const auto first = FirstOfService[service];
+  return {BackendServers.data() + first, FirstOfService[service + 1] - first};
+}
+
+} // namespace auburnroute::state
