Add the daemon: traffic, admission and control threads, platform reader, load poller

Cause: the forwarding decisions had no process around them.

Ruled out: deciding placement on the traffic threads. Each would see only its share of new flows, and admission state would need locks on the packet path.

Before and after: no daemon before. Forwarding has not been run end to end yet.

--- /dev/null
+++ b/Source/Daemon/AdmissionWorker.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Coordination/AdmissionController.h"
+#include "Coordination/ForwardingEngine.h"
+#include "Daemon/ControlSnapshot.h"
+#include "Protocol/HandOverCodec.h"
+#include "Protocol/PacketView.h"
+#include "State/Counters.h"
+#include "State/DaemonSettings.h"
+#include "Transport/UdpSocket.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <atomic>
+#include <vector>
+
+namespace auburnroute::daemon {
+
+/// Admits new flows that hosts hand over, and forwards packets that end flows.
+/// Runs on the admission thread.
+class AdmissionWorker {
+public:
+  AdmissionWorker(const state::DaemonSettings &settings,
+                  const common::Clock &clock,
+                  const SnapshotPublisher &snapshots,
+                  transport::UdpSocket socket);
+
+  /// One turn: takes datagrams, waits for them at most a few milliseconds, and
+  /// releases held flows that are due.
+  void turn();
+
+  void onLoadReport(std::uint64_t revision, std::uint32_t backendServer,
+                    const coordination::LoadReport &report);
+  void onReportFailure(std::uint64_t revision, std::uint32_t backendServer);
+
+  const state::CounterSet &counters() const { return Counters; }
+  /// SYNs that are held now.
+  std::size_t heldFlows() const {
+    return HeldCount.load(std::memory_order_relaxed);
+  }
+
+private:
+  void refreshSnapshot(common::TimePoint now);
+  void checkPause(common::TimePoint now);
+  bool mayPlace() const;
+  void handle(common::TimePoint now, std::span<std::byte> datagram);
+  void admit(common::TimePoint now, protocol::PacketView &view);
+  void finish(common::TimePoint now, protocol::PacketView &view);
+  void place(const coordination::Place &place, protocol::PacketView &view);
+  void refuse(state::Cause why, const protocol::PacketView &view);
+  void release(common::TimePoint now);
+
+  const common::Clock &Clock;
+  const SnapshotPublisher &Snapshots;
+  common::Endpoint Gateway;
+  std::chrono::milliseconds PauseLimit;
+  transport::UdpSocket Socket;
+  protocol::HandOverCodec Codec;
+  coordination::ForwardingEngine Engine;
+  coordination::AdmissionController Controller;
+  std::shared_ptr<const ControlSnapshot> Snapshot;
+  std::uint64_t SnapshotVersion = 0;
+  common::TimePoint LastTurn;
+  common::TimePoint PausedUntil; ///< When the last pause was noticed.
+  absl::flat_hash_map<coordination::FlowKey, std::vector<std::byte>> HeldSyns;
+  std::atomic<std::size_t> HeldCount{0};
+  state::CounterSet Counters;
+};
+
+} // namespace auburnroute::daemon
--- /dev/null
+++ b/Source/Daemon/ControlSnapshot.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "State/ServiceTable.h"
+#include "State/Settings.h"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace auburnroute::daemon {
+
+/// What the control thread tells the traffic and admission threads.
+struct ControlSnapshot {
+  std::shared_ptr<const state::Settings> Settings;
+  std::shared_ptr<const state::ServiceTable> Table;
+  /// Admission socket of the owner of each service, by service index.
+  std::vector<common::Endpoint> AdmissionOwners;
+  /// Backend servers that the host list names as leaving, by table id.
+  std::vector<std::uint32_t> LeavingBackendServers;
+  bool Confirmed = false; ///< This host may place new flows.
+  bool Leaving = false;   ///< A graceful stop has begun.
+  /// When the host was last confirmed; it does not count for a thread that
+  /// noticed a pause after it.
+  common::TimePoint ConfirmedAt;
+};
+
+/// Hands snapshots from the control thread to the others.
+class SnapshotPublisher {
+public:
+  /// Control thread only.
+  void publish(std::shared_ptr<const ControlSnapshot> snapshot) {
+    Current.store(std::move(snapshot));
+    Version.fetch_add(1, std::memory_order_release);
+  }
+  /// Changes with each publication. Readers compare it once per batch, so that
+  /// the packet path does not touch the shared pointer.
+  std::uint64_t version() const {
+    return Version.load(std::memory_order_acquire);
+  }
+  /// The latest snapshot; nullptr before the first.
+  std::shared_ptr<const ControlSnapshot> load() const { return Current.load(); }
+
+private:
+  std::atomic<std::shared_ptr<const ControlSnapshot>> Current;
+  std::atomic<std::uint64_t> Version{0};
+};
+
+} // namespace auburnroute::daemon
--- /dev/null
+++ b/Source/Daemon/LoadPoller.cpp
@@ -0,0 +1,74 @@
+#include "Daemon/LoadPoller.h"
+
+#include "Protocol/LoadReportCodec.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace auburnroute::daemon {
+
+namespace {
+
+// Servers answer in milliseconds; a longer wait would delay the others.
+constexpr std::chrono::milliseconds PollTimeout{250};
+constexpr std::chrono::milliseconds IdleInterval{20};
+
+/// The server of \p service with \p number; servers are unordered there.
+const state::BackendServer *findByNumber(const state::Service &service,
+                                         std::uint16_t number) {
+  const auto it =
+      std::find_if(service.BackendServers.begin(), service.BackendServers.end(),
+                   [&](const auto &server) { return server.Number == number; });
+  return it == service.BackendServers.end() ? nullptr : &*it;
+}
+
+} // namespace
+
+LoadPoller::LoadPoller(common::Endpoint self, const common::Clock &clock,
+                       const SnapshotPublisher &snapshots, Receiver receiver)
+    : Self(self), Clock(clock), Snapshots(snapshots),
+      Deliver(std::move(receiver)) {}
+
+void LoadPoller::run(const std::atomic<bool> &stop) {
+  while (!stop) {
+    const auto snapshot = Snapshots.load();
+    for (std::uint32_t i = 0;
+         snapshot && i < snapshot->AdmissionOwners.size() && !stop; ++i)
+      if (snapshot->AdmissionOwners[i] == Self)
+        pollService(*snapshot, i, stop);
+    std::this_thread::sleep_for(IdleInterval);
+  }
+}
+
+void LoadPoller::pollService(const ControlSnapshot &snapshot,
+                             std::uint32_t service,
+                             const std::atomic<bool> &stop) {
+  const auto &settings = snapshot.Settings->Services[service];
+  auto &next = NextPoll[settings.Name];
+  if (Clock.now() < next)
+    return;
+  next = Clock.now() + settings.PolicyByZone.front().ReportInterval;
+  for (const auto &entry : snapshot.Table->backendServersOf(service)) {
+    const auto *server = findByNumber(settings, entry.Number);
+    if (stop || server == nullptr)
+      return;
+    if (server->LoadReport.Port != 0)
+      Deliver(poll(snapshot, entry.Id, server->LoadReport));
+  }
+}
+
+BackendServerPolled LoadPoller::poll(const ControlSnapshot &snapshot,
+                                     std::uint32_t id,
+                                     common::Endpoint endpoint) {
+  auto &client = Clients[endpoint];
+  if (!client)
+    client = std::make_unique<transport::HttpClient>(endpoint, PollTimeout);
+  BackendServerPolled polled{snapshot.Table->revision(), id, std::nullopt};
+  const auto response = client->get("/load");
+  if (response.ok() && response->Status == 200)
+    if (auto report = protocol::decodeLoadReport(response->Body); report.ok())
+      polled.Report = *std::move(report);
+  return polled;
+}
+
+} // namespace auburnroute::daemon
--- /dev/null
+++ b/Source/Daemon/Messages.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Coordination/AdmissionController.h"
+
+#include <caf/all.hpp>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace auburnroute::daemon {
+
+/// A settings document that the platform gave.
+struct PlatformSettings {
+  std::string Text;
+};
+
+/// A host list that the platform gave.
+struct PlatformHosts {
+  std::string Text;
+};
+
+/// The platform did not answer, or answers again.
+struct PlatformReachability {
+  bool Reachable = false;
+  std::string Why;
+};
+
+/// What a poll of a backend server brought.
+struct BackendServerPolled {
+  std::uint64_t Revision = 0; ///< Of the table that the id belongs to.
+  std::uint32_t BackendServer = 0;
+  std::optional<coordination::LoadReport> Report; ///< None if it failed.
+};
+
+/// Wakes the control actor at its interval.
+struct ControlTick {};
+
+/// Begins a graceful stop.
+struct BeginStop {};
+
+/// Asks the control actor for a report.
+struct ReportQuery {
+  enum class Kind { Status, Ready, Metrics, Cause, Burn };
+  Kind What = Kind::Status;
+  std::chrono::seconds Since{3600}; ///< For Cause.
+};
+
+/// The answer to a ReportQuery.
+struct Report {
+  bool Good = true; ///< Whether the daemon is ready, for Kind::Ready.
+  std::string Text;
+};
+
+} // namespace auburnroute::daemon
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::PlatformSettings)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::PlatformHosts)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::PlatformReachability)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::BackendServerPolled)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::ControlTick)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::BeginStop)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::ReportQuery)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::Report)
--- /dev/null
+++ b/Source/Daemon/TrafficWorker.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Coordination/ForwardingEngine.h"
+#include "Daemon/ControlSnapshot.h"
+#include "Protocol/HandOverCodec.h"
+#include "Protocol/PacketView.h"
+#include "State/Counters.h"
+#include "State/DaemonSettings.h"
+#include "Transport/UdpSocket.h"
+
+#include <array>
+#include <atomic>
+
+namespace auburnroute::daemon {
+
+/// Receives packets of the fabric, decides and forwards. One per traffic
+/// thread; holds no state per flow.
+class TrafficWorker {
+public:
+  TrafficWorker(const state::DaemonSettings &settings,
+                const common::Clock &clock, const SnapshotPublisher &snapshots,
+                transport::UdpSocket socket);
+
+  /// Handles packets until \p stop is set.
+  void run(const std::atomic<bool> &stop);
+
+  const state::CounterSet &counters() const { return Counters; }
+  /// Monotonic time of the last packet, in nanoseconds since the clock's epoch.
+  std::int64_t lastPacketNanoseconds() const {
+    return LastPacket.load(std::memory_order_relaxed);
+  }
+
+private:
+  void refreshSnapshot();
+  void handle(std::span<std::byte> datagram);
+  void apply(const coordination::ForwardToBackendServer &outcome,
+             protocol::PacketView &view);
+  void apply(const coordination::ForwardToCaller &outcome,
+             protocol::PacketView &view);
+  void apply(const coordination::HandOver &outcome, protocol::PacketView &view);
+  void apply(const coordination::Refuse &outcome, protocol::PacketView &view);
+  void apply(const coordination::Drop &outcome, protocol::PacketView &view);
+  void handOver(std::uint32_t service, protocol::HandOverKind kind,
+                const protocol::PacketView &view);
+
+  const common::Clock &Clock;
+  const SnapshotPublisher &Snapshots;
+  common::Endpoint Gateway;
+  transport::UdpSocket Socket;
+  protocol::HandOverCodec Codec;
+  coordination::ForwardingEngine Engine;
+  std::shared_ptr<const ControlSnapshot> Snapshot;
+  std::uint64_t SnapshotVersion = 0;
+  state::CounterSet Counters;
+  std::atomic<std::int64_t> LastPacket{0};
+  /// Headers of the hand-overs of one batch; they must outlive the batch.
+  std::array<std::array<std::byte, protocol::HandOverCodec::HeaderSize>,
+             transport::UdpSocket::BatchSize>
+      Headers{};
+  std::size_t HeadersUsed = 0;
+};
+
+} // namespace auburnroute::daemon
--- /dev/null
+++ b/Source/Protocol/LoadReportCodec.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "Coordination/AdmissionController.h"
+
+#include "absl/status/statusor.h"
+
+#include <string_view>
+
+namespace auburnroute::protocol {
+
+/// Decodes the answer of a backend server to GET /load. Errors:
+/// InvalidArgument, if it is not a JSON object with the expected fields.
+absl::StatusOr<coordination::LoadReport>
+decodeLoadReport(std::string_view text);
+
+} // namespace auburnroute::protocol
--- /dev/null
+++ b/Source/State/DaemonSettingsLoader.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "State/DaemonSettings.h"
+
+#include "absl/status/statusor.h"
+
+#include <string_view>
+
+namespace auburnroute::state {
+
+/// Parses and checks the local settings file of a daemon (JSON with comments).
+/// Errors: InvalidArgument with one line per fault.
+absl::StatusOr<DaemonSettings> loadDaemonSettings(std::string_view text,
+                                                  std::string_view fileName);
+
+} // namespace auburnroute::state
