--- a/Source/Common/Log.cpp
+++ b/Source/Common/Log.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 log4cxx::LoggerPtr logger() {
-  static const auto Logger = log4cxx::Logger::getLogger("auburnroute");
-  return Logger;
+  static const auto instance = log4cxx::Logger::getLogger("auburnroute");
+  return instance;
 }
 
 } // namespace
--- a/Source/Transport/HttpClient.cpp
+++ b/Source/Transport/HttpClient.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // Twice the largest value that the platform holds.
-constexpr std::size_t MaxBodyBytes = 2 * 1024 * 1024;
+constexpr std::size_t MaxBodyBytes = std::size_t{2} * 1024 * 1024;
 
 std::string hostOf(const common::Endpoint &server) {
   const auto text = common::toString(server);
