Keep bounded summaries of causes and of flows per minute

Cause: a manager asks for the cause within the hour, and hosts keep nothing and are replaced at any time.

Ruled out: a log of events. It has no bound under load, and copying it would exceed the control budget.

Change: summaries per minute, cause, service, revision and subject that merge by the larger count, so that copies at peers can arrive in any order; findings name the changes and failures that fit an outcome, or say that the cause is unknown; burn rates over the usual window pairs.

--- /dev/null
+++ b/Source/State/BurnLedger.cpp
@@ -0,0 +1,48 @@
+#include "State/BurnLedger.h"
+
+#include "State/CauseLedger.h"
+
+namespace auburnroute::state {
+
+BurnCounts &BurnCounts::operator+=(const BurnCounts &other) {
+  Good += other.Good;
+  Refused += other.Refused;
+  Broken += other.Broken;
+  Slow += other.Slow;
+  Placed += other.Placed;
+  return *this;
+}
+
+void BurnLedger::add(common::WallTime now, const std::string &service,
+                     const BurnCounts &counts) {
+  const auto minute = minuteOf(now);
+  auto &minutes = ByService[service];
+  if (minutes.empty() || minutes.back().Minute < minute)
+    minutes.push_back({minute, {}});
+  minutes.back().Counts += counts;
+  const auto oldest = minuteOf(now - Retention);
+  while (minutes.front().Minute < oldest)
+    minutes.pop_front();
+}
+
+BurnCounts BurnLedger::sum(common::WallTime now, const std::string &service,
+                           std::chrono::minutes window) const {
+  BurnCounts total;
+  const auto it = ByService.find(service);
+  if (it == ByService.end())
+    return total;
+  const auto oldest = minuteOf(now) + 1 - window.count();
+  for (auto at = it->second.rbegin();
+       at != it->second.rend() && at->Minute >= oldest; ++at)
+    total += at->Counts;
+  return total;
+}
+
+std::vector<std::string> BurnLedger::services() const {
+  std::vector<std::string> names;
+  for (const auto &[name, minutes] : ByService)
+    names.push_back(name);
+  return names;
+}
+
+} // namespace auburnroute::state
--- /dev/null
+++ b/Source/State/BurnLedger.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Common/Clock.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace auburnroute::state {
+
+/// Flows of a service within some time.
+struct BurnCounts {
+  std::uint64_t Good = 0;    ///< Ended by the backend server's FIN.
+  std::uint64_t Refused = 0; ///< Told "not run".
+  std::uint64_t Broken = 0;  ///< Reset after they were established.
+  std::uint64_t Slow = 0;    ///< Waited longer than the wait objective.
+  std::uint64_t Placed = 0;  ///< Given to a backend server.
+
+  BurnCounts &operator+=(const BurnCounts &other);
+  std::uint64_t total() const { return Good + Refused + Broken; }
+  std::uint64_t bad() const { return Refused + Broken; }
+  bool operator==(const BurnCounts &) const = default;
+};
+
+/// Counts of flows per service and minute, as long as the longest window.
+class BurnLedger {
+public:
+  static constexpr std::chrono::hours Retention{72};
+
+  /// Adds counts to the minute of \p now.
+  void add(common::WallTime now, const std::string &service,
+           const BurnCounts &counts);
+  /// Sum over the last \p window, the current minute included.
+  BurnCounts sum(common::WallTime now, const std::string &service,
+                 std::chrono::minutes window) const;
+  std::vector<std::string> services() const;
+
+private:
+  struct MinuteCounts {
+    std::uint64_t Minute = 0;
+    BurnCounts Counts;
+  };
+  std::map<std::string, std::deque<MinuteCounts>> ByService;
+};
+
+} // namespace auburnroute::state
--- /dev/null
+++ b/Source/State/BurnReport.cpp
@@ -0,0 +1,46 @@
+#include "State/BurnReport.h"
+
+#include <algorithm>
+
+namespace auburnroute::state {
+
+namespace {
+
+// Keeps an objective of 100% from dividing by zero.
+constexpr double SmallestBudget = 1e-6;
+
+double rate(std::uint64_t bad, std::uint64_t total, double objective) {
+  if (total == 0)
+    return 0;
+  const double share = static_cast<double>(bad) / static_cast<double>(total);
+  return share / std::max(1.0 - objective, SmallestBudget);
+}
+
+} // namespace
+
+std::string_view toString(Objective objective) {
+  switch (objective) {
+  case Objective::Availability:
+    return "availability";
+  case Objective::Wait:
+    return "wait";
+  }
+  return "invalid";
+}
+
+double burnRate(const BurnCounts &counts, Objective objective,
+                const ServicePolicy &policy) {
+  switch (objective) {
+  case Objective::Availability:
+    return rate(counts.bad(), counts.total(), policy.AvailabilityObjective);
+  case Objective::Wait:
+    return rate(counts.Slow, counts.Placed, policy.WaitObjectiveShare);
+  }
+  return 0;
+}
+
+bool isAlerting(double longRate, double shortRate, const BurnWindows &windows) {
+  return longRate > windows.AlertRate && shortRate > windows.AlertRate;
+}
+
+} // namespace auburnroute::state
--- /dev/null
+++ b/Source/State/CauseLedger.cpp
@@ -0,0 +1,85 @@
+#include "State/CauseLedger.h"
+
+#include <algorithm>
+
+namespace auburnroute::state {
+
+std::uint64_t minuteOf(common::WallTime time) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::minutes>(time.time_since_epoch())
+          .count());
+}
+
+CauseLedger::CauseLedger(std::string host, std::uint64_t incarnation)
+    : Host(std::move(host)), Incarnation(incarnation) {}
+
+void CauseLedger::record(common::WallTime now, Cause why,
+                         const std::string &service, std::uint64_t revision,
+                         const std::string &subject, std::uint64_t n) {
+  const CauseKey key{Host,    Incarnation, minuteOf(now), why,
+                     service, revision,    subject};
+  auto &value = Entries[key];
+  if (value.Count == 0) {
+    value.First = now;
+    ByMinute.emplace(key.Minute, key);
+  }
+  value.Count += n;
+  value.Last = std::max(value.Last, now);
+  Changed.insert(key);
+  makeRoom();
+}
+
+void CauseLedger::merge(common::WallTime now, const CauseEntry &entry) {
+  // An entry from ahead of this host's clock is kept, so that hosts with a
+  // clock that runs late still answer.
+  if (entry.Last < now - Retention || entry.Count == 0)
+    return;
+  auto &value = Entries[entry.Key];
+  if (value.Count == 0) {
+    value.First = entry.First;
+    ByMinute.emplace(entry.Key.Minute, entry.Key);
+  }
+  value.Count = std::max(value.Count, entry.Count);
+  value.First = std::min(value.First, entry.First);
+  value.Last = std::max(value.Last, entry.Last);
+  makeRoom();
+}
+
+std::vector<CauseEntry> CauseLedger::takeChanged(std::size_t limit) {
+  std::vector<CauseEntry> batch;
+  while (!Changed.empty() && batch.size() < limit) {
+    const auto key = *Changed.begin();
+    Changed.erase(Changed.begin());
+    const auto it = Entries.find(key);
+    if (it != Entries.end())
+      batch.push_back(
+          {key, it->second.Count, it->second.First, it->second.Last});
+  }
+  return batch;
+}
+
+std::vector<CauseEntry> CauseLedger::since(common::WallTime since) const {
+  std::vector<CauseEntry> found;
+  for (const auto &[key, value] : Entries)
+    if (value.Last >= since)
+      found.push_back({key, value.Count, value.First, value.Last});
+  return found;
+}
+
+void CauseLedger::expire(common::WallTime now) {
+  const auto oldest = minuteOf(now - Retention);
+  while (!ByMinute.empty() && ByMinute.begin()->first < oldest) {
+    Entries.erase(ByMinute.begin()->second);
+    ByMinute.erase(ByMinute.begin());
+  }
+}
+
+void CauseLedger::makeRoom() {
+  while (Entries.size() > MaxEntries) {
+    Entries.erase(ByMinute.begin()->second);
+    ByMinute.erase(ByMinute.begin());
+    ++Evicted;
+  }
+}
+
+} // namespace auburnroute::state
--- /dev/null
+++ b/Source/State/CauseLedger.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "State/Cause.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace auburnroute::state {
+
+/// What a summary of causes is about.
+struct CauseKey {
+  std::string Origin;            ///< Host that decided.
+  std::uint64_t Incarnation = 0; ///< Of that host, ms since the epoch.
+  std::uint64_t Minute = 0;      ///< Minutes since the epoch.
+  Cause Why = Cause::None;
+  std::string Service; ///< Empty if it concerns no single service.
+  std::uint64_t Revision = 0;
+  std::string Subject; ///< Backend server, host or zone concerned.
+
+  auto operator<=>(const CauseKey &) const = default;
+};
+
+/// Summary of equal causes within a minute.
+struct CauseEntry {
+  CauseKey Key;
+  std::uint64_t Count = 0;
+  common::WallTime First;
+  common::WallTime Last;
+
+  bool operator==(const CauseEntry &) const = default;
+};
+
+/// Bounded summaries of causes, of this host and copies from peers.
+///
+/// Keeps entries for 60 minutes. Counts of a key only grow at its origin, so
+/// copies are merged by the larger count, in any order and any number of times.
+class CauseLedger {
+public:
+  static constexpr std::chrono::minutes Retention{60};
+  /// Entries at most; about 200 bytes each. The oldest minute goes first.
+  static constexpr std::size_t MaxEntries = 8192;
+
+  /// \p incarnation is the start of this process, ms since the epoch.
+  CauseLedger(std::string host, std::uint64_t incarnation);
+
+  /// Adds \p n occurrences that this host decided at \p now.
+  void record(common::WallTime now, Cause why, const std::string &service,
+              std::uint64_t revision, const std::string &subject,
+              std::uint64_t n = 1);
+  /// Takes a copy from a peer. Entries outside the retention are ignored.
+  void merge(common::WallTime now, const CauseEntry &entry);
+  /// At most \p limit entries of this host that changed since they were last
+  /// taken, oldest first.
+  std::vector<CauseEntry> takeChanged(std::size_t limit);
+  /// All entries whose last occurrence is not older than \p since.
+  std::vector<CauseEntry> since(common::WallTime since) const;
+  /// Drops entries past the retention.
+  void expire(common::WallTime now);
+
+  std::size_t size() const { return Entries.size(); }
+  /// Entries dropped because of the bound.
+  std::uint64_t evicted() const { return Evicted; }
+
+private:
+  struct Value {
+    std::uint64_t Count = 0;
+    common::WallTime First;
+    common::WallTime Last;
+  };
+  void makeRoom();
+
+  std::string Host;
+  std::uint64_t Incarnation;
+  std::map<CauseKey, Value> Entries;
+  std::set<std::pair<std::uint64_t, CauseKey>> ByMinute;
+  std::set<CauseKey> Changed;
+  std::uint64_t Evicted = 0;
+};
+
+/// Minutes since the epoch.
+std::uint64_t minuteOf(common::WallTime time);
+
+} // namespace auburnroute::state
--- /dev/null
+++ b/Source/State/CauseReport.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "State/CauseLedger.h"
+
+#include <string>
+#include <vector>
+
+namespace auburnroute::state {
+
+/// A change or failure that may have led to bad outcomes.
+struct Trigger {
+  Cause Why = Cause::None;
+  std::string Subject;
+  std::uint64_t Revision = 0;
+  common::WallTime First;
+
+  bool operator==(const Trigger &) const = default;
+};
+
+/// One kind of bad outcome of a service, and what led to it.
+struct Finding {
+  std::string Service;
+  Cause Why = Cause::None;
+  std::string Subject;
+  std::uint64_t Count = 0;
+  common::WallTime First;
+  common::WallTime Last;
+  /// Changes and failures that fit, latest first. Empty: not known.
+  std::vector<Trigger> Triggers;
+};
+
+/// Whether \p why is a bad outcome for a caller, and not a change or failure.
+bool isOutcome(Cause why);
+/// Whether \p why is a change or failure that may lead to bad outcomes.
+bool isTrigger(Cause why);
+
+/// Longest time from a trigger to an outcome that it explains. Covers the
+/// detection of a dead host and the ramp of a slow start.
+constexpr std::chrono::seconds TriggerWindow{60};
+
+/// Combines the entries of several hosts into findings; copies of an entry
+/// count once. An empty \p service means all. Ordered by first occurrence.
+std::vector<Finding> findCauses(const std::vector<CauseEntry> &entries,
+                                const std::string &service);
+
+/// A finding in one or two sentences.
+std::string describe(const Finding &finding);
+
+} // namespace auburnroute::state
--- /dev/null
+++ b/Source/UnitTests/State/CauseLedgerTest.cpp
@@ -0,0 +1,120 @@
+#include "State/CauseLedger.h"
+#include "Common/ManualClock.h"
+#include "State/CauseReport.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace auburnroute;
+using state::Cause;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(CauseLedgerTest)
+
+// Guards against losing a cause with the host that saw it: a copy at a peer
+// must still answer 30 minutes after that host died.
+BOOST_AUTO_TEST_CASE(CopySurvivesItsOrigin) {
+  common::ManualClock clock;
+  state::CauseLedger peer("couva-1", 2);
+  {
+    state::CauseLedger origin("sando-1", 1);
+    origin.record(clock.wallTime(), Cause::BackendServerReset, "counter", 7,
+                  "counter-3", 4);
+    for (const auto &it : origin.takeChanged(100))
+      peer.merge(clock.wallTime(), it);
+  }
+  clock.advance(30min);
+  peer.expire(clock.wallTime());
+  const auto found =
+      state::findCauses(peer.since(clock.wallTime() - 60min), "counter");
+  BOOST_REQUIRE(found.size() == 1);
+  BOOST_TEST(found[0].Count == 4);
+  BOOST_TEST(found[0].Subject == "counter-3");
+  BOOST_TEST((found[0].Triggers.empty()));
+  BOOST_TEST(state::describe(found[0]).find("Cause unknown") !=
+             std::string::npos);
+}
+
+// Guards against counting an entry twice when several copies are merged.
+BOOST_AUTO_TEST_CASE(CopiesCountOnce) {
+  common::ManualClock clock;
+  state::CauseLedger origin("sando-1", 1);
+  state::CauseLedger peer("couva-1", 2);
+  origin.record(clock.wallTime(), Cause::QueueFull, "counter", 7, "");
+  for (const auto &it : origin.takeChanged(100)) {
+    peer.merge(clock.wallTime(), it);
+    peer.merge(clock.wallTime(), it);
+  }
+  origin.record(clock.wallTime(), Cause::QueueFull, "counter", 7, "", 2);
+  auto entries = origin.since(clock.wallTime() - 60min);
+  const auto copies = peer.since(clock.wallTime() - 60min);
+  entries.insert(entries.end(), copies.begin(), copies.end());
+  const auto found = state::findCauses(entries, "");
+  BOOST_REQUIRE(found.size() == 1);
+  BOOST_TEST(found[0].Count == 3);
+}
+
+// Guards against blaming one server's failure for another one's resets.
+BOOST_AUTO_TEST_CASE(TwoFailuresAtOnceAreToldApart) {
+  common::ManualClock clock;
+  state::CauseLedger ledger("sando-1", 1);
+  ledger.record(clock.wallTime(), Cause::BackendServerEjected, "counter", 7,
+                "counter-3");
+  ledger.record(clock.wallTime(), Cause::HostDead, "", 7, "sando-2");
+  clock.advance(2s);
+  ledger.record(clock.wallTime(), Cause::BackendServerReset, "counter", 7,
+                "counter-3");
+  ledger.record(clock.wallTime(), Cause::BackendServerReset, "counter", 7,
+                "counter-4");
+  const auto found =
+      state::findCauses(ledger.since(clock.wallTime() - 60min), "counter");
+  BOOST_REQUIRE(found.size() == 2);
+  for (const auto &it : found) {
+    const bool known = it.Subject == "counter-3";
+    BOOST_TEST(it.Triggers.size() == (known ? 1U : 0U));
+    if (known)
+      BOOST_TEST((it.Triggers[0].Why == Cause::BackendServerEjected));
+  }
+}
+
+// Guards against a change long before, or after, being named as the cause.
+BOOST_AUTO_TEST_CASE(OnlyTriggersInTheWindowCount) {
+  common::ManualClock clock;
+  state::CauseLedger ledger("sando-1", 1);
+  ledger.record(clock.wallTime(), Cause::SettingsApplied, "", 7, "");
+  clock.advance(10min);
+  ledger.record(clock.wallTime(), Cause::SettingsApplied, "", 8, "");
+  clock.advance(20s);
+  ledger.record(clock.wallTime(), Cause::QueueTimeout, "counter", 8, "");
+  clock.advance(20s);
+  ledger.record(clock.wallTime(), Cause::SettingsApplied, "", 9, "");
+  const auto found =
+      state::findCauses(ledger.since(clock.wallTime() - 60min), "");
+  BOOST_REQUIRE(found.size() == 1);
+  BOOST_REQUIRE(found[0].Triggers.size() == 1);
+  BOOST_TEST(found[0].Triggers[0].Revision == 8);
+}
+
+// Guards against unbounded growth under many subjects, and over time.
+BOOST_AUTO_TEST_CASE(SizeAndAgeAreBounded) {
+  common::ManualClock clock;
+  state::CauseLedger ledger("sando-1", 1);
+  for (std::size_t i = 0; i < state::CauseLedger::MaxEntries + 50; ++i)
+    ledger.record(clock.wallTime(), Cause::QueueFull, std::to_string(i), 7, "");
+  BOOST_TEST(ledger.size() == state::CauseLedger::MaxEntries);
+  BOOST_TEST(ledger.evicted() == 50);
+  clock.advance(62min);
+  ledger.expire(clock.wallTime());
+  BOOST_TEST(ledger.size() == 0);
+}
+
+// Guards against an outcome or trigger that the report cannot word.
+BOOST_AUTO_TEST_CASE(EveryRefusalHasAnOutcomeText) {
+  for (const auto why :
+       {Cause::MissingTimestamps, Cause::NoBackendServer, Cause::QueueFull,
+        Cause::QueueTimeout, Cause::ConnectionLimit})
+    BOOST_TEST(state::isOutcome(why));
+  for (int i = 0; i < static_cast<int>(Cause::Count); ++i)
+    BOOST_TEST((state::toString(static_cast<Cause>(i)) != "Invalid"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
