Add a TCP endpoint over datagrams for the stand-ins

Callers and backend servers in tests exchange IPv4 packets inside UDP datagrams, so they need a TCP of their own. Raw sockets and the kernel's TCP were ruled out: they need privileges and cannot be driven by a virtual clock.

Congestion control and window scaling are left out: flows carry a few short messages.

--- /dev/null
+++ b/Source/StandIns/TcpEndpoint.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "StandIns/TcpConnection.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+
+namespace auburnroute::standins {
+
+/// TCP connections over datagrams that carry IPv4 packets: accepts, opens and
+/// demultiplexes. No socket and no clock; both are outside.
+class TcpEndpoint {
+public:
+  /// \p seed draws the initial sequence numbers.
+  explicit TcpEndpoint(std::uint64_t seed, TcpOptions options = {});
+
+  /// Accepts connections to \p local.
+  void listen(common::Endpoint local);
+  /// Whether SYNs are answered with a reset.
+  void setShedding(bool shedding) { Shedding = shedding; }
+
+  /// Opens a connection. An earlier one between the same endpoints is ended
+  /// without an event.
+  ConnectionId connect(common::TimePoint now, common::Endpoint local,
+                       common::Endpoint remote);
+  /// Queues payload. An unknown \p id is ignored.
+  void send(common::TimePoint now, ConnectionId id, std::string_view bytes);
+  /// Closes in order after the queued payload.
+  void close(common::TimePoint now, ConnectionId id);
+  /// Sends a reset and forgets the connection; there is no event.
+  void abort(common::TimePoint now, ConnectionId id);
+
+  /// Handles one datagram; malformed ones are counted and dropped.
+  void onDatagram(common::TimePoint now, std::span<std::byte> datagram);
+  /// Runs the timers that are due.
+  void onTimer(common::TimePoint now);
+  /// The time of the earliest timer.
+  std::optional<common::TimePoint> nextTimer() const;
+
+  /// Whether a connection between these endpoints exists in any state but
+  /// TIME-WAIT.
+  bool inUse(common::Endpoint local, common::Endpoint remote) const;
+  std::size_t connectionCount() const { return Connections.size(); }
+  const TcpCounters &counters() const { return Output.Counters; }
+
+  /// Events since the last call, in order.
+  std::vector<TcpEvent> takeEvents();
+  /// Packets to send since the last call, in order.
+  std::vector<std::vector<std::byte>> takePackets();
+
+private:
+  using FlowId = std::pair<common::Endpoint, common::Endpoint>;
+
+  void onUnknown(common::TimePoint now, const protocol::PacketView &segment);
+  void onNewSyn(common::TimePoint now, const protocol::PacketView &syn);
+  void reject(common::TimePoint now, const protocol::PacketView &segment);
+  /// Runs \p action on a connection, updates its timer and removes it if it is
+  /// closed.
+  template <typename Action> void apply(ConnectionId id, Action action);
+  void forget(ConnectionId id);
+  std::uint32_t drawSequence();
+
+  TcpOptions Options;
+  std::mt19937_64 Random;
+  bool Shedding = false;
+  std::set<common::Endpoint> Listening;
+  std::map<ConnectionId, TcpConnection> Connections;
+  std::map<FlowId, ConnectionId> ByFlow;
+  std::set<std::pair<common::TimePoint, ConnectionId>> Timers;
+  ConnectionId NextId = 1;
+  TcpOutput Output;
+};
+
+} // namespace auburnroute::standins
--- /dev/null
+++ b/Source/StandIns/TcpEvent.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "Common/Endpoint.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace auburnroute::standins {
+
+/// Identity of a connection of one TcpEndpoint; never reused.
+using ConnectionId = std::uint64_t;
+
+/// A SYN arrived for a listening endpoint. Nothing is established yet.
+struct Incoming {
+  ConnectionId Id = 0;
+  common::Endpoint Local;
+  common::Endpoint Remote;
+};
+/// The handshake of an Incoming connection is complete.
+struct Accepted {
+  ConnectionId Id = 0;
+  common::Endpoint Local;
+  common::Endpoint Remote;
+};
+/// The handshake of a connection opened here is complete.
+struct Connected {
+  ConnectionId Id = 0;
+};
+/// Payload in sequence.
+struct Received {
+  ConnectionId Id = 0;
+  std::string Bytes;
+};
+/// The peer sent its FIN; it sends nothing more.
+struct PeerClosed {
+  ConnectionId Id = 0;
+};
+/// Both directions were closed in order.
+struct Closed {
+  ConnectionId Id = 0;
+};
+/// A reset answered the SYN.
+struct Refused {
+  ConnectionId Id = 0;
+};
+/// A reset arrived after the SYN had been answered.
+struct Reset {
+  ConnectionId Id = 0;
+};
+/// The peer acknowledged nothing until the last retransmission expired.
+struct TimedOut {
+  ConnectionId Id = 0;
+  bool Established = false; ///< Whether the handshake had been completed.
+};
+
+/// Something that happened to a connection.
+using TcpEvent = std::variant<Incoming, Accepted, Connected, Received,
+                              PeerClosed, Closed, Refused, Reset, TimedOut>;
+
+/// Segment counts of one TcpEndpoint.
+struct TcpCounters {
+  std::uint64_t ChecksumErrors = 0;
+  std::uint64_t Malformed = 0;
+  std::uint64_t LateSegments = 0; ///< Of an earlier flow; dropped.
+  std::uint64_t Duplicates = 0;   ///< Of this flow, received before.
+  std::uint64_t Retransmissions = 0;
+  std::uint64_t ChallengeAcks = 0; ///< RFC 5961.
+  std::uint64_t ResetsSent = 0;
+};
+
+/// What handling a segment, a call or a timer produced.
+struct TcpOutput {
+  std::vector<std::vector<std::byte>> Packets; ///< IPv4 packets to send.
+  std::vector<TcpEvent> Events;
+  TcpCounters Counters;
+};
+
+} // namespace auburnroute::standins
