Add the platform stand-in

Hosts read settings and the host list from a configuration service by HTTP long poll; tests need one that they can feed, stop and make stale.

Settings are not checked beyond the revision, so that a test can publish a bad document.

--- /dev/null
+++ b/Source/StandIns/HttpService.cpp
@@ -0,0 +1,39 @@
+#include "StandIns/HttpService.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <chrono>
+
+namespace auburnroute::standins {
+
+HttpService::HttpService(std::size_t workers) {
+  Server.new_task_queue = [workers] {
+    return new httplib::ThreadPool(workers);
+  };
+  // A kept connection holds a worker; pollers would use all of them up.
+  Server.set_keep_alive_max_count(1);
+  Server.set_read_timeout(std::chrono::seconds(2));
+}
+
+HttpService::~HttpService() { stop(); }
+
+absl::Status HttpService::start(const common::Endpoint &listen) {
+  const auto text = common::toString(listen);
+  const auto address = text.substr(0, text.rfind(':'));
+  if (!Server.bind_to_port(address.c_str(), listen.Port))
+    return absl::UnavailableError(absl::StrCat("cannot listen on ", text));
+  Thread = std::thread([this] { Server.listen_after_bind(); });
+  return absl::OkStatus();
+}
+
+void HttpService::stop() {
+  if (!Thread.joinable())
+    return;
+  // stop() has no effect before the accept loop runs.
+  while (!Server.is_running())
+    std::this_thread::yield();
+  Server.stop();
+  Thread.join();
+}
+
+} // namespace auburnroute::standins
--- /dev/null
+++ b/Source/StandIns/PlatformStore.cpp
@@ -0,0 +1,93 @@
+#include "StandIns/PlatformStore.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <nlohmann/json.hpp>
+
+namespace auburnroute::standins {
+
+absl::Status PlatformStore::setSettings(std::string document) {
+  return set(Settings, "revision", std::move(document));
+}
+
+absl::Status PlatformStore::setHosts(std::string document) {
+  return set(Hosts, "version", std::move(document));
+}
+
+absl::Status PlatformStore::set(Document &document, const char *versionKey,
+                                std::string text) {
+  // Comments are allowed.
+  const auto root = nlohmann::json::parse(text, nullptr, false, true);
+  if (!root.is_object() || !root.contains(versionKey) ||
+      !root[versionKey].is_number_unsigned())
+    return absl::InvalidArgumentError(
+        absl::StrCat("document has no number \"", versionKey, "\""));
+  const std::lock_guard lock(Mutex);
+  document.Version = root[versionKey];
+  document.Text = std::move(text);
+  publish(document);
+  Changed.notify_all();
+  return absl::OkStatus();
+}
+
+void PlatformStore::publish(Document &document) const {
+  if (Mode == PlatformMode::Stale)
+    return;
+  document.ServedVersion = document.Version;
+  document.ServedText = document.Text;
+}
+
+void PlatformStore::setMode(PlatformMode mode) {
+  const std::lock_guard lock(Mutex);
+  Mode = mode;
+  publish(Settings);
+  publish(Hosts);
+  Changed.notify_all();
+}
+
+PlatformStore::Answer PlatformStore::read(const Document &document,
+                                          std::uint64_t after,
+                                          std::chrono::milliseconds wait) {
+  std::unique_lock lock(Mutex);
+  Changed.wait_for(lock, wait, [&] {
+    return ShutDown || Mode == PlatformMode::Down ||
+           document.ServedVersion > after;
+  });
+  if (Mode == PlatformMode::Down)
+    return {503, {}};
+  if (document.ServedVersion > after)
+    return {200, document.ServedText};
+  return {204, {}};
+}
+
+PlatformStore::Answer
+PlatformStore::readSettings(std::uint64_t after,
+                            std::chrono::milliseconds wait) {
+  {
+    const std::lock_guard lock(Mutex);
+    ++Reads.SettingsReads;
+  }
+  return read(Settings, after, wait);
+}
+
+PlatformStore::Answer PlatformStore::readHosts(std::uint64_t after,
+                                               std::chrono::milliseconds wait) {
+  {
+    const std::lock_guard lock(Mutex);
+    ++Reads.HostsReads;
+  }
+  return read(Hosts, after, wait);
+}
+
+void PlatformStore::shutDown() {
+  const std::lock_guard lock(Mutex);
+  ShutDown = true;
+  Changed.notify_all();
+}
+
+PlatformStore::Counts PlatformStore::counts() const {
+  const std::lock_guard lock(Mutex);
+  return Reads;
+}
+
+} // namespace auburnroute::standins
--- /dev/null
+++ b/Source/StandIns/StopSignal.cpp
@@ -0,0 +1,31 @@
+#include "StandIns/StopSignal.h"
+
+#include <csignal>
+#include <thread>
+
+namespace auburnroute::standins {
+
+namespace {
+
+volatile std::sig_atomic_t Arrived = 0;
+
+void onSignal(int) { Arrived = 1; }
+
+} // namespace
+
+void StopSignal::install() {
+  struct sigaction action {};
+  action.sa_handler = onSignal;
+  sigaction(SIGTERM, &action, nullptr);
+  sigaction(SIGINT, &action, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+bool StopSignal::stopped() { return Arrived != 0; }
+
+void StopSignal::wait() {
+  while (!stopped())
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+}
+
+} // namespace auburnroute::standins
