Add the network fabric stand-in

The design lets the fabric deliver any packet of any flow to any host, so tests need a fabric that does exactly that: one draw per packet over the ready hosts. Spraying per flow was ruled out, as it would hide faults of stateless forwarding.

--- /dev/null
+++ b/Source/StandIns/DatagramSocket.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Common/Endpoint.h"
+
+#include "absl/status/statusor.h"
+
+#include <cstddef>
+#include <optional>
+#include <span>
+
+namespace auburnroute::standins {
+
+/// A non-blocking UDP socket.
+class DatagramSocket {
+public:
+  /// Largest datagram that is received whole, in bytes.
+  static constexpr std::size_t MaxDatagram = 2048;
+
+  struct Datagram {
+    common::Endpoint From;
+    std::span<std::byte> Bytes;
+  };
+
+  /// Binds to \p local. Errors: Unavailable.
+  static absl::StatusOr<DatagramSocket> bind(const common::Endpoint &local);
+  ~DatagramSocket();
+  DatagramSocket(DatagramSocket &&other) noexcept;
+  DatagramSocket &operator=(DatagramSocket &&other) noexcept;
+  DatagramSocket(const DatagramSocket &) = delete;
+  DatagramSocket &operator=(const DatagramSocket &) = delete;
+
+  /// The next datagram, placed in \p buf, or nothing if none is waiting.
+  std::optional<Datagram> receive(std::span<std::byte> buf) const;
+  /// Sends \p bytes. A full buffer or an absent receiver loses the datagram, as
+  /// a network would.
+  void send(const common::Endpoint &to, std::span<const std::byte> bytes) const;
+  int descriptor() const { return Descriptor; }
+
+private:
+  explicit DatagramSocket(int descriptor) : Descriptor(descriptor) {}
+
+  int Descriptor = -1;
+};
+
+} // namespace auburnroute::standins
--- /dev/null
+++ b/Source/StandIns/HostWatcher.cpp
@@ -0,0 +1,96 @@
+#include "StandIns/HostWatcher.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <httplib.h>
+
+#include <chrono>
+
+namespace auburnroute::standins {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds ProbeInterval{200};
+constexpr milliseconds ProbeTimeout{300};
+// Short, so that a stop does not wait long for a pending watch.
+constexpr milliseconds WatchWait{500};
+constexpr milliseconds WatchTimeout{2000};
+constexpr milliseconds RetryPause{100};
+
+httplib::Client clientFor(const common::Endpoint &endpoint,
+                          milliseconds timeout) {
+  const auto text = common::toString(endpoint);
+  httplib::Client client(text.substr(0, text.rfind(':')), endpoint.Port);
+  client.set_connection_timeout(timeout);
+  client.set_read_timeout(timeout);
+  client.set_write_timeout(timeout);
+  return client;
+}
+
+} // namespace
+
+HostWatcher::HostWatcher(HostPool &pool, common::Endpoint platform)
+    : Pool(pool), Platform(platform), Thread([this] { watch(); }) {}
+
+HostWatcher::~HostWatcher() {
+  Stopped = true;
+  Thread.join();
+}
+
+void HostWatcher::watch() {
+  std::uint64_t version = 0;
+  while (!Stopped) {
+    auto client = clientFor(Platform, WatchTimeout);
+    const auto result = client.Get(
+        absl::StrCat("/hosts?after=", version, "&wait=", WatchWait.count())
+            .c_str());
+    if (result && result->status == 200 &&
+        Pool.apply(result->body, version).ok())
+      updateProbers();
+    else if (!result || result->status != 204)
+      std::this_thread::sleep_for(RetryPause);
+  }
+  for (auto &[name, prober] : Probers)
+    stopProber(prober);
+}
+
+void HostWatcher::updateProbers() {
+  std::map<std::string, common::Endpoint> wanted;
+  for (const auto &host : Pool.ownHosts())
+    wanted.emplace(host.Name, host.Operator);
+  for (auto it = Probers.begin(); it != Probers.end();) {
+    const auto at = wanted.find(it->first);
+    if (at != wanted.end() && at->second == it->second.Operator) {
+      ++it;
+      continue;
+    }
+    stopProber(it->second);
+    it = Probers.erase(it);
+  }
+  for (const auto &[name, endpoint] : wanted) {
+    const auto [it, added] = Probers.try_emplace(name);
+    if (!added)
+      continue;
+    it->second.Operator = endpoint;
+    it->second.Thread = std::thread(
+        [this, &prober = it->second, host = name] { probe(prober, host); });
+  }
+}
+
+void HostWatcher::probe(Prober &prober, const std::string &name) {
+  while (!prober.Stopped) {
+    auto client = clientFor(prober.Operator, ProbeTimeout);
+    const auto result = client.Get("/ready");
+    Pool.onProbe(name, result ? result->status : 0);
+    std::this_thread::sleep_for(ProbeInterval);
+  }
+}
+
+void HostWatcher::stopProber(Prober &prober) {
+  prober.Stopped = true;
+  prober.Thread.join();
+}
+
+} // namespace auburnroute::standins
