Add the backend server stand-in

Tests need backend servers that execute requests in a bounded number of slots, keep feeds open, report load and leave on demand, and that record what reached them: executed ids, packets of another service, new flows after a drain.

--- /dev/null
+++ b/Source/StandIns/BackendServerGroup.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "StandIns/BackendServerStandIn.h"
+#include "StandIns/DatagramSocket.h"
+#include "StandIns/HttpService.h"
+
+#include "absl/status/statusor.h"
+
+#include <memory>
+#include <mutex>
+#include <string_view>
+#include <vector>
+
+namespace auburnroute::standins {
+
+/// Runs backend servers with their tunnel sockets and load reports.
+class BackendServerGroup {
+public:
+  /// \p fabric receives the packets that the backend servers send.
+  BackendServerGroup(common::Endpoint fabric, std::uint64_t seed);
+
+  /// Adds a backend server. Errors: Unavailable if one of its endpoints cannot
+  /// be bound.
+  absl::Status add(const state::Service &service,
+                   const state::BackendServer &server);
+  /// Serves POST /control and GET /results. Errors: Unavailable.
+  absl::Status serveOperator(const common::Endpoint &endpoint);
+  /// Handles packets until a stop signal arrives.
+  void run();
+  /// Body of GET /results.
+  std::string results();
+
+private:
+  struct Member {
+    Member(BackendServerStandIn server, DatagramSocket socket);
+
+    BackendServerStandIn Server;
+    DatagramSocket Socket;
+    HttpService Load;
+  };
+
+  void handlePackets(Member &member);
+  bool control(const std::string &name, const std::string &mode);
+
+  common::Endpoint Fabric;
+  std::uint64_t Seed;
+  std::mutex Mutex; ///< Guards the servers against the HTTP threads.
+  std::vector<std::unique_ptr<Member>> Members;
+  HttpService Operator;
+};
+
+} // namespace auburnroute::standins
--- a/Source/StandIns/HttpService.cpp
+++ b/Source/StandIns/HttpService.cpp
@@ -6,6 +6,13 @@
 
 namespace auburnroute::standins {
 
+namespace {
+
+constexpr int MaxStartChecks = 1000;
+constexpr std::chrono::milliseconds StartCheckInterval{1};
+
+} // namespace
+
 HttpService::HttpService(std::size_t workers) {
   Server.new_task_queue = [workers] {
     return new httplib::ThreadPool(workers);
@@ -30,8 +37,8 @@
   if (!Thread.joinable())
     return;
   // stop() has no effect before the accept loop runs.
-  while (!Server.is_running())
-    std::this_thread::yield();
+  for (int i = 0; i < MaxStartChecks && !Server.is_running(); ++i)
+    std::this_thread::sleep_for(StartCheckInterval);
   Server.stop();
   Thread.join();
 }
