Take the status of an HTTP answer without a body from the result

Cause: the platform's 204 was read as status 0, since the response handler is not called for an answer without a body; the daemon called the platform unreachable.

--- a/Source/Transport/HttpClient.cpp
+++ b/Source/Transport/HttpClient.cpp
@@ -41,13 +41,8 @@
 absl::StatusOr<HttpResponse> HttpClient::get(const std::string &path) {
   HttpResponse response;
   bool tooLong = false;
-  const auto result = Client->Http.Get(
-      path,
-      [&](const httplib::Response &head) {
-        response.Status = head.status;
-        return true;
-      },
-      [&](const char *data, std::size_t n) {
+  const auto result =
+      Client->Http.Get(path, [&](const char *data, std::size_t n) {
         tooLong = response.Body.size() + n > MaxBodyBytes;
         if (!tooLong)
           response.Body.append(data, n);
@@ -59,6 +54,7 @@
   if (!result)
     return absl::UnavailableError(absl::StrCat(
         Name, path, ": no answer (", httplib::to_string(result.error()), ")"));
+  response.Status = result->status;
   return response;
 }
 
