--- /dev/null
+++ b/Source/Protocol/CauseCodec.cpp
@@ -0,0 +1,75 @@
+#include "Protocol/CauseCodec.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace auburnroute::protocol {
+
+namespace {
+
+using Json = nlohmann::json;
+using state::Cause;
+
+std::int64_t millisecondsOf(common::WallTime time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             time.time_since_epoch())
+      .count();
+}
+
+common::WallTime timeOf(std::int64_t milliseconds) {
+  return common::WallTime(std::chrono::milliseconds(milliseconds));
+}
+
+std::optional<Cause> causeOf(const std::string &name) {
+  for (int i = 0; i < static_cast<int>(Cause::Count); ++i)
+    if (state::toString(static_cast<Cause>(i)) == name)
+      return static_cast<Cause>(i);
+  return std::nullopt;
+}
+
+} // namespace
+
+std::string encodeCauses(const std::string &host,
+                         const std::vector<state::CauseEntry> &entries) {
+  Json root{{"host", host}, {"entries", Json::array()}};
+  for (const auto &it : entries)
+    root["entries"].push_back({{"origin", it.Key.Origin},
+                               {"incarnation", it.Key.Incarnation},
+                               {"minute", it.Key.Minute},
+                               {"cause", state::toString(it.Key.Why)},
+                               {"service", it.Key.Service},
+                               {"revision", it.Key.Revision},
+                               {"subject", it.Key.Subject},
+                               {"count", it.Count},
+                               {"first_ms", millisecondsOf(it.First)},
+                               {"last_ms", millisecondsOf(it.Last)}});
+  return root.dump(1) + "\n";
+}
+
+absl::StatusOr<std::vector<state::CauseEntry>>
+decodeCauses(std::string_view text) {
+  try {
+    const auto root = Json::parse(text);
+    std::vector<state::CauseEntry> entries;
+    for (const auto &it : root.at("entries")) {
+      const auto why = causeOf(it.at("cause").get<std::string>());
+      if (!why)
+        continue;
+      state::CauseEntry entry;
+      entry.Key = {
+          it.at("origin"),  it.at("incarnation"), it.at("minute"), *why,
+          it.at("service"), it.at("revision"),    it.at("subject")};
+      entry.Count = it.at("count");
+      entry.First = timeOf(it.at("first_ms"));
+      entry.Last = timeOf(it.at("last_ms"));
+      entries.push_back(std::move(entry));
+    }
+    return entries;
+  } catch (const Json::exception &ex) {
+    return absl::InvalidArgumentError(absl::StrCat("causes: ", ex.what()));
+  }
+}
+
+} // namespace auburnroute::protocol
--- /dev/null
+++ b/Source/Protocol/CauseCodec.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "State/CauseLedger.h"
+
+#include "absl/status/statusor.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace auburnroute::protocol {
+
+/// Encodes what GET /cause answers: {"host": ..., "entries": [...]}, times in
+/// milliseconds since the epoch.
+std::string encodeCauses(const std::string &host,
+                         const std::vector<state::CauseEntry> &entries);
+
+/// Decodes the answer to GET /cause; causes of a newer version that are not
+/// known here are left out. Errors: InvalidArgument.
+absl::StatusOr<std::vector<state::CauseEntry>>
+decodeCauses(std::string_view text);
+
+} // namespace auburnroute::protocol
--- a/Source/State/BurnLedger.cpp
+++ b/Source/State/BurnLedger.cpp
@@ -38,6 +38,20 @@
   return total;
 }
 
+std::vector<BurnCounts> BurnLedger::minutes(common::WallTime now,
+                                            const std::string &service,
+                                            std::size_t n) const {
+  std::vector<BurnCounts> last(n);
+  const auto it = ByService.find(service);
+  if (it == ByService.end())
+    return last;
+  const auto end = minuteOf(now) + 1;
+  for (const auto &at : it->second)
+    if (at.Minute + n >= end && at.Minute < end)
+      last[at.Minute + n - end] = at.Counts;
+  return last;
+}
+
 std::vector<std::string> BurnLedger::services() const {
   std::vector<std::string> names;
   for (const auto &[name, minutes] : ByService)
--- a/Source/State/BurnLedger.h
+++ b/Source/State/BurnLedger.h
@@ -36,6 +36,10 @@
   /// Sum over the last \p window, the current minute included.
   BurnCounts sum(common::WallTime now, const std::string &service,
                  std::chrono::minutes window) const;
+  /// Counts of the last \p n minutes, oldest first, the current one last.
+  std::vector<BurnCounts> minutes(common::WallTime now,
+                                  const std::string &service,
+                                  std::size_t n) const;
   std::vector<std::string> services() const;
 
 private:
