Add the host table, peer messages and their codec

Cause: hosts need typed messages and an authenticated frame format before membership and settings distribution can be decided on.

The heartbeat no longer repeats sender, incarnation and sequence, which the envelope has; at two heartbeats a second to 18 neighbours each byte counts against the 5 KB/s bound. Suspicion became HostUpdate, which also carries joins, refutations and addresses, since most hosts of a large zone are not neighbours and hear of each other only by report. Ruled out: a second frame for the HMAC (two more bytes of framing, two more allocations).

Frames are refused with a typed reason; senders become known with a heartbeat that introduces them, and the table of senders is bounded.

--- /dev/null
+++ b/Source/Coordination/PeerMessage.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "Coordination/SettingsStamp.h"
+#include "State/Cause.h"
+#include "State/HostTable.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace auburnroute::coordination {
+
+/// News of a third host (a join, a suspicion, a death), spread by its peers.
+struct HostUpdate {
+  std::string Host;
+  std::uint64_t Incarnation = 0;
+  std::uint64_t Sequence = 0; ///< Last one that the reporter knows.
+  state::HostState State = state::HostState::Joining;
+  bool Leaving = false;
+  state::HostAddresses Addresses;
+
+  bool operator==(const HostUpdate &) const = default;
+};
+
+/// What a peer must know of the sender before anything else.
+struct Introduction {
+  std::string Zone;
+  state::HostAddresses Addresses;
+
+  bool operator==(const Introduction &) const = default;
+};
+
+/// Sign of life, state and settings of the sender.
+struct Heartbeat {
+  state::HostState State = state::HostState::Joining;
+  SettingsStamp Settings;            ///< In force at the sender.
+  std::uint32_t EchoIncarnation = 0; ///< Low 32 bits; 0 if none was heard.
+  std::uint64_t EchoSequence = 0;    ///< Last one heard from the receiver.
+  std::uint32_t ViewDigest = 0;      ///< Hash of the sender's host table.
+  bool Answer = false; ///< Sent outside the ring; needs no answer itself.
+  bool Probe = false;  ///< The receiver is overdue and should answer at once.
+  std::optional<Introduction> Intro; ///< Until the receiver has echoed.
+  std::vector<HostUpdate> Updates;   ///< Bounded.
+
+  bool operator==(const Heartbeat &) const = default;
+};
+
+/// Asks for the receiver's settings.
+struct SettingsRequest {
+  SettingsStamp Have; ///< Base for a delta; zero asks for the document.
+
+  bool operator==(const SettingsRequest &) const = default;
+};
+
+/// Carries settings.
+struct SettingsReply {
+  SettingsStamp Stamp;
+  SettingsStamp Base; ///< Zero if Text is a whole document.
+  std::string Text;   ///< JSON document or JSON merge patch (RFC 7386).
+
+  bool operator==(const SettingsReply &) const = default;
+};
+
+/// Summary of one cause in one minute, replicated to peers.
+struct CauseEntry {
+  std::string Origin; ///< Host that decided.
+  std::uint64_t Incarnation = 0;
+  std::uint64_t Minute = 0; ///< Minutes since the epoch.
+  state::Cause Why = state::Cause::None;
+  std::string Service;
+  std::uint64_t Revision = 0;
+  std::string Subject; ///< Backend server, host or zone concerned.
+  std::uint64_t Count = 0;
+  std::uint64_t FirstMs = 0; ///< Milliseconds since the epoch.
+  std::uint64_t LastMs = 0;  ///< Milliseconds since the epoch.
+
+  bool operator==(const CauseEntry &) const = default;
+};
+
+struct CauseBatch {
+  std::vector<CauseEntry> Entries; ///< Bounded.
+
+  bool operator==(const CauseBatch &) const = default;
+};
+
+using PeerBody =
+    std::variant<Heartbeat, SettingsRequest, SettingsReply, CauseBatch>;
+
+/// A message between two hosts.
+struct PeerMessage {
+  std::string Sender;
+  std::uint64_t Incarnation = 0;
+  std::uint64_t Sequence = 0; ///< Strictly increasing from sender to receiver.
+  PeerBody Body;
+
+  bool operator==(const PeerMessage &) const = default;
+};
+
+/// A message and the peer endpoint that it goes to.
+struct OutgoingMessage {
+  common::Endpoint To;
+  PeerMessage Message;
+};
+
+} // namespace auburnroute::coordination
--- /dev/null
+++ b/Source/Protocol/PeerCodec.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "Coordination/PeerMessage.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/status/statusor.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace auburnroute::protocol {
+
+/// Why a frame from a peer was not taken.
+enum class PeerRefusal : std::uint8_t {
+  WrongKey,      ///< The HMAC does not match.
+  Malformed,     ///< Not an envelope, or a value out of range.
+  Oversized,     ///< Longer than MaxFrameBytes, or too many entries.
+  OldSequence,   ///< Not newer than the last frame of this sender.
+  UnknownSender, ///< Neither known nor introducing itself, or no room.
+  Count,         ///< Number of reasons; not a reason.
+};
+
+/// Stable name of a reason, as in reports and metrics.
+std::string_view toString(PeerRefusal refusal);
+
+/// Encodes, authenticates and checks frames between hosts.
+///
+/// Layout: 32 bytes of HMAC-SHA256 over the envelope, the envelope (protobuf).
+/// A sender becomes known with a heartbeat that introduces it.
+class PeerCodec {
+public:
+  static constexpr std::size_t MacBytes = 32;
+  /// Settings documents are up to 1 MB; the rest is room for the envelope.
+  static constexpr std::size_t MaxFrameBytes = 1'250'000;
+  static constexpr int MaxUpdates = 256;      ///< Per heartbeat.
+  static constexpr int MaxCauseEntries = 512; ///< Per batch.
+  static constexpr std::size_t MaxNameBytes = 255;
+  static constexpr std::size_t MaxSenders = state::HostTable::MaxHosts;
+
+  using Decoded = std::variant<coordination::PeerMessage, PeerRefusal>;
+
+  /// \p key is the shared key of the hosts.
+  explicit PeerCodec(std::string key);
+
+  /// Errors: ResourceExhausted if the frame would exceed a bound.
+  absl::StatusOr<std::string>
+  encode(const coordination::PeerMessage &message) const;
+  /// Checks the bound, the HMAC, the values and the sender, in this order.
+  Decoded decode(std::string_view frame);
+  /// Drops what is kept of a sender, once membership has forgotten the host.
+  void forget(std::string_view sender);
+
+  /// Frames refused so far.
+  std::uint64_t refused(PeerRefusal reason) const {
+    return Refused[static_cast<std::size_t>(reason)];
+  }
+
+private:
+  struct LastFrame {
+    std::uint64_t Incarnation = 0;
+    std::uint64_t Sequence = 0;
+  };
+
+  std::array<unsigned char, MacBytes> mac(std::string_view envelope) const;
+  Decoded refuse(PeerRefusal reason);
+  std::optional<PeerRefusal> admit(const coordination::PeerMessage &message);
+
+  std::string Key;
+  absl::flat_hash_map<std::string, LastFrame> Senders;
+  std::array<std::uint64_t, static_cast<std::size_t>(PeerRefusal::Count)>
+      Refused{};
+};
+
+} // namespace auburnroute::protocol
--- /dev/null
+++ b/Source/State/HostTable.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/Endpoint.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace auburnroute::state {
+
+/// State of a host as this host sees it.
+enum class HostState : std::uint8_t {
+  Joining, ///< Not confirmed yet; places no new flows.
+  Live,
+  Suspect, ///< Missed heartbeats, or said to have missed them.
+  Leaving, ///< Stopping; still forwards.
+  Dead,
+};
+
+/// Number of values of HostState; larger ones on the wire are malformed.
+inline constexpr std::uint32_t HostStateCount = 5;
+
+/// Stable name of a state, as in reports and metrics.
+std::string_view toString(HostState state);
+
+/// Sockets of a host. A zero endpoint is one that is not known.
+struct HostAddresses {
+  common::Endpoint Packets;   ///< UDP, from the fabric.
+  common::Endpoint Admission; ///< UDP, hand-over datagrams.
+  common::Endpoint Peer;      ///< TCP, ZeroMQ messages between hosts.
+  common::Endpoint Operator;  ///< HTTP.
+
+  bool operator==(const HostAddresses &) const = default;
+};
+
+/// What is known of one host.
+struct Host {
+  std::string Name;
+  HostAddresses Addresses;
+  HostState State = HostState::Joining;
+  bool Leaving = false; ///< Was announced as leaving in this incarnation.
+  bool Listed = false;  ///< On the last host list of the platform.
+  std::uint64_t Incarnation = 0; ///< Process start, ms since the epoch; 0 if it
+                                 ///< was never heard of but on the list.
+  std::uint64_t Sequence = 0;    ///< Last one known, heard or by report.
+  common::TimePoint LastHeard;   ///< Last sign of life.
+  common::TimePoint StateSince;
+};
+
+/// The hosts of one availability zone, ordered by name and bounded in number.
+///
+/// References stay valid until the host is erased.
+class HostTable {
+public:
+  /// A zone at plan size has 722 hosts; the rest is room for growth and for
+  /// hosts that were replaced and not yet forgotten.
+  static constexpr std::size_t MaxHosts = 4096;
+
+  /// The host, or nullptr.
+  const Host *find(std::string_view name) const;
+  Host *find(std::string_view name);
+  /// The host, added if it is new; nullptr if the table is full.
+  Host *add(std::string_view name);
+  void erase(std::string_view name);
+
+  std::size_t size() const { return Hosts.size(); }
+  auto begin() const { return Hosts.begin(); }
+  auto end() const { return Hosts.end(); }
+  auto begin() { return Hosts.begin(); }
+  auto end() { return Hosts.end(); }
+
+private:
+  std::map<std::string, Host, std::less<>> Hosts;
+};
+
+} // namespace auburnroute::state
