--- /dev/null
+++ b/Source/UnitTests/Protocol/PeerCodecTest.cpp
@@ -0,0 +1,126 @@
+#include "Protocol/PeerCodec.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace auburnroute;
+using namespace coordination;
+using protocol::PeerCodec;
+using protocol::PeerRefusal;
+
+namespace {
+
+const state::HostAddresses Addresses{{0x7F000001, 21001},
+                                     {0x7F000001, 21101},
+                                     {0x7F000001, 21201},
+                                     {0xFFFFFFFF, 65535}};
+
+PeerMessage heartbeat(std::uint64_t sequence, std::uint64_t incarnation = 1) {
+  Heartbeat body{state::HostState::Live,
+                 {7, ~0ULL},
+                 3,
+                 99,
+                 0xFFFFFFFF,
+                 true,
+                 true,
+                 Introduction{"zone", Addresses},
+                 {}};
+  body.Updates.push_back(
+      {"other", 5, 6, state::HostState::Suspect, true, Addresses});
+  return {"host", incarnation, sequence, body};
+}
+
+std::string encoded(const PeerCodec &codec, const PeerMessage &message) {
+  return codec.encode(message).value();
+}
+
+bool refused(PeerCodec &codec, std::string_view frame, PeerRefusal reason) {
+  const auto decoded = codec.decode(frame);
+  const auto *it = std::get_if<PeerRefusal>(&decoded);
+  return it != nullptr && *it == reason;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PeerCodecTest)
+
+// Guards against fields that are lost or mixed up on the wire.
+BOOST_AUTO_TEST_CASE(MessagesSurviveTheWire) {
+  PeerCodec codec("key");
+  const CauseEntry entry{
+      "origin", 2, 3, state::Cause::HostDead, "service", 4, "subject", 5, 6, 7};
+  const PeerMessage messages[] = {
+      heartbeat(1),
+      {"host", 1, 2, SettingsRequest{{8, 9}}},
+      {"host", 1, 3, SettingsReply{{8, 9}, {7, 6}, "{\"a\":1}"}},
+      {"host", 1, 4, CauseBatch{{entry, entry}}}};
+  for (const auto &it : messages) {
+    const auto decoded = codec.decode(encoded(codec, it));
+    BOOST_REQUIRE(std::holds_alternative<PeerMessage>(decoded));
+    BOOST_TEST((std::get<PeerMessage>(decoded) == it));
+  }
+}
+
+// Guards against frames that were forged, damaged, replayed or reordered.
+BOOST_AUTO_TEST_CASE(BadFramesAreRefused) {
+  PeerCodec codec("key");
+  const auto good = encoded(codec, heartbeat(5));
+  for (std::size_t i = 0; i < good.size(); ++i) {
+    auto frame = good;
+    frame[i] = static_cast<char>(frame[i] ^ 1);
+    BOOST_TEST(refused(codec, frame, PeerRefusal::WrongKey));
+  }
+  BOOST_TEST(refused(codec, encoded(PeerCodec("other"), heartbeat(5)),
+                     PeerRefusal::WrongKey));
+  BOOST_TEST(refused(codec, good.substr(0, PeerCodec::MacBytes),
+                     PeerRefusal::Malformed));
+  BOOST_TEST(refused(codec, std::string(PeerCodec::MaxFrameBytes + 1, 'x'),
+                     PeerRefusal::Oversized));
+  const PeerMessage stranger{"stranger", 1, 1, SettingsRequest{}};
+  BOOST_TEST(
+      refused(codec, encoded(codec, stranger), PeerRefusal::UnknownSender));
+  BOOST_TEST(!refused(codec, good, PeerRefusal::OldSequence));
+  BOOST_TEST(refused(codec, good, PeerRefusal::OldSequence));
+  BOOST_TEST(
+      refused(codec, encoded(codec, heartbeat(4)), PeerRefusal::OldSequence));
+  codec.decode(encoded(codec, heartbeat(1, 2)));
+  BOOST_TEST(
+      refused(codec, encoded(codec, heartbeat(6)), PeerRefusal::OldSequence));
+  BOOST_TEST(codec.refused(PeerRefusal::OldSequence) == 3);
+}
+
+// Guards against values and sizes that the authenticated sender got wrong.
+BOOST_AUTO_TEST_CASE(ValuesAreBounded) {
+  PeerCodec codec("key");
+  auto message = heartbeat(1);
+  std::get<Heartbeat>(message.Body).State = static_cast<state::HostState>(5);
+  BOOST_TEST(refused(codec, encoded(codec, message), PeerRefusal::Malformed));
+  message = heartbeat(1);
+  message.Sender = std::string(PeerCodec::MaxNameBytes + 1, 'h');
+  BOOST_TEST(refused(codec, encoded(codec, message), PeerRefusal::Malformed));
+  message = heartbeat(1);
+  std::get<Heartbeat>(message.Body).Updates.resize(PeerCodec::MaxUpdates + 1);
+  BOOST_TEST(!codec.encode(message).ok());
+  message.Body =
+      SettingsReply{{}, {}, std::string(PeerCodec::MaxFrameBytes, ' ')};
+  BOOST_TEST(!codec.encode(message).ok());
+}
+
+// Guards against a flood of names that fills the memory.
+BOOST_AUTO_TEST_CASE(SendersAreBounded) {
+  PeerCodec codec("key");
+  auto message = heartbeat(1);
+  for (std::size_t i = 0; i < PeerCodec::MaxSenders; ++i) {
+    message.Sender = "host-" + std::to_string(i);
+    codec.decode(encoded(codec, message));
+  }
+  message.Sender = "late";
+  BOOST_TEST(
+      refused(codec, encoded(codec, message), PeerRefusal::UnknownSender));
+  codec.forget("host-0");
+  BOOST_TEST(
+      !refused(codec, encoded(codec, message), PeerRefusal::UnknownSender));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
