Add the health of a backend server

Cause: admission placed flows on any server that the settings did not mark as draining.

Ruled out: one failure count for reports and traffic. A server that reports well while it resets every SYN would be cleared once per second, and one whose report endpoint alone is down would be ejected while it serves. The counts are apart, and a response clears both.

Change: BackendServerHealth with the states healthy, starting, draining and ejected; ejection after consecutive failures with a back-off of at most eight times ejectFor; a pause after each refused SYN; slow start that ramps below one slot by pausing between requests. LoadReport moves to a header of its own and gains "shedding".

--- a/Source/Coordination/AdmissionController.h
+++ b/Source/Coordination/AdmissionController.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 #include "Coordination/FlowKey.h"
+#include "Coordination/LoadReport.h"
 #include "State/Cause.h"
 #include "State/ServiceTable.h"
 #include "State/Settings.h"
@@ -17,16 +18,6 @@
 
 namespace auburnroute::coordination {
 
-/// What a backend server says of itself (GET /load).
-struct LoadReport {
-  std::string Service; ///< Name of the service that it serves.
-  state::BackendServerMode Mode = state::BackendServerMode::Active;
-  std::uint32_t Slots = 0;
-  std::uint32_t Busy = 0;   ///< Slots in use.
-  std::uint32_t Queued = 0; ///< Requests that wait for a slot.
-  std::uint32_t Connections = 0;
-};
-
 /// Send the SYN to this backend server.
 struct Place {
   std::uint32_t Service = 0;
--- /dev/null
+++ b/Source/Coordination/BackendServerHealth.cpp
@@ -0,0 +1,157 @@
+#include "Coordination/BackendServerHealth.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace auburnroute::coordination {
+
+using state::Cause;
+
+namespace {
+
+std::uint32_t increment(std::uint32_t n) { return n == UINT32_MAX ? n : n + 1; }
+
+} // namespace
+
+void BackendServerHealth::beginSlowStart(common::TimePoint now) {
+  StartedAt = now;
+}
+
+Cause BackendServerHealth::drainingCause(bool before) const {
+  return !before && draining() ? Cause::BackendServerDraining : Cause::None;
+}
+
+Cause BackendServerHealth::onSettings(state::BackendServerMode mode) {
+  const bool before = draining();
+  DrainingBySettings = mode == state::BackendServerMode::Draining;
+  return drainingCause(before);
+}
+
+Cause BackendServerHealth::onLeaving(bool leaving) {
+  const bool before = draining();
+  Leaving = leaving;
+  return drainingCause(before);
+}
+
+Cause BackendServerHealth::onReport(common::TimePoint now,
+                                    const LoadReport &report,
+                                    std::string_view service) {
+  ReportFailures = 0;
+  const bool wasMoved = Moved;
+  Moved = report.Service != service;
+  if (Moved) // What else it says is about another service.
+    return wasMoved ? Cause::None : Cause::BackendServerMoved;
+  const bool wasDraining = draining();
+  DrainingByReport = report.Mode == state::BackendServerMode::Draining;
+  const bool wasShedding = Shedding;
+  Shedding = report.Shedding;
+  if (wasMoved || (wasShedding && !Shedding))
+    beginSlowStart(now);
+  if (draining())
+    return drainingCause(wasDraining);
+  return Shedding && !wasShedding ? Cause::BackendServerEjected : Cause::None;
+}
+
+Cause BackendServerHealth::onReportFailure(common::TimePoint now,
+                                           const state::ServicePolicy &policy) {
+  ReportFailures = increment(ReportFailures);
+  if (ejected(now) && ReportFailures >= policy.EjectAfter) {
+    // Still down: stays ejected without counting as ejected again.
+    EjectedUntil = std::max(EjectedUntil, now + policy.EjectFor);
+    StartedAt = EjectedUntil;
+    return Cause::None;
+  }
+  return ReportFailures >= policy.EjectAfter ? eject(now, policy) : Cause::None;
+}
+
+Cause BackendServerHealth::onSynRefused(common::TimePoint now,
+                                        const state::ServicePolicy &policy) {
+  const auto cause = onSynUnanswered(now, policy);
+  RestUntil =
+      now + FirstRest * (1U << std::min(SynFailures - 1, MaxRestDoublings));
+  return cause;
+}
+
+Cause BackendServerHealth::onSynUnanswered(common::TimePoint now,
+                                           const state::ServicePolicy &policy) {
+  SynFailures = increment(SynFailures);
+  LastSynFailure = now;
+  return SynFailures >= policy.EjectAfter ? eject(now, policy) : Cause::None;
+}
+
+Cause BackendServerHealth::eject(common::TimePoint now,
+                                 const state::ServicePolicy &policy) {
+  if (ejected(now))
+    return Cause::None;
+  EjectedUntil =
+      now + policy.EjectFor * (1U << std::min(Ejections, MaxEjectionDoublings));
+  Ejections = increment(Ejections);
+  StartedAt = EjectedUntil;
+  return Cause::BackendServerEjected;
+}
+
+void BackendServerHealth::onServed(common::TimePoint now,
+                                   std::chrono::nanoseconds duration,
+                                   std::uint32_t slots,
+                                   const state::ServicePolicy &policy) {
+  ReportFailures = 0;
+  // A server that refuses SYNs may still finish what it took before.
+  if (now - duration > LastSynFailure) {
+    SynFailures = 0;
+    RestUntil = {};
+  }
+  if (state(now, policy) == HealthState::Healthy)
+    Ejections = 0;
+  if (!starting(now, policy))
+    return;
+  const double ramped = rampedSlots(now, slots, policy);
+  const double part = ramped - std::floor(ramped);
+  if (part <= 0)
+    return;
+  // The slot that is only partly in the ramp is used for that part of time.
+  const double pause =
+      static_cast<double>(duration.count()) * (1 - part) / part;
+  const double limit = std::chrono::nanoseconds(MaxPace).count();
+  PacedUntil = now + std::chrono::nanoseconds(
+                         static_cast<std::int64_t>(std::min(pause, limit)));
+}
+
+bool BackendServerHealth::ejected(common::TimePoint now) const {
+  return Moved || Shedding || now < EjectedUntil;
+}
+
+bool BackendServerHealth::starting(common::TimePoint now,
+                                   const state::ServicePolicy &policy) const {
+  return StartedAt && now >= *StartedAt && now < *StartedAt + policy.SlowStart;
+}
+
+HealthState
+BackendServerHealth::state(common::TimePoint now,
+                           const state::ServicePolicy &policy) const {
+  if (draining())
+    return HealthState::Draining;
+  if (ejected(now))
+    return HealthState::Ejected;
+  return starting(now, policy) ? HealthState::Starting : HealthState::Healthy;
+}
+
+double
+BackendServerHealth::rampedSlots(common::TimePoint now, std::uint32_t slots,
+                                 const state::ServicePolicy &policy) const {
+  const std::chrono::duration<double> elapsed = now - *StartedAt;
+  const std::chrono::duration<double> whole = policy.SlowStart;
+  return slots * std::clamp(elapsed / whole, FirstShare, 1.0);
+}
+
+std::uint32_t
+BackendServerHealth::usableSlots(common::TimePoint now, std::uint32_t slots,
+                                 const state::ServicePolicy &policy) const {
+  if (!starting(now, policy))
+    return slots;
+  const double ramped = rampedSlots(now, slots, policy);
+  const double usable =
+      now < PacedUntil ? std::floor(ramped) : std::ceil(ramped);
+  return static_cast<std::uint32_t>(usable);
+}
+
+} // namespace auburnroute::coordination
--- /dev/null
+++ b/Source/Coordination/LoadReport.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "State/Settings.h"
+
+#include <cstdint>
+#include <string>
+
+namespace auburnroute::coordination {
+
+/// What a backend server says of itself (GET /load).
+struct LoadReport {
+  std::string Service; ///< Name of the service that it serves.
+  state::BackendServerMode Mode = state::BackendServerMode::Active;
+  std::uint32_t Slots = 0;  ///< 0 means that the report does not say.
+  std::uint32_t Busy = 0;   ///< Slots in use.
+  std::uint32_t Queued = 0; ///< Requests that wait for a slot.
+  std::uint32_t Connections = 0;
+  bool Shedding = false; ///< State "shedding": it refuses new work for now.
+};
+
+} // namespace auburnroute::coordination
--- /dev/null
+++ b/Source/UnitTests/Coordination/BackendServerHealthTest.cpp
@@ -0,0 +1,194 @@
+#include "Coordination/BackendServerHealth.h"
+
+#include "Common/ManualClock.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace auburnroute;
+using namespace auburnroute::coordination;
+using namespace std::chrono_literals;
+using state::BackendServerMode;
+using state::Cause;
+
+namespace {
+
+struct Fixture {
+  common::ManualClock Clock;
+  state::ServicePolicy Policy; // ejectAfter 3, ejectFor 5 s, slowStart 10 s
+  BackendServerHealth Health;
+
+  LoadReport report(std::string service = "counter") {
+    LoadReport it;
+    it.Service = std::move(service);
+    return it;
+  }
+  Cause onReport(const LoadReport &it) {
+    return Health.onReport(Clock.now(), it, "counter");
+  }
+  HealthState state() { return Health.state(Clock.now(), Policy); }
+  Cause refuseSyns(int n) {
+    auto cause = Cause::None;
+    for (int i = 0; i < n; ++i)
+      cause = Health.onSynRefused(Clock.now(), Policy);
+    return cause;
+  }
+  void serve() {
+    Clock.advance(20ms);
+    Health.onServed(Clock.now(), 10ms, 2, Policy);
+  }
+  std::uint32_t usableSlots(std::uint32_t slots = 10) {
+    return Health.usableSlots(Clock.now(), slots, Policy);
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(BackendServerHealthTest, Fixture)
+
+// Guards against a drain that one source sets and another one lifts.
+BOOST_AUTO_TEST_CASE(DrainHoldsWhileAnySourceAsksForIt) {
+  BOOST_TEST((state() == HealthState::Healthy));
+  auto draining = report();
+  draining.Mode = BackendServerMode::Draining;
+  BOOST_TEST((onReport(draining) == Cause::BackendServerDraining));
+  BOOST_TEST((Health.onLeaving(true) == Cause::None));
+  BOOST_TEST((Health.onSettings(BackendServerMode::Draining) == Cause::None));
+  onReport(report());
+  BOOST_TEST((state() == HealthState::Draining));
+  Health.onLeaving(false);
+  BOOST_TEST((state() == HealthState::Draining));
+  Health.onSettings(BackendServerMode::Active);
+  BOOST_TEST((state() == HealthState::Healthy));
+}
+
+// Guards against a drain that is forgotten when the report can no longer be
+// had, as happens while the server stops.
+BOOST_AUTO_TEST_CASE(ReportedDrainOutlivesTheReport) {
+  auto draining = report();
+  draining.Mode = BackendServerMode::Draining;
+  onReport(draining);
+  Clock.advance(1min);
+  Health.onReportFailure(Clock.now(), Policy);
+  BOOST_TEST((state() == HealthState::Draining));
+}
+
+// Guards against flows to a server that now belongs to another service.
+BOOST_AUTO_TEST_CASE(WrongServiceNameBarsTheServer) {
+  BOOST_TEST((onReport(report("catalogue")) == Cause::BackendServerMoved));
+  BOOST_TEST((onReport(report("catalogue")) == Cause::None));
+  BOOST_TEST((state() == HealthState::Ejected));
+  Clock.advance(10min);
+  BOOST_TEST(Health.barred());
+  onReport(report());
+  BOOST_TEST(!Health.barred());
+  BOOST_TEST((state() == HealthState::Starting));
+}
+
+// Guards against ejection by failures that are not consecutive.
+BOOST_AUTO_TEST_CASE(OnlyConsecutiveFailuresEject) {
+  for (int i = 0; i < 10; ++i) {
+    refuseSyns(2);
+    serve();
+    Health.onReportFailure(Clock.now(), Policy);
+    Health.onReportFailure(Clock.now(), Policy);
+    onReport(report());
+  }
+  BOOST_TEST((state() == HealthState::Healthy));
+  BOOST_TEST((refuseSyns(3) == Cause::BackendServerEjected));
+  BOOST_TEST((state() == HealthState::Ejected));
+}
+
+// Guards against a server that reports well while it refuses every flow.
+BOOST_AUTO_TEST_CASE(GoodReportsDoNotHideRefusedSyns) {
+  for (int i = 0; i < 3; ++i) {
+    refuseSyns(1);
+    onReport(report());
+  }
+  BOOST_TEST((state() == HealthState::Ejected));
+}
+
+// Guards against losing a server that serves but whose report has failed.
+BOOST_AUTO_TEST_CASE(ServedRequestsOutrankFailedReports) {
+  for (int i = 0; i < 20; ++i) {
+    serve();
+    BOOST_TEST((Health.onReportFailure(Clock.now(), Policy) == Cause::None));
+  }
+  BOOST_TEST((state() == HealthState::Healthy));
+}
+
+// Guards against a server that refuses SYNs but is kept because requests from
+// before the refusals still end.
+BOOST_AUTO_TEST_CASE(OldRequestsDoNotClearRefusals) {
+  refuseSyns(2);
+  Clock.advance(20ms);
+  Health.onServed(Clock.now(), 500ms, 2, Policy);
+  BOOST_TEST((refuseSyns(1) == Cause::BackendServerEjected));
+}
+
+// Guards against ejections that grow without bound, or not at all.
+BOOST_AUTO_TEST_CASE(BackOffDoublesUpToItsBound) {
+  refuseSyns(2);
+  for (const auto expected : {5s, 10s, 20s, 40s, 40s, 40s}) {
+    BOOST_TEST((refuseSyns(1) == Cause::BackendServerEjected));
+    Clock.advance(expected - 1ms);
+    BOOST_TEST((state() == HealthState::Ejected));
+    Clock.advance(1ms);
+    BOOST_TEST((state() == HealthState::Starting));
+  }
+  Clock.advance(Policy.SlowStart);
+  serve();
+  refuseSyns(3);
+  Clock.advance(5s);
+  BOOST_TEST((state() == HealthState::Starting));
+}
+
+// Guards against a dead server that is tried again each time ejectFor ends.
+BOOST_AUTO_TEST_CASE(FailingReportsKeepAServerEjected) {
+  int ejections = 0;
+  for (int i = 0; i < 60; ++i) {
+    ejections += Health.onReportFailure(Clock.now(), Policy) ==
+                 Cause::BackendServerEjected;
+    Clock.advance(1s);
+    BOOST_TEST((i < 2 || state() == HealthState::Ejected));
+  }
+  BOOST_TEST(ejections == 1);
+  onReport(report());
+  Clock.advance(5s);
+  BOOST_TEST((state() == HealthState::Starting));
+}
+
+// Guards against a step to full load on a cold server.
+BOOST_AUTO_TEST_CASE(SlowStartRampsLinearly) {
+  Health.beginSlowStart(Clock.now());
+  for (std::uint32_t second = 1; second < 10; ++second) {
+    Clock.advance(1s);
+    BOOST_TEST(usableSlots() == second);
+  }
+  Clock.advance(1s);
+  BOOST_TEST(usableSlots() == 10);
+  BOOST_TEST((state() == HealthState::Healthy));
+}
+
+// Guards against a ramp that has no effect below one slot.
+BOOST_AUTO_TEST_CASE(SlowStartPausesWhereTheShareIsBelowOneSlot) {
+  Health.beginSlowStart(Clock.now());
+  Clock.advance(2500ms);
+  BOOST_TEST(usableSlots(2) == 1); // half a slot
+  Health.onServed(Clock.now(), 10ms, 2, Policy);
+  BOOST_TEST(usableSlots(2) == 0);
+  Clock.advance(11ms);
+  BOOST_TEST(usableSlots(2) == 1);
+}
+
+// Guards against queued flows that all go to a server that refuses at once.
+BOOST_AUTO_TEST_CASE(RefusedSynsPauseTheServer) {
+  refuseSyns(1);
+  BOOST_TEST(Health.resting(Clock.now()));
+  Clock.advance(BackendServerHealth::FirstRest);
+  BOOST_TEST(!Health.resting(Clock.now()));
+  refuseSyns(1);
+  Clock.advance(BackendServerHealth::FirstRest);
+  BOOST_TEST(Health.resting(Clock.now()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
