Admit new flows with a bounded queue, health and load reports

Cause: the first policy took the server with the fewest open flows and knew no slots, queue, health, zones or reports, and a settings change forgot what was outstanding.

Ruled out: load reports as the load itself. They lag by up to a second, which is a hundred short requests, so placement would follow its own past. The own counts decide. Reports correct them only where several in a row contradict records that are older than any lag. Ruled out as well: to believe each report of load placed by others. A server that always reports busy would be lost; the median over the service is believed instead.

Change: AdmissionController composes FlowRecords (placed flows, ordered by age for each server), HeldQueue (earliest deadline first), BackendServerLoad (reports against own counts), ServerChooser (ranks by zone and health, floor on ejections, least loaded first, turns by weight among equals) and AdmissionEvents (causes for the daemon). onFinish gains the kind of the end and the server's number, both with defaults. New: onLeaving, takeEvents, takeHeld.

--- a/Source/Coordination/AdmissionController.cpp
+++ b/Source/Coordination/AdmissionController.cpp
@@ -1,57 +1,414 @@
 #include "Coordination/AdmissionController.h"
 
+#include "Common/Invariant.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <algorithm>
+#include <utility>
+
 namespace auburnroute::coordination {
 
 using state::Cause;
+using state::ListenerKind;
 
 AdmissionController::AdmissionController(std::string zone)
     : Zone(std::move(zone)) {}
 
 void AdmissionController::onSettings(
-    common::TimePoint, std::shared_ptr<const state::Settings> settings,
+    common::TimePoint now, std::shared_ptr<const state::Settings> settings,
     std::shared_ptr<const state::ServiceTable> table) {
-  InForce = std::move(settings);
+  auto held = takeHeld();
+  auto before = std::exchange(Servers, {});
+  // The old settings own the names that the old servers refer to.
+  const auto settingsBefore = std::exchange(InForce, std::move(settings));
   Table = std::move(table);
-  Flows.clear();
-  OpenFlows.assign(Table->backendServers().size(), 0);
+  Services.clear();
+  const auto zone = InForce->zoneIndex(Zone);
+  for (std::uint32_t i = 0; i < InForce->Services.size(); ++i) {
+    const auto &service = InForce->Services[i];
+    const auto servers = Table->backendServersOf(i);
+    auto &added = Services.emplace_back();
+    added.Settings = &service;
+    if (zone)
+      added.Policy = service.PolicyByZone[*zone];
+    added.FirstServer = servers.empty() ? 0 : servers.front().Id;
+    added.ServerCount = static_cast<std::uint32_t>(servers.size());
+  }
+  addServers(now, std::move(before));
+  holdAgain(now, held);
+}
+
+void AdmissionController::addServers(common::TimePoint now,
+                                     std::vector<Server> before) {
+  using Identity = std::pair<std::string, std::uint32_t>;
+  absl::flat_hash_map<Identity, std::uint32_t> oldIds;
+  for (std::uint32_t id = 0; id < before.size(); ++id)
+    oldIds[{before[id].ServiceName, before[id].Settings->Address}] = id;
+  std::vector<std::uint32_t> newIds(before.size(), FlowRecords::Gone);
+  const bool firstRevision = before.empty();
+  for (const auto &entry : Table->backendServers()) {
+    const auto &service = InForce->Services[entry.Service];
+    const auto known = oldIds.find(Identity{service.Name, entry.Address});
+    auto &added = known == oldIds.end()
+                      ? Servers.emplace_back()
+                      : Servers.emplace_back(std::move(before[known->second]));
+    if (known != oldIds.end())
+      newIds[known->second] = entry.Id;
+    else if (!firstRevision)
+      added.Health.beginSlowStart(now);
+    added.Service = entry.Service;
+    added.ServiceName = service.Name;
+    added.Settings = &*std::find_if(
+        service.BackendServers.begin(), service.BackendServers.end(),
+        [&](const auto &it) { return it.Number == entry.Number; });
+    record(now, added.Health.onSettings(entry.Mode), entry.Id);
+    // Turns restart with the virtual time of the service.
+    added.Turn = 0;
+  }
+  Flows.remap(newIds, Servers.size());
+  for (std::uint32_t i = 0; i < Services.size(); ++i)
+    updateOthers(i);
+}
+
+void AdmissionController::holdAgain(common::TimePoint now,
+                                    const std::vector<HeldSyn> &syns) {
+  for (const auto &syn : syns) {
+    const auto *listener = Table->findListener(syn.Key.Service);
+    if (listener == nullptr) {
+      Released.push_back(
+          {syn.Key, refuse(now, syn.Key, std::nullopt, Cause::UnknownAddress)});
+      continue;
+    }
+    auto &service = Services[listener->Service];
+    if (!service.Queue.push(syn, service.Policy.QueueLimit)) {
+      Released.push_back(
+          {syn.Key, refuse(now, syn.Key, listener->Service, Cause::QueueFull)});
+      continue;
+    }
+    ++Held;
+    Waiting.insert(listener->Service);
+  }
+}
+
+std::vector<HeldSyn> AdmissionController::takeHeld() {
+  std::vector<HeldSyn> all;
+  for (const auto id : std::exchange(Waiting, {})) {
+    const auto held = Services[id].Queue.takeAll();
+    all.insert(all.end(), held.begin(), held.end());
+  }
+  Held = 0;
+  return all;
+}
+
+void AdmissionController::onLeaving(
+    common::TimePoint now,
+    const absl::flat_hash_set<std::uint32_t> &backendServers) {
+  for (std::uint32_t id = 0; id < Servers.size(); ++id)
+    record(now, Servers[id].Health.onLeaving(backendServers.contains(id)), id);
 }
 
 AdmissionDecision AdmissionController::onSyn(common::TimePoint now,
                                              const FlowKey &key) {
-  const auto *listener = Table ? Table->findListener(key.Service) : nullptr;
+  if (!Table)
+    return refuse(now, key, std::nullopt, Cause::NoSettings);
+  const auto *listener = Table->findListener(key.Service);
   if (listener == nullptr)
-    return RefuseFlow{0, Cause::UnknownAddress};
-  if (const auto it = Flows.find(key); it != Flows.end())
-    return Place{it->second.Service, it->second.Number};
-  const state::BackendServerEntry *best = nullptr;
-  for (const auto &it : Table->backendServersOf(listener->Service)) {
-    if (it.Mode == state::BackendServerMode::Draining)
-      continue;
-    if (best == nullptr || OpenFlows[it.Id] < OpenFlows[best->Id])
-      best = &it;
+    return refuse(now, key, std::nullopt, Cause::UnknownAddress);
+  refuseExpired(now, listener->Service);
+  if (Services[listener->Service].Queue.contains(key))
+    return Hold{};
+  if (const auto placed = repeatedPlacement(now, key))
+    return *placed;
+  return admit(now, key, *listener);
+}
+
+std::optional<Place>
+AdmissionController::repeatedPlacement(common::TimePoint now,
+                                       const FlowKey &key) {
+  auto *flow = Flows.find(key);
+  if (flow == nullptr)
+    return std::nullopt;
+  const auto id = flow->BackendServer;
+  const bool recent = now - flow->Since < RepeatWindow;
+  if (recent && !std::exchange(flow->Repeated, true))
+    record(now, Servers[id].Health.onSynUnanswered(now, policyOf(id)), id);
+  const auto state = Servers[id].Health.state(now, policyOf(id));
+  if (recent && state != HealthState::Draining && state != HealthState::Ejected)
+    return Place{Servers[id].Service, Servers[id].Settings->Number};
+  // A second server may get the SYN now. Only one handshake completes, and a
+  // reset sent for this SYN is not acceptable to a caller whose handshake with
+  // the first server did (its sequence number is 0).
+  Flows.remove(key);
+  return std::nullopt;
+}
+
+AdmissionDecision
+AdmissionController::admit(common::TimePoint now, const FlowKey &key,
+                           const state::ListenerEntry &listener) {
+  if (Flows.full())
+    return refuse(now, key, listener.Service, Cause::ConnectionLimit);
+  auto &service = Services[listener.Service];
+  const bool isRequest = listener.Kind == ListenerKind::Request;
+  if (!isRequest || service.Queue.empty()) {
+    const auto choice = choose(now, listener.Service, listener.Kind);
+    if (choice.Server)
+      return place(now, key, *choice.Server, listener.Kind);
+    if (choice.Why != Cause::None)
+      return refuse(now, key, listener.Service, choice.Why);
+  }
+  const HeldSyn syn{key, now + service.Policy.QueueTimeout};
+  if (Held >= MaxHeld || !service.Queue.push(syn, service.Policy.QueueLimit))
+    return refuse(now, key, listener.Service, Cause::QueueFull);
+  ++Held;
+  Waiting.insert(listener.Service);
+  return Hold{};
+}
+
+ServerChoice AdmissionController::choose(common::TimePoint now,
+                                         std::uint32_t service,
+                                         ListenerKind kind) {
+  const auto &it = Services[service];
+  Candidates.clear();
+  for (std::uint32_t n = 0; n < it.ServerCount; ++n)
+    Candidates.push_back(candidate(now, it.FirstServer + n));
+  const ServerChooser chooser(it.Policy.Zones == state::ZoneMode::Failover,
+                              it.Policy.MaxEjectedShare);
+  return kind == ListenerKind::Feed ? chooser.chooseForFeed(Candidates)
+                                    : chooser.chooseForRequest(Candidates);
+}
+
+ServerCandidate AdmissionController::candidate(common::TimePoint now,
+                                               std::uint32_t id) const {
+  const auto &server = Servers[id];
+  const auto &policy = policyOf(id);
+  const auto requests = Flows.count(id, ListenerKind::Request);
+  const auto feeds = Flows.count(id, ListenerKind::Feed);
+  const bool fresh = server.Load.fresh(now, policy.ReportTtl);
+  const auto others = fresh ? server.Load.otherRequests() : 0;
+  const auto otherConnections = fresh ? server.Load.otherConnections() : 0;
+  ServerCandidate it;
+  it.Id = id;
+  it.Local = server.Settings->Zone == Zone;
+  it.Barred = server.Health.barred();
+  it.Ejected = server.Health.state(now, policy) == HealthState::Ejected;
+  it.Resting = server.Health.resting(now);
+  // Load by others is believed as far as most servers of the service report
+  // it: a second host that places flows loads all of them, a wrong report
+  // stands alone.
+  it.Load =
+      requests + std::min(others, Services[server.Service].OthersPerServer);
+  it.Slots = server.Health.usableSlots(now, slotsOf(now, id), policy);
+  it.Feeds = feeds + otherConnections;
+  it.Connections = requests + feeds + otherConnections;
+  it.ConnectionLimit = server.Settings->Connections;
+  it.Weight = std::max(server.Settings->Weight, 1U);
+  it.Turn = server.Turn;
+  return it;
+}
+
+Place AdmissionController::place(common::TimePoint now, const FlowKey &key,
+                                 std::uint32_t id, ListenerKind kind) {
+  auto &server = Servers[id];
+  auto &service = Services[server.Service];
+  Flows.add({key, now, id, kind, false});
+  server.Load.onPlaced(Flows.count(id, ListenerKind::Request),
+                       Flows.count(id, ListenerKind::Feed));
+  // Start-time fair queueing: a server that could not be chosen for a while
+  // does not make up for the turns that it missed.
+  service.VirtualTime = std::max(service.VirtualTime, server.Turn);
+  server.Turn =
+      service.VirtualTime + 1.0 / std::max(server.Settings->Weight, 1U);
+  return Place{server.Service, server.Settings->Number};
+}
+
+RefuseFlow AdmissionController::refuse(common::TimePoint now,
+                                       const FlowKey &key,
+                                       std::optional<std::uint32_t> service,
+                                       Cause why) {
+  AUBURN_INVARIANT(Flows.find(key) == nullptr, "a refused flow is not placed");
+  Events.add(now, why, service ? Services[*service].Settings->Name : "", "");
+  return RefuseFlow{service.value_or(0), why};
+}
+
+void AdmissionController::onFinish(common::TimePoint now, const FlowKey &key,
+                                   FinishKind kind, std::uint16_t number) {
+  const auto *flow = Flows.find(key);
+  if (flow == nullptr) {
+    onOtherFinish(key, number);
+    return;
   }
-  if (best == nullptr)
-    return RefuseFlow{listener->Service, Cause::NoBackendServer};
-  ++OpenFlows[best->Id];
-  Flows[key] = {best->Id, best->Number, listener->Service, now};
-  return Place{listener->Service, best->Number};
+  const auto id = flow->BackendServer;
+  const auto duration = now - flow->Since;
+  const bool isRequest = flow->Kind == ListenerKind::Request;
+  Flows.remove(key);
+  if (kind == FinishKind::SynRefused) {
+    record(now, Cause::BackendServerRefused, id);
+    record(now, Servers[id].Health.onSynRefused(now, policyOf(id)), id);
+  } else if (kind == FinishKind::Reset) {
+    record(now, Cause::BackendServerReset, id);
+  } else if (kind == FinishKind::Ended && isRequest) {
+    Servers[id].Health.onServed(now, duration, slotsOf(now, id), policyOf(id));
+  }
+}
+
+void AdmissionController::onOtherFinish(const FlowKey &key,
+                                        std::uint16_t number) {
+  const auto *listener = Table ? Table->findListener(key.Service) : nullptr;
+  if (listener == nullptr)
+    return;
+  const auto *server = Table->findBackendServer(listener->Service, number);
+  if (server != nullptr)
+    Servers[server->Id].Load.onOtherFinished(listener->Kind);
 }
 
-void AdmissionController::onFinish(common::TimePoint, const FlowKey &key) {
-  const auto it = Flows.find(key);
-  if (it == Flows.end())
+void AdmissionController::onLoadReport(common::TimePoint now, std::uint32_t id,
+                                       const LoadReport &report) {
+  if (id >= Servers.size())
+    return;
+  auto &server = Servers[id];
+  const auto failures = server.Health.reportFailures();
+  record(now, server.Health.onReport(now, report, server.ServiceName), id);
+  if (server.Health.moved())
     return;
-  --OpenFlows[it->second.BackendServer];
-  Flows.erase(it);
+  if (server.Load.showsRestart(report, failures, oldFlows(id)))
+    onRestart(now, id);
+  const auto expire =
+      server.Load.onReport(now, report, Flows.count(id, ListenerKind::Request),
+                           Flows.count(id, ListenerKind::Feed), oldFlows(id));
+  Flows.removeOldest(id, ListenerKind::Request, expire.Requests, now);
+  Flows.removeOldest(id, ListenerKind::Feed, expire.Feeds, now);
+  updateOthers(server.Service);
 }
 
-void AdmissionController::onLoadReport(common::TimePoint, std::uint32_t,
-                                       const LoadReport &) {}
+void AdmissionController::onRestart(common::TimePoint now, std::uint32_t id) {
+  auto &server = Servers[id];
+  const auto before = server.Load.lastReport();
+  const auto lost =
+      Flows.removeOldest(id, ListenerKind::Request, UINT32_MAX, before) +
+      Flows.removeOldest(id, ListenerKind::Feed, UINT32_MAX, before);
+  if (lost > 0)
+    record(now, Cause::BackendServerDown, id, lost);
+  server.Health.beginSlowStart(now);
+}
+
+void AdmissionController::onReportFailure(common::TimePoint now,
+                                          std::uint32_t id) {
+  if (id < Servers.size())
+    record(now, Servers[id].Health.onReportFailure(now, policyOf(id)), id);
+}
 
-void AdmissionController::onReportFailure(common::TimePoint, std::uint32_t) {}
+void AdmissionController::updateOthers(std::uint32_t service) {
+  auto &it = Services[service];
+  std::vector<std::uint32_t> others;
+  for (std::uint32_t n = 0; n < it.ServerCount; ++n)
+    others.push_back(Servers[it.FirstServer + n].Load.otherRequests());
+  if (others.empty())
+    return;
+  const auto middle =
+      others.begin() + static_cast<std::ptrdiff_t>((others.size() - 1) / 2);
+  std::nth_element(others.begin(), middle, others.end());
+  it.OthersPerServer = *middle;
+}
+
+std::vector<ReleasedFlow> AdmissionController::poll(common::TimePoint now) {
+  const auto waiting = Waiting;
+  for (const auto service : waiting) {
+    // Expired first: a host that wakes up late must not place them.
+    refuseExpired(now, service);
+    placeHeld(now, service);
+  }
+  if (now >= NextAgeCheck) {
+    NextAgeCheck = now + AgeCheckInterval;
+    expireByAge(now);
+  }
+  return std::exchange(Released, {});
+}
+
+void AdmissionController::refuseExpired(common::TimePoint now,
+                                        std::uint32_t service) {
+  auto &queue = Services[service].Queue;
+  for (const auto &key : queue.takeExpired(now)) {
+    --Held;
+    Released.push_back({key, refuse(now, key, service, Cause::QueueTimeout)});
+  }
+  if (queue.empty())
+    Waiting.erase(service);
+}
+
+void AdmissionController::placeHeld(common::TimePoint now,
+                                    std::uint32_t service) {
+  while (!Services[service].Queue.empty() && !Flows.full() &&
+         placeFirstHeld(now, service)) {
+  }
+  if (Services[service].Queue.empty())
+    Waiting.erase(service);
+}
+
+bool AdmissionController::placeFirstHeld(common::TimePoint now,
+                                         std::uint32_t service) {
+  auto &queue = Services[service].Queue;
+  const auto syn = queue.front();
+  const auto kind = Table->findListener(syn.Key.Service)->Kind;
+  const auto choice = choose(now, service, kind);
+  if (!choice.Server)
+    return false;
+  AUBURN_INVARIANT(syn.Deadline > now, "an expired SYN is not placed");
+  queue.popFront();
+  --Held;
+  Released.push_back({syn.Key, place(now, syn.Key, *choice.Server, kind)});
+  return true;
+}
+
+void AdmissionController::expireByAge(common::TimePoint now) {
+  for (std::uint32_t id = 0; id < Servers.size(); ++id) {
+    const auto requests = Flows.count(id, ListenerKind::Request);
+    const bool confirmed =
+        Servers[id].Load.fresh(now, policyOf(id).ReportTtl) &&
+        Servers[id].Load.confirms(requests);
+    if (!confirmed)
+      Flows.removeOldest(id, ListenerKind::Request, requests,
+                         now - MaxRequestAge);
+    Flows.removeOldest(id, ListenerKind::Feed, UINT32_MAX, now - MaxFeedAge);
+  }
+}
+
+void AdmissionController::record(common::TimePoint now, Cause why,
+                                 std::uint32_t id, std::uint64_t count) {
+  if (why != Cause::None)
+    Events.add(now, why, Servers[id].ServiceName, Servers[id].Settings->Name,
+               count);
+}
+
+const state::ServicePolicy &
+AdmissionController::policyOf(std::uint32_t id) const {
+  return Services[Servers[id].Service].Policy;
+}
+
+std::uint32_t AdmissionController::slotsOf(common::TimePoint now,
+                                           std::uint32_t id) const {
+  const auto &server = Servers[id];
+  return server.Load.slots(now, server.Settings->Slots, policyOf(id).ReportTtl);
+}
+
+OldFlows AdmissionController::oldFlows(std::uint32_t id) const {
+  const auto before = Servers[id].Load.oldBefore();
+  return {Flows.countBefore(id, ListenerKind::Request, before, UINT32_MAX),
+          Flows.countBefore(id, ListenerKind::Feed, before, UINT32_MAX)};
+}
+
+std::size_t AdmissionController::held(std::uint32_t service) const {
+  return service < Services.size() ? Services[service].Queue.size() : 0;
+}
+
+std::uint32_t AdmissionController::outstanding(std::uint32_t backendServer,
+                                               ListenerKind kind) const {
+  return Flows.count(backendServer, kind);
+}
 
-std::vector<ReleasedFlow> AdmissionController::poll(common::TimePoint) {
-  return {};
+HealthState AdmissionController::health(common::TimePoint now,
+                                        std::uint32_t backendServer) const {
+  return Servers[backendServer].Health.state(now, policyOf(backendServer));
 }
 
 } // namespace auburnroute::coordination
--- a/Source/Coordination/AdmissionController.h
+++ b/Source/Coordination/AdmissionController.h
@@ -1,17 +1,25 @@
 #pragma once
 
 #include "Common/Clock.h"
+#include "Coordination/AdmissionEvents.h"
+#include "Coordination/BackendServerHealth.h"
+#include "Coordination/BackendServerLoad.h"
 #include "Coordination/FlowKey.h"
+#include "Coordination/FlowRecords.h"
+#include "Coordination/HeldQueue.h"
 #include "Coordination/LoadReport.h"
+#include "Coordination/ServerChooser.h"
 #include "State/Cause.h"
 #include "State/ServiceTable.h"
 #include "State/Settings.h"
 
-#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -41,24 +49,56 @@
   AdmissionDecision Decision; ///< Place or RefuseFlow.
 };
 
+/// How a flow ended.
+enum class FinishKind {
+  Ended,       ///< The backend server's FIN.
+  Reset,       ///< The backend server's RST on an established flow.
+  SynRefused,  ///< The backend server's RST in answer to the SYN: sequence
+               ///< number 0 and ACK set (RFC 9293, 3.5.2).
+  CallerReset, ///< The caller's RST.
+};
+
 /// Chooses the backend server of each new flow. Runs on the host that is the
 /// admission owner of a service, or on any host in fallback.
 ///
-/// Pure decisions over (time, event); no socket, clock or thread.
+/// Pure decisions over (time, event); no socket, clock or thread. Tables are
+/// bounded by queueLimit and MaxHeld (held SYNs), FlowRecords::MaxRecords
+/// (placed flows) and AdmissionEvents::MaxEvents (events). Each refusal,
+/// ejection and change of health is an event with its cause.
 class AdmissionController {
 public:
+  /// A repeated SYN goes to the same server for this long, which covers the
+  /// first three retransmissions (1, 3 and 7 s). After that the flow is taken
+  /// for dead or its port for reused, and a new decision is made.
+  static constexpr std::chrono::seconds RepeatWindow{10};
+  /// Held SYNs of all services together.
+  static constexpr std::size_t MaxHeld = 65'536;
+  /// Age at which a request's record is given up if no report confirms it.
+  static constexpr std::chrono::minutes MaxRequestAge{5};
+  /// Age at which a feed's record is given up. Feeds live for hours; records
+  /// older than a day are ends that were not seen.
+  static constexpr std::chrono::hours MaxFeedAge{24};
+  static constexpr std::chrono::seconds AgeCheckInterval{1};
+
   /// \p zone is the availability zone of this host.
   explicit AdmissionController(std::string zone);
 
-  /// Applies a settings revision. Counts of servers that remain are kept.
+  /// Applies a settings revision. Counts and health of servers that remain
+  /// (same service and address) are kept, and so are held SYNs.
   void onSettings(common::TimePoint now,
                   std::shared_ptr<const state::Settings> settings,
                   std::shared_ptr<const state::ServiceTable> table);
-  /// A SYN. A repeated SYN of a flow that was placed goes to the same server;
-  /// one of a flow that is held stays held.
+  /// The backend servers (table ids) that the host list names as leaving; all
+  /// others are not. Call again after onSettings, as ids change.
+  void onLeaving(common::TimePoint now,
+                 const absl::flat_hash_set<std::uint32_t> &backendServers);
+  /// A SYN. A repeated SYN of a flow that was placed goes to the same server
+  /// while that takes new flows; one of a flow that is held stays held.
   AdmissionDecision onSyn(common::TimePoint now, const FlowKey &key);
-  /// The backend server ended a request flow (FIN or RST).
-  void onFinish(common::TimePoint now, const FlowKey &key);
+  /// A flow ended. \p number is that of the backend server if known, else 0;
+  /// it serves to count flows that another host placed.
+  void onFinish(common::TimePoint now, const FlowKey &key,
+                FinishKind kind = FinishKind::Ended, std::uint16_t number = 0);
   /// A load report of the backend server with this table id.
   void onLoadReport(common::TimePoint now, std::uint32_t backendServer,
                     const LoadReport &report);
@@ -68,19 +108,77 @@
   /// have passed. Call after each event and at least every 10 ms.
   std::vector<ReleasedFlow> poll(common::TimePoint now);
 
+  /// Returns the events since the last call.
+  std::vector<AdmissionEvent> takeEvents() { return Events.take(); }
+  /// Gives up all held SYNs, earliest deadline first per service, so that the
+  /// next admission owner can have them.
+  std::vector<HeldSyn> takeHeld();
+
+  /// Held SYNs of a service (index in the settings).
+  std::size_t held(std::uint32_t service) const;
+  /// Placed flows of this kind that have not been seen to end.
+  std::uint32_t outstanding(std::uint32_t backendServer,
+                            state::ListenerKind kind) const;
+  HealthState health(common::TimePoint now, std::uint32_t backendServer) const;
+
 private:
-  struct Outstanding {
-    std::uint32_t BackendServer = 0;
-    std::uint16_t Number = 0;
+  struct Server {
+    const state::BackendServer *Settings = nullptr;
+    std::string ServiceName; ///< Identifies it across revisions, with the
+                             ///< address.
     std::uint32_t Service = 0;
-    common::TimePoint Since;
+    BackendServerHealth Health;
+    BackendServerLoad Load;
+    double Turn = 0; ///< Virtual time at which it is due again.
+  };
+  struct ServiceState {
+    const state::Service *Settings = nullptr;
+    state::ServicePolicy Policy;
+    std::uint32_t FirstServer = 0; ///< Id.
+    std::uint32_t ServerCount = 0;
+    HeldQueue Queue;
+    double VirtualTime = 0;
+    std::uint32_t OthersPerServer = 0; ///< Median of the reports.
   };
 
+  void addServers(common::TimePoint now, std::vector<Server> before);
+  void holdAgain(common::TimePoint now, const std::vector<HeldSyn> &syns);
+  std::optional<Place> repeatedPlacement(common::TimePoint now,
+                                         const FlowKey &key);
+  AdmissionDecision admit(common::TimePoint now, const FlowKey &key,
+                          const state::ListenerEntry &listener);
+  ServerChoice choose(common::TimePoint now, std::uint32_t service,
+                      state::ListenerKind kind);
+  ServerCandidate candidate(common::TimePoint now, std::uint32_t id) const;
+  Place place(common::TimePoint now, const FlowKey &key, std::uint32_t id,
+              state::ListenerKind kind);
+  RefuseFlow refuse(common::TimePoint now, const FlowKey &key,
+                    std::optional<std::uint32_t> service, state::Cause why);
+  void refuseExpired(common::TimePoint now, std::uint32_t service);
+  void placeHeld(common::TimePoint now, std::uint32_t service);
+  bool placeFirstHeld(common::TimePoint now, std::uint32_t service);
+  void onOtherFinish(const FlowKey &key, std::uint16_t number);
+  void onRestart(common::TimePoint now, std::uint32_t id);
+  void updateOthers(std::uint32_t service);
+  void expireByAge(common::TimePoint now);
+  void record(common::TimePoint now, state::Cause why, std::uint32_t id,
+              std::uint64_t count = 1);
+  const state::ServicePolicy &policyOf(std::uint32_t id) const;
+  std::uint32_t slotsOf(common::TimePoint now, std::uint32_t id) const;
+  OldFlows oldFlows(std::uint32_t id) const;
+
   std::string Zone;
   std::shared_ptr<const state::Settings> InForce;
   std::shared_ptr<const state::ServiceTable> Table;
-  absl::flat_hash_map<FlowKey, Outstanding> Flows;
-  std::vector<std::uint32_t> OpenFlows; ///< By backend server id.
+  FlowRecords Flows;
+  std::vector<Server> Servers; ///< By backend server id.
+  std::vector<ServiceState> Services;
+  std::set<std::uint32_t> Waiting; ///< Services that hold SYNs.
+  std::size_t Held = 0;            ///< SYNs over all services.
+  std::vector<ReleasedFlow> Released;
+  std::vector<ServerCandidate> Candidates; ///< Reused between choices.
+  AdmissionEvents Events;
+  common::TimePoint NextAgeCheck;
 };
 
 } // namespace auburnroute::coordination
--- /dev/null
+++ b/Source/Coordination/FlowRecords.cpp
@@ -0,0 +1,116 @@
+#include "Coordination/FlowRecords.h"
+
+#include "Common/Invariant.h"
+
+namespace auburnroute::coordination {
+
+void FlowRecords::remap(std::span<const std::uint32_t> newIds,
+                        std::size_t servers) {
+  const auto before = std::move(Lists);
+  Lists.assign(servers, {});
+  for (std::size_t id = 0; id < before.size(); ++id)
+    for (const auto &list : before[id])
+      for (auto n = list.First; n != None;) {
+        const auto next = Nodes[n].Next;
+        if (newIds[id] == Gone) {
+          Index.erase(Nodes[n].Flow.Key);
+          Nodes[n].Next = FirstFree;
+          FirstFree = n;
+        } else {
+          Nodes[n].Flow.BackendServer = newIds[id];
+          append(n);
+        }
+        n = next;
+      }
+}
+
+PlacedFlow *FlowRecords::find(const FlowKey &key) {
+  const auto it = Index.find(key);
+  return it == Index.end() ? nullptr : &Nodes[it->second].Flow;
+}
+
+void FlowRecords::add(const PlacedFlow &flow) {
+  AUBURN_INVARIANT(!full(), "the table of placed flows is within its bound");
+  auto n = FirstFree;
+  if (n == None) {
+    n = static_cast<std::uint32_t>(Nodes.size());
+    Nodes.emplace_back();
+  } else {
+    FirstFree = Nodes[n].Next;
+  }
+  Nodes[n].Flow = flow;
+  AUBURN_INVARIANT(Index.emplace(flow.Key, n).second,
+                   "a flow is placed on one backend server");
+  append(n);
+}
+
+void FlowRecords::remove(const FlowKey &key) {
+  const auto it = Index.find(key);
+  AUBURN_INVARIANT(it != Index.end(), "only a placed flow ends");
+  unlink(it->second);
+  Nodes[it->second].Next = FirstFree;
+  FirstFree = it->second;
+  Index.erase(it);
+}
+
+std::uint32_t FlowRecords::count(std::uint32_t server,
+                                 state::ListenerKind kind) const {
+  return listOf(server, kind).Count;
+}
+
+std::uint32_t FlowRecords::countBefore(std::uint32_t server,
+                                       state::ListenerKind kind,
+                                       common::TimePoint time,
+                                       std::uint32_t limit) const {
+  std::uint32_t count = 0;
+  for (auto n = listOf(server, kind).First;
+       n != None && count < limit && Nodes[n].Flow.Since < time;
+       n = Nodes[n].Next)
+    ++count;
+  return count;
+}
+
+std::uint32_t FlowRecords::removeOldest(std::uint32_t server,
+                                        state::ListenerKind kind,
+                                        std::uint32_t n,
+                                        common::TimePoint time) {
+  std::uint32_t removed = 0;
+  while (removed < n) {
+    const auto first = listOf(server, kind).First;
+    if (first == None || Nodes[first].Flow.Since >= time)
+      break;
+    remove(FlowKey(Nodes[first].Flow.Key));
+    ++removed;
+  }
+  return removed;
+}
+
+FlowRecords::List &FlowRecords::listOf(const PlacedFlow &flow) {
+  return Lists[flow.BackendServer][static_cast<std::size_t>(flow.Kind)];
+}
+
+const FlowRecords::List &FlowRecords::listOf(std::uint32_t server,
+                                             state::ListenerKind kind) const {
+  return Lists[server][static_cast<std::size_t>(kind)];
+}
+
+void FlowRecords::append(std::uint32_t node) {
+  auto &list = listOf(Nodes[node].Flow);
+  Nodes[node].Previous = list.Last;
+  Nodes[node].Next = None;
+  (list.Last == None ? list.First : Nodes[list.Last].Next) = node;
+  list.Last = node;
+  ++list.Count;
+}
+
+void FlowRecords::unlink(std::uint32_t node) {
+  auto &list = listOf(Nodes[node].Flow);
+  const auto previous = Nodes[node].Previous;
+  const auto next = Nodes[node].Next;
+  (previous == None ? list.First : Nodes[previous].Next) = next;
+  (next == None ? list.Last : Nodes[next].Previous) = previous;
+  AUBURN_INVARIANT(list.Count > 0, "outstanding flows are never below zero");
+  --list.Count;
+}
+
+} // namespace auburnroute::coordination
--- /dev/null
+++ b/Source/Coordination/HeldQueue.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Coordination/FlowKey.h"
+
+#include "absl/container/flat_hash_set.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace auburnroute::coordination {
+
+/// A SYN that waits for a slot.
+struct HeldSyn {
+  FlowKey Key;
+  common::TimePoint Deadline;
+};
+
+/// The held SYNs of one service, earliest deadline first and in the order of
+/// arrival among equal deadlines. The bound is the service's queueLimit.
+class HeldQueue {
+public:
+  bool contains(const FlowKey &key) const { return Keys.contains(key); }
+  bool empty() const { return Keys.empty(); }
+  std::size_t size() const { return Keys.size(); }
+  /// Adds a SYN whose key is not held; false if \p limit are held already.
+  bool push(const HeldSyn &syn, std::size_t limit);
+  /// The SYN with the earliest deadline; there must be one.
+  HeldSyn front() const;
+  void popFront();
+  /// Removes and returns those whose deadline is not after \p now.
+  std::vector<FlowKey> takeExpired(common::TimePoint now);
+  /// Removes and returns all, in order.
+  std::vector<HeldSyn> takeAll();
+
+private:
+  std::map<std::pair<common::TimePoint, std::uint64_t>, FlowKey> Order;
+  absl::flat_hash_set<FlowKey> Keys;
+  std::uint64_t Arrivals = 0;
+};
+
+} // namespace auburnroute::coordination
--- /dev/null
+++ b/Source/Coordination/ServerChooser.cpp
@@ -0,0 +1,116 @@
+#include "Coordination/ServerChooser.h"
+
+#include "Common/Invariant.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace auburnroute::coordination {
+
+using state::Cause;
+
+namespace {
+
+/// Load after one more request, relative to capacity.
+double requestRatio(const ServerCandidate &it) {
+  return (it.Load + 1.0) / (static_cast<double>(it.Slots) * it.Weight);
+}
+
+double feedRatio(const ServerCandidate &it) {
+  return (it.Feeds + 1.0) / it.Weight;
+}
+
+} // namespace
+
+ServerChooser::Scope
+ServerChooser::scopeOf(const std::vector<ServerCandidate> &servers) const {
+  Scope scope;
+  for (const auto &it : servers) {
+    if (it.Barred || (!it.Local && !OtherZones))
+      continue;
+    ++scope.Usable;
+    if (it.Ejected)
+      ++scope.Ejected;
+    else if (it.Local)
+      ++scope.LocalHealthy;
+  }
+  // One of two servers may be ejected whatever the share, or a small service
+  // would never be rid of a dead one.
+  auto allowed = static_cast<std::uint32_t>(
+      std::floor(MaxEjectedShare * scope.Usable + 1e-9));
+  if (allowed == 0 && scope.Usable > 1 && MaxEjectedShare > 0)
+    allowed = 1;
+  scope.Floor = scope.Ejected > allowed;
+  return scope;
+}
+
+std::optional<unsigned> ServerChooser::rankOf(const ServerCandidate &server,
+                                              const Scope &scope) const {
+  const bool zoneAllowed =
+      server.Local || (OtherZones && scope.LocalHealthy == 0);
+  if (server.Barred || !zoneAllowed || (server.Ejected && !scope.Floor))
+    return std::nullopt;
+  return (server.Ejected ? 2U : 0U) + (server.Local ? 0U : 1U);
+}
+
+bool ServerChooser::floorApplies(
+    const std::vector<ServerCandidate> &servers) const {
+  return scopeOf(servers).Floor;
+}
+
+template <typename IsFree, typename IsBetter>
+ServerChoice ServerChooser::choose(const std::vector<ServerCandidate> &servers,
+                                   IsFree isFree, IsBetter isBetter) const {
+  const auto scope = scopeOf(servers);
+  ServerChoice choice{std::nullopt, Cause::NoBackendServer};
+  const ServerCandidate *best = nullptr;
+  unsigned bestRank = 0;
+  for (const auto &it : servers) {
+    const auto rank = rankOf(it, scope);
+    if (!rank)
+      continue;
+    if (it.Connections >= it.ConnectionLimit) {
+      if (choice.Why == Cause::NoBackendServer)
+        choice.Why = Cause::ConnectionLimit;
+      continue;
+    }
+    choice.Why = Cause::None;
+    if (!isFree(it))
+      continue;
+    if (best == nullptr || *rank < bestRank ||
+        (*rank == bestRank && isBetter(it, *best))) {
+      best = &it;
+      bestRank = *rank;
+    }
+  }
+  if (best == nullptr)
+    return choice;
+  AUBURN_INVARIANT(!best->Barred && (!best->Ejected || scope.Floor),
+                   "a draining, moved or ejected server is not chosen");
+  choice.Server = best->Id;
+  return choice;
+}
+
+ServerChoice ServerChooser::chooseForRequest(
+    const std::vector<ServerCandidate> &servers) const {
+  return choose(
+      servers, [](const auto &it) { return !it.Resting && it.Load < it.Slots; },
+      [](const auto &a, const auto &b) {
+        return std::tuple(requestRatio(a), a.Turn) <
+               std::tuple(requestRatio(b), b.Turn);
+      });
+}
+
+ServerChoice ServerChooser::chooseForFeed(
+    const std::vector<ServerCandidate> &servers) const {
+  // Feeds do not wait, so a resting server is better than none.
+  return choose(
+      servers, [](const auto &) { return true; },
+      [](const auto &a, const auto &b) {
+        return std::tuple(a.Resting, feedRatio(a), a.Turn) <
+               std::tuple(b.Resting, feedRatio(b), b.Turn);
+      });
+}
+
+} // namespace auburnroute::coordination
