--- a/Source/Daemon/AdmissionWorker.cpp
+++ b/Source/Daemon/AdmissionWorker.cpp
@@ -1,5 +1,6 @@
 #include "Daemon/AdmissionWorker.h"
 
+#include "Coordination/FlowTag.h"
 #include "Daemon/PacketSummaries.h"
 #include "Protocol/ResetBuilder.h"
 
@@ -10,6 +11,27 @@
 // Bounds how late a held flow is released.
 constexpr std::chrono::milliseconds ReceiveTimeout{2};
 
+using coordination::FinishKind;
+
+FinishKind finishKindOf(const protocol::PacketView &view) {
+  if (!view.isRst())
+    return FinishKind::Ended;
+  // The reset that answers a SYN has sequence number 0 and ACK set
+  // (RFC 9293, 3.5.2).
+  const bool answersSyn =
+      view.hasFlag(protocol::PacketView::AckFlag) && view.sequence() == 0;
+  return answersSyn ? FinishKind::SynRefused : FinishKind::Reset;
+}
+
+/// Number of the backend server that ended the flow, 0 if it is not known.
+std::uint16_t numberOf(const coordination::FlowKey &key,
+                       const protocol::PacketView &view, std::uint64_t seed) {
+  using coordination::FlowTag;
+  return view.hasTimestamps()
+             ? FlowTag::decode(key, FlowTag::tagOf(view.timestampValue()), seed)
+             : 0;
+}
+
 } // namespace
 
 using coordination::FlowKey;
@@ -23,7 +45,8 @@
     : Clock(clock), Snapshots(snapshots), Gateway(settings.Gateway),
       PauseLimit(settings.PauseLimit), Socket(std::move(socket)),
       Codec(settings.SharedKey), Controller(settings.Zone),
-      LastTurn(clock.now()), PausedUntil(clock.now()) {}
+      LastTurn(clock.now()), PausedUntil(clock.now()), Self(settings.Admission),
+      Zone(settings.Zone) {}
 
 void AdmissionWorker::turn() {
   const auto batch = Socket.receive(ReceiveTimeout);
@@ -46,8 +69,8 @@
 }
 
 bool AdmissionWorker::mayPlace() const {
-  return Snapshot && Snapshot->Confirmed &&
-         Snapshot->ConfirmedAt >= PausedUntil;
+  return Snapshot && Snapshot->Confirmed && !Snapshot->Leaving &&
+         Snapshots.confirmedAt() > PausedUntil;
 }
 
 void AdmissionWorker::refreshSnapshot(common::TimePoint now) {
@@ -56,10 +79,37 @@
     return;
   SnapshotVersion = version;
   Snapshot = Snapshots.load();
-  if (Snapshot->Table.get() == Engine.table())
-    return;
-  Engine.setTable(Snapshot->Table);
-  Controller.onSettings(now, Snapshot->Settings, Snapshot->Table);
+  applySnapshot(now);
+}
+
+void AdmissionWorker::applySnapshot(common::TimePoint now) {
+  if (Snapshot->Table.get() != Engine.table()) {
+    Engine.setTable(Snapshot->Table);
+    Controller.onSettings(now, Snapshot->Settings, Snapshot->Table);
+  }
+  const auto &leaving = Snapshot->LeavingBackendServers;
+  Controller.onLeaving(now, {leaving.begin(), leaving.end()});
+  if (Snapshot->Leaving)
+    giveUpHeld();
+}
+
+void AdmissionWorker::giveUpHeld() {
+  for (const auto &it : Controller.takeHeld()) {
+    const auto held = HeldSyns.find(it.Key);
+    const auto *listener = Snapshot->Table->findListener(it.Key.Service);
+    if (held == HeldSyns.end() || listener == nullptr)
+      continue;
+    // Without another owner the caller's TCP repeats the SYN.
+    const auto next = Snapshot->AdmissionOwners[listener->Service];
+    if (next == Self)
+      continue;
+    const auto header =
+        Codec.encode(protocol::HandOverKind::Syn, held->second.Bytes);
+    Socket.queue(next, header, held->second.Bytes);
+    Socket.flush();
+    Counters.add(Counter::HandOverPacketsSent);
+  }
+  HeldSyns.clear();
 }
 
 void AdmissionWorker::handle(common::TimePoint now,
@@ -93,13 +143,16 @@
   const FlowKey key{view.source(), view.destination()};
   const auto decision = Controller.onSyn(now, key);
   if (const auto *it = std::get_if<coordination::Place>(&decision)) {
+    noteWait(it->Service, std::chrono::nanoseconds(0));
     place(*it, view);
   } else if (const auto *no =
                  std::get_if<coordination::RefuseFlow>(&decision)) {
-    refuse(no->Why, view);
+    refuse(*no, view);
   } else {
     const auto bytes = view.bytes();
-    if (HeldSyns.try_emplace(key, bytes.begin(), bytes.end()).second)
+    const auto [held, added] =
+        HeldSyns.try_emplace(key, HeldSyn{{bytes.begin(), bytes.end()}, now});
+    if (added)
       Counters.add(Counter::FlowsHeld);
   }
 }
@@ -110,12 +163,25 @@
   const auto &table = *Snapshot->Table;
   if (const auto to = table.findSource(view.destination());
       to.BackendServer != nullptr) {
-    Controller.onFinish(now, {view.source(), to.Listener->Address});
+    Controller.onFinish(now, {view.source(), to.Listener->Address},
+                        FinishKind::CallerReset, to.BackendServer->Number);
     Socket.queue(to.BackendServer->Tunnel, {}, view.bytes());
     return;
   }
-  Controller.onFinish(now, {view.destination(), view.source()});
   Socket.queue(Gateway, {}, view.bytes());
+  const auto *listener = table.findListener(view.source());
+  if (listener == nullptr)
+    return;
+  const FlowKey key{view.destination(), view.source()};
+  const auto kind = finishKindOf(view);
+  Controller.onFinish(now, key, kind, numberOf(key, view, table.flowSeed()));
+  auto &burn = burnOf(listener->Service);
+  if (kind == FinishKind::Ended)
+    ++burn.Good;
+  else if (kind == FinishKind::Reset)
+    ++burn.Broken;
+  else
+    ++burn.Refused;
 }
 
 void AdmissionWorker::place(const coordination::Place &place,
@@ -132,15 +198,37 @@
   Counters.add(Cause::UnknownAddress);
 }
 
-void AdmissionWorker::refuse(Cause why, const protocol::PacketView &view) {
-  Counters.add(why);
+void AdmissionWorker::refuse(const coordination::RefuseFlow &refusal,
+                             const protocol::PacketView &view) {
+  Counters.add(refusal.Why);
   Counters.add(Counter::FlowsRefused);
+  ++burnOf(refusal.Service).Refused;
   const auto reset = protocol::buildReset(view);
   Socket.queue(Gateway, {}, reset);
   // The reset lives in this scope only.
   Socket.flush();
 }
 
+state::BurnCounts &AdmissionWorker::burnOf(std::uint32_t service) {
+  return Burn[Snapshot->Settings->Services[service].Name];
+}
+
+void AdmissionWorker::noteWait(std::uint32_t service,
+                               std::chrono::nanoseconds wait) {
+  Waits.add(wait);
+  const auto &settings = *Snapshot->Settings;
+  const auto &policies = settings.Services[service].PolicyByZone;
+  auto &burn = burnOf(service);
+  ++burn.Placed;
+  const auto zone = settings.zoneIndex(Zone);
+  if (zone && wait > policies[*zone].WaitObjective)
+    ++burn.Slow;
+}
+
+AdmissionSummary AdmissionWorker::takeSummary() {
+  return {Controller.takeEvents(), std::exchange(Burn, {}), Waits.summary()};
+}
+
 void AdmissionWorker::release(common::TimePoint now) {
   if (!mayPlace())
     return;
@@ -149,12 +237,14 @@
     if (held == HeldSyns.end())
       continue;
     protocol::PacketView view;
-    view.parse(held->second);
-    if (const auto *to = std::get_if<coordination::Place>(&it.Decision))
+    view.parse(held->second.Bytes);
+    if (const auto *to = std::get_if<coordination::Place>(&it.Decision)) {
+      noteWait(to->Service, now - held->second.Since);
       place(*to, view);
-    else if (const auto *no =
-                 std::get_if<coordination::RefuseFlow>(&it.Decision))
-      refuse(no->Why, view);
+    } else if (const auto *no =
+                   std::get_if<coordination::RefuseFlow>(&it.Decision)) {
+      refuse(*no, view);
+    }
     // The held bytes must outlive the datagram that refers to them.
     Socket.flush();
     HeldSyns.erase(held);
--- a/Source/Daemon/AdmissionWorker.h
+++ b/Source/Daemon/AdmissionWorker.h
@@ -3,6 +3,7 @@
 #include "Common/Clock.h"
 #include "Coordination/AdmissionController.h"
 #include "Coordination/ForwardingEngine.h"
+#include "Daemon/AdmissionSummary.h"
 #include "Daemon/ControlSnapshot.h"
 #include "Protocol/HandOverCodec.h"
 #include "Protocol/PacketView.h"
@@ -30,6 +31,9 @@
   /// releases held flows that are due.
   void turn();
 
+  /// What happened since the last call.
+  AdmissionSummary takeSummary();
+
   void onLoadReport(std::uint64_t revision, std::uint32_t backendServer,
                     const coordination::LoadReport &report);
   void onReportFailure(std::uint64_t revision, std::uint32_t backendServer);
@@ -48,8 +52,15 @@
   void admit(common::TimePoint now, protocol::PacketView &view);
   void finish(common::TimePoint now, protocol::PacketView &view);
   void place(const coordination::Place &place, protocol::PacketView &view);
-  void refuse(state::Cause why, const protocol::PacketView &view);
+  void refuse(const coordination::RefuseFlow &refusal,
+              const protocol::PacketView &view);
   void release(common::TimePoint now);
+  void applySnapshot(common::TimePoint now);
+  /// Gives the held SYNs to the next admission owners, on a graceful stop.
+  void giveUpHeld();
+  void noteWait(std::uint32_t service, std::chrono::nanoseconds wait);
+  /// Counts of a service since the last summary.
+  state::BurnCounts &burnOf(std::uint32_t service);
 
   const common::Clock &Clock;
   const SnapshotPublisher &Snapshots;
@@ -63,7 +74,15 @@
   std::uint64_t SnapshotVersion = 0;
   common::TimePoint LastTurn;
   common::TimePoint PausedUntil; ///< When the last pause was noticed.
-  absl::flat_hash_map<coordination::FlowKey, std::vector<std::byte>> HeldSyns;
+  struct HeldSyn {
+    std::vector<std::byte> Bytes;
+    common::TimePoint Since;
+  };
+  absl::flat_hash_map<coordination::FlowKey, HeldSyn> HeldSyns;
+  state::WaitStatistics Waits;
+  std::map<std::string, state::BurnCounts> Burn;
+  common::Endpoint Self;
+  std::string Zone;
   std::atomic<std::size_t> HeldCount{0};
   state::CounterSet Counters;
 };
--- a/Source/Daemon/ControlActor.cpp
+++ b/Source/Daemon/ControlActor.cpp
@@ -1,99 +1,93 @@
 #include "Daemon/ControlActor.h"
 
-#include "Common/Log.h"
-#include "State/SettingsLoader.h"
+namespace auburnroute::daemon {
 
-#include "absl/strings/str_cat.h"
+namespace {
 
-#include <nlohmann/json.hpp>
+// Membership asks for a tick at least every 100 ms.
+constexpr std::chrono::milliseconds TickInterval{50};
 
-namespace auburnroute::daemon {
+std::uint64_t startTime(const common::Clock &clock) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          clock.wallTime().time_since_epoch())
+          .count());
+}
 
-using common::LogLevel;
+} // namespace
 
 ControlActor::ControlActor(caf::actor_config &config,
                            const state::DaemonSettings &settings,
                            const common::Clock &clock,
-                           SnapshotPublisher &snapshots)
-    : caf::event_based_actor(config), Local(settings), Clock(clock),
-      Snapshots(snapshots), Started(clock.now()) {}
+                           SnapshotPublisher &snapshots,
+                           ControlEnvironment environment)
+    : caf::event_based_actor(config), Clock(clock), Snapshots(snapshots),
+      Environment(std::move(environment)),
+      Plane(settings, clock, startTime(clock)) {}
 
 caf::behavior ControlActor::make_behavior() {
+  send(this, ControlTick{});
   return {
-      [this](const PlatformSettings &it) { onSettings(it.Text); },
-      [](const PlatformHosts &) {},
-      [](const PlatformReachability &it) {
-        if (it.Reachable)
-          common::logLine(LogLevel::Info, "platform answers");
-        else
-          common::logLine(
-              LogLevel::Warning,
-              absl::StrCat("platform unreachable, last settings stay in "
-                           "force: ",
-                           it.Why));
+      [this](const ControlTick &) {
+        delayed_send(this, TickInterval, ControlTick{});
+        tick();
+      },
+      [this](const PlatformSettings &it) {
+        Plane.onPlatformSettings(it.Text);
+        settle();
+      },
+      [this](const PlatformHosts &it) {
+        Plane.onPlatformHosts(it.Text);
+        settle();
+      },
+      [this](const PlatformReachability &it) {
+        Plane.onPlatformReachable(it.Reachable, it.Why);
       },
+      [this](const PeerFrameReceived &it) {
+        Plane.onPeerFrame(it.Bytes);
+        settle();
+      },
+      [this](const AdmissionSummary &it) { Plane.onAdmission(it); },
       [this](const BeginStop &) {
-        Leaving = true;
-        publish();
+        Plane.beginStop();
+        settle();
       },
       [this](const ReportQuery &query) { return report(query); },
   };
 }
 
-void ControlActor::onSettings(const std::string &text) {
-  auto settings = state::loadSettings(text, "settings");
-  if (!settings.ok()) {
-    LastRefusal = std::string(settings.status().message());
-    common::logLine(LogLevel::Error,
-                    absl::StrCat("settings refused: ", LastRefusal));
-    return;
-  }
-  if (InForce && settings->Revision <= InForce->Revision)
-    return;
-  InForce = std::make_shared<const state::Settings>(*std::move(settings));
-  common::logLine(LogLevel::Info, absl::StrCat("settings revision ",
-                                               InForce->Revision, " in force"));
-  publish();
+void ControlActor::tick() {
+  Plane.onTick();
+  if (Plane.isConfirmed())
+    Snapshots.confirm(Clock.now());
+  settle();
 }
 
-void ControlActor::publish() {
-  if (!InForce)
-    return;
-  auto snapshot = std::make_shared<ControlSnapshot>();
-  snapshot->Settings = InForce;
-  snapshot->Table =
-      std::make_shared<const state::ServiceTable>(*InForce, Local.Zone);
-  snapshot->AdmissionOwners.assign(InForce->Services.size(), Local.Admission);
-  snapshot->Confirmed = true;
-  snapshot->Leaving = Leaving;
-  snapshot->ConfirmedAt = Clock.now();
-  Snapshots.publish(std::move(snapshot));
+void ControlActor::settle() {
+  for (auto &it : Plane.takeFrames())
+    Environment.SendFrame(std::move(it));
+  if (auto snapshot = Plane.takeSnapshot())
+    Snapshots.publish(std::move(snapshot));
+  Environment.SteerReaders(Plane.readsPlatform(), Plane.settingsRevision(),
+                           Plane.hostListVersion());
 }
 
 Report ControlActor::report(const ReportQuery &query) const {
   switch (query.What) {
   case ReportQuery::Kind::Ready:
-    return {InForce && !Leaving, InForce && !Leaving ? "ready\n" : "no\n"};
-  case ReportQuery::Kind::Status:
-    return {true, statusJson()};
-  default:
-    return {true, "{}"};
+    return {Plane.isReady(), Plane.isReady() ? "ready\n" : "not ready\n"};
+  case ReportQuery::Kind::Status: {
+    const auto [sent, received] = Environment.LinkBytes();
+    return {true, Plane.statusJson(sent, received)};
   }
-}
-
-std::string ControlActor::statusJson() const {
-  nlohmann::json root;
-  root["host"] = Local.Host;
-  root["zone"] = Local.Zone;
-  root["state"] = Leaving ? "leaving" : InForce ? "live" : "joining";
-  root["uptime_seconds"] =
-      std::chrono::duration_cast<std::chrono::seconds>(Clock.now() - Started)
-          .count();
-  root["settings"]["revision"] = InForce ? InForce->Revision : 0;
-  root["settings"]["last_refusal"] = LastRefusal;
-  root["control"]["bytes_sent"] = 0;
-  root["control"]["bytes_received"] = 0;
-  return root.dump(2) + "\n";
+  case ReportQuery::Kind::Metrics:
+    return {true, Plane.metricsText()};
+  case ReportQuery::Kind::Cause:
+    return {true, Plane.causesJson(query.Since)};
+  case ReportQuery::Kind::Burn:
+    return {true, Plane.burnJson()};
+  }
+  return {false, "unknown report\n"};
 }
 
 } // namespace auburnroute::daemon
--- a/Source/Daemon/ControlActor.h
+++ b/Source/Daemon/ControlActor.h
@@ -1,38 +1,48 @@
 #pragma once
 
-#include "Common/Clock.h"
+#include "Daemon/ControlPlane.h"
 #include "Daemon/ControlSnapshot.h"
 #include "Daemon/Messages.h"
-#include "State/DaemonSettings.h"
 
 #include <caf/all.hpp>
 
-#include <memory>
+#include <functional>
 
 namespace auburnroute::daemon {
 
-/// Owns the control state of the daemon: settings in force, membership and
-/// reports. Runs on the control thread; publishes snapshots for the others.
+/// What the control actor needs of the daemon around it. Functions may be
+/// called from the control thread at any time.
+struct ControlEnvironment {
+  /// Sends a frame to a peer.
+  std::function<void(PeerFrame)> SendFrame;
+  /// Whether this host reads the platform, and from which versions on.
+  std::function<void(bool enabled, std::uint64_t settingsRevision,
+                     std::uint64_t hostListVersion)>
+      SteerReaders;
+  /// Bytes that the peer link sent and received.
+  std::function<std::pair<std::uint64_t, std::uint64_t>()> LinkBytes;
+};
+
+/// Runs the control plane on the control thread: feeds it messages and ticks,
+/// publishes its snapshots and sends its frames.
 class ControlActor : public caf::event_based_actor {
 public:
   ControlActor(caf::actor_config &config, const state::DaemonSettings &settings,
-               const common::Clock &clock, SnapshotPublisher &snapshots);
+               const common::Clock &clock, SnapshotPublisher &snapshots,
+               ControlEnvironment environment);
 
   caf::behavior make_behavior() override; // NOLINT: name fixed by CAF
 
 private:
-  void onSettings(const std::string &text);
-  void publish();
+  void tick();
+  /// Passes on what an event brought about.
+  void settle();
   Report report(const ReportQuery &query) const;
-  std::string statusJson() const;
 
-  state::DaemonSettings Local;
   const common::Clock &Clock;
   SnapshotPublisher &Snapshots;
-  common::TimePoint Started;
-  std::shared_ptr<const state::Settings> InForce;
-  std::string LastRefusal;
-  bool Leaving = false;
+  ControlEnvironment Environment;
+  ControlPlane Plane;
 };
 
 } // namespace auburnroute::daemon
--- /dev/null
+++ b/Source/Daemon/ControlPlane.cpp
@@ -0,0 +1,462 @@
+#include "Daemon/ControlPlane.h"
+
+#include "Common/Log.h"
+#include "Common/Text.h"
+#include "Protocol/BurnCodec.h"
+#include "Protocol/CauseCodec.h"
+#include "Protocol/PlatformCodec.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace auburnroute::daemon {
+
+namespace {
+
+using common::LogLevel;
+using coordination::ConfirmationState;
+using coordination::FollowOutcome;
+using state::Cause;
+using state::HostState;
+
+constexpr std::chrono::seconds ReplicationInterval{1};
+/// Entries of one batch; with about 80 bytes each and two replicas, at most
+/// 2.6 KB/s of the 5 KB/s that control may use.
+constexpr std::size_t CausesPerBatch = 16;
+constexpr std::size_t CauseReplicaCount = 2;
+
+coordination::HostIdentity identityOf(const state::DaemonSettings &settings,
+                                      std::uint64_t incarnation) {
+  return {
+      settings.Host,
+      settings.Zone,
+      {settings.Packets, settings.Admission, settings.Peer, settings.Operator},
+      incarnation};
+}
+
+coordination::MembershipOptions
+optionsOf(const state::DaemonSettings &settings) {
+  coordination::MembershipOptions options;
+  options.HeartbeatInterval = settings.HeartbeatInterval;
+  options.SuspectAfter = settings.SuspectAfter;
+  options.DeadAfter = settings.DeadAfter;
+  options.PauseLimit = settings.PauseLimit;
+  options.JoinTimeout = settings.JoinTimeout;
+  options.Seeds = settings.Seeds;
+  return options;
+}
+
+std::string_view toString(ConfirmationState confirmation) {
+  switch (confirmation) {
+  case ConfirmationState::Unconfirmed:
+    return "unconfirmed";
+  case ConfirmationState::ByPeer:
+    return "confirmed by a peer";
+  case ConfirmationState::Alone:
+    return "alone: no peer answered";
+  }
+  return "invalid";
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(const state::DaemonSettings &settings,
+                           const common::Clock &clock,
+                           std::uint64_t incarnation)
+    : Local(settings), Clock(clock), Started(clock.now()),
+      Members(clock.now(), identityOf(settings, incarnation),
+              optionsOf(settings)),
+      Codec(settings.SharedKey), Causes(settings.Host, incarnation) {}
+
+void ControlPlane::onPlatformSettings(std::string_view text) {
+  if (Follower.onPlatformDocument(text) == FollowOutcome::InForce)
+    onSettingsInForce();
+  noteRefusals();
+}
+
+void ControlPlane::onPlatformHosts(std::string_view text) {
+  const auto list = protocol::decodeHostList(text);
+  if (!list.ok()) {
+    common::logLine(LogLevel::Error,
+                    absl::StrCat("host list refused: ",
+                                 std::string(list.status().message())));
+    return;
+  }
+  // A platform that was restored from a backup must not bring back old hosts.
+  if (list->Version <= HostListVersion)
+    return;
+  HostListVersion = list->Version;
+  Members.onHostList(Clock.now(), *list);
+  ListedLeaving = list->LeavingBackendServers;
+  SnapshotDue = true;
+}
+
+void ControlPlane::onPlatformReachable(bool reachable, const std::string &why) {
+  if (reachable == PlatformReachable)
+    return;
+  PlatformReachable = reachable;
+  if (reachable) {
+    common::logLine(LogLevel::Info, "platform answers");
+    return;
+  }
+  record(Cause::PlatformUnreachable, Local.Host);
+  common::logLine(
+      LogLevel::Warning,
+      absl::StrCat("platform unreachable, last settings stay in force: ", why));
+}
+
+void ControlPlane::onPeerFrame(std::string_view frame) {
+  const auto decoded = Codec.decode(frame);
+  // Refusals are counted by the codec.
+  const auto *message = std::get_if<coordination::PeerMessage>(&decoded);
+  if (message == nullptr)
+    return;
+  if (std::holds_alternative<coordination::Heartbeat>(message->Body))
+    onHeartbeat(*message);
+  else if (std::holds_alternative<coordination::SettingsRequest>(message->Body))
+    onRequest(*message);
+  else if (std::holds_alternative<coordination::SettingsReply>(message->Body))
+    onReply(*message);
+  else
+    for (const auto &it :
+         std::get<coordination::CauseBatch>(message->Body).Entries)
+      Causes.merge(Clock.wallTime(), it);
+}
+
+void ControlPlane::onHeartbeat(const coordination::PeerMessage &message) {
+  const auto now = Clock.now();
+  Members.onHeartbeat(now, message);
+  const auto &heartbeat = std::get<coordination::Heartbeat>(message.Body);
+  if (const auto request =
+          Follower.onPeerDigest(now, message.Sender, heartbeat.Settings))
+    send(*request);
+}
+
+void ControlPlane::onRequest(const coordination::PeerMessage &message) {
+  const auto &request = std::get<coordination::SettingsRequest>(message.Body);
+  const auto to = Members.peerEndpoint(message.Sender);
+  if (auto reply = Follower.onSettingsRequest(request); reply && to)
+    send(*to, Members.stamp(*std::move(reply)));
+}
+
+void ControlPlane::onReply(const coordination::PeerMessage &message) {
+  const auto outcome = Follower.onSettingsReply(
+      Clock.now(), message.Sender,
+      std::get<coordination::SettingsReply>(message.Body));
+  if (outcome.Outcome == FollowOutcome::InForce)
+    onSettingsInForce();
+  noteRefusals();
+  if (outcome.Next)
+    send(*outcome.Next);
+}
+
+void ControlPlane::onSettingsInForce() {
+  const auto &settings = *Follower.settings();
+  Members.onSettings(Clock.now(), Follower.stamp());
+  std::vector<std::string> services;
+  for (const auto &it : settings.Services)
+    services.push_back(it.Name);
+  Members.setServices(services);
+  Table = std::make_shared<const state::ServiceTable>(settings, Local.Zone);
+  SnapshotDue = true;
+  record(Cause::SettingsApplied, "");
+  common::logLine(LogLevel::Info, absl::StrCat("settings revision ",
+                                               settings.Revision, " in force"));
+}
+
+void ControlPlane::noteRefusals() {
+  const auto refused = Follower.counters().Refused;
+  if (refused == NotedRefusals || Follower.refusals().empty())
+    return;
+  NotedRefusals = refused;
+  const auto &last = Follower.refusals().back();
+  record(Cause::SettingsRefused,
+         absl::StrCat("settings revision ", last.Stamp.Revision));
+  common::logLine(LogLevel::Error,
+                  absl::StrCat("settings revision ", last.Stamp.Revision,
+                               " refused: ", last.Errors));
+}
+
+void ControlPlane::onAdmission(const AdmissionSummary &summary) {
+  const auto now = Clock.now();
+  const auto wall = Clock.wallTime();
+  const auto revision = Follower.stamp().Revision;
+  for (const auto &it : summary.Events) {
+    const auto age =
+        std::chrono::duration_cast<common::WallTime::duration>(now - it.Last);
+    Causes.record(wall - age, it.Why, it.Service, revision, it.BackendServer,
+                  it.Count);
+  }
+  for (const auto &[service, counts] : summary.Burn)
+    Burn.add(wall, service, counts);
+  Waits = summary.Waits;
+}
+
+void ControlPlane::onTick() {
+  const auto now = Clock.now();
+  for (const auto &it : Members.onTick(now))
+    send(it.To, it.Message);
+  if (const auto request = Follower.onTick(now))
+    send(*request);
+  for (const auto &it : Members.takeForgotten())
+    Codec.forget(it);
+  noteTransitions();
+  if (now >= NextReplication) {
+    NextReplication = now + ReplicationInterval;
+    Causes.expire(Clock.wallTime());
+    replicateCauses();
+  }
+}
+
+void ControlPlane::noteTransitions() {
+  for (const auto &it : Members.takeTransitions()) {
+    common::logLine(LogLevel::Info,
+                    absl::StrCat("host ", it.Host, ": ",
+                                 common::toAbsl(state::toString(it.From)),
+                                 " -> ",
+                                 common::toAbsl(state::toString(it.To))));
+    // Each host sees the change; the two readers of the zone report it.
+    if (!Members.isSettingsReader())
+      continue;
+    if (it.To == HostState::Dead)
+      record(Cause::HostDead, it.Host);
+    else if (it.To == HostState::Leaving)
+      record(Cause::HostLeaving, it.Host);
+  }
+  if (Members.counters().Pauses != NotedPauses) {
+    NotedPauses = Members.counters().Pauses;
+    record(Cause::HostPaused, Local.Host);
+    common::logLine(LogLevel::Warning,
+                    "resumed after a pause; places no new flows until a peer "
+                    "answers");
+  }
+  const bool confirmed = isConfirmed();
+  if (confirmed != WasConfirmed) {
+    WasConfirmed = confirmed;
+    SnapshotDue = true;
+    common::logLine(LogLevel::Info,
+                    absl::StrCat("up to date: ", common::toAbsl(toString(
+                                                     Members.confirmation()))));
+  }
+  if (Members.ownershipVersion() != PublishedOwnership)
+    SnapshotDue = true;
+}
+
+void ControlPlane::beginStop() {
+  Leaving = true;
+  Members.announceLeaving(Clock.now());
+  SnapshotDue = true;
+}
+
+std::vector<PeerFrame> ControlPlane::takeFrames() {
+  return std::exchange(Outbox, {});
+}
+
+std::shared_ptr<const ControlSnapshot> ControlPlane::takeSnapshot() {
+  if (!SnapshotDue || !Table)
+    return nullptr;
+  SnapshotDue = false;
+  PublishedOwnership = Members.ownershipVersion();
+  auto snapshot = std::make_shared<ControlSnapshot>();
+  snapshot->Settings = Follower.settings();
+  snapshot->Table = Table;
+  snapshot->AdmissionOwners = admissionOwners();
+  snapshot->LeavingBackendServers = leavingBackendServers();
+  snapshot->Confirmed = isConfirmed();
+  snapshot->Leaving = Leaving;
+  return snapshot;
+}
+
+std::vector<common::Endpoint> ControlPlane::admissionOwners() const {
+  std::vector<common::Endpoint> owners;
+  for (const auto &it : Follower.settings()->Services) {
+    const auto name = Members.admissionOwner(it.Name);
+    const auto *host = name ? Members.hosts().find(*name) : nullptr;
+    const bool known = host != nullptr && host->Addresses.Admission.Port != 0;
+    owners.push_back(known ? host->Addresses.Admission : Local.Admission);
+  }
+  return owners;
+}
+
+std::vector<std::uint32_t> ControlPlane::leavingBackendServers() const {
+  std::vector<std::uint32_t> ids;
+  const auto &services = Follower.settings()->Services;
+  for (const auto &it : ListedLeaving) {
+    const auto service =
+        std::find_if(services.begin(), services.end(),
+                     [&](const auto &s) { return s.Name == it.Service; });
+    if (service == services.end())
+      continue;
+    const auto server = std::find_if(
+        service->BackendServers.begin(), service->BackendServers.end(),
+        [&](const auto &s) { return s.Name == it.Name; });
+    if (server == service->BackendServers.end())
+      continue;
+    const auto index = static_cast<std::uint32_t>(service - services.begin());
+    ids.push_back(Table->findBackendServer(index, server->Number)->Id);
+  }
+  return ids;
+}
+
+void ControlPlane::replicateCauses() {
+  const auto replicas = causeReplicas();
+  if (replicas.empty())
+    return;
+  auto entries = Causes.takeChanged(CausesPerBatch);
+  if (entries.empty())
+    return;
+  const coordination::CauseBatch batch{std::move(entries)};
+  for (const auto &it : replicas)
+    send(it, Members.stamp(batch));
+}
+
+std::vector<common::Endpoint> ControlPlane::causeReplicas() const {
+  std::vector<common::Endpoint> replicas;
+  const auto &hosts = Members.hosts();
+  const auto take = [&](auto from, auto to) {
+    for (; from != to && replicas.size() < CauseReplicaCount; ++from)
+      if (from->first != Local.Host && from->second.State == HostState::Live &&
+          from->second.Addresses.Peer.Port != 0)
+        replicas.push_back(from->second.Addresses.Peer);
+  };
+  // The next live hosts in the order of names, wrapping around.
+  take(hosts.after(Local.Host), hosts.end());
+  take(hosts.begin(), hosts.after(Local.Host));
+  return replicas;
+}
+
+void ControlPlane::record(Cause why, const std::string &subject) {
+  Causes.record(Clock.wallTime(), why, "", Follower.stamp().Revision, subject);
+}
+
+void ControlPlane::send(const common::Endpoint &to,
+                        const coordination::PeerMessage &message) {
+  auto bytes = Codec.encode(message);
+  if (bytes.ok())
+    Outbox.push_back({to, *std::move(bytes)});
+  else
+    common::logLine(LogLevel::Error,
+                    absl::StrCat("message to a peer not sent: ",
+                                 std::string(bytes.status().message())));
+}
+
+void ControlPlane::send(const coordination::AddressedRequest &request) {
+  if (const auto to = Members.peerEndpoint(request.Peer))
+    send(*to, Members.stamp(request.Request));
+}
+
+bool ControlPlane::isConfirmed() const {
+  return Members.isConfirmed(Clock.now());
+}
+
+bool ControlPlane::isReady() const {
+  return Table && !Leaving && Members.selfState() == HostState::Live;
+}
+
+bool ControlPlane::readsPlatform() const {
+  return !Table || Members.isSettingsReader();
+}
+
+std::string ControlPlane::statusJson(std::uint64_t bytesSent,
+                                     std::uint64_t bytesReceived) const {
+  nlohmann::json root;
+  root["host"] = Local.Host;
+  root["zone"] = Local.Zone;
+  root["state"] = state::toString(Members.selfState());
+  root["confirmation"] = toString(Members.confirmation());
+  root["ready"] = isReady();
+  root["uptime_seconds"] =
+      std::chrono::duration_cast<std::chrono::seconds>(Clock.now() - Started)
+          .count();
+  auto &settings = root["settings"];
+  settings["revision"] = Follower.stamp().Revision;
+  settings["digest"] = Follower.stamp().Digest;
+  settings["refusals"] = nlohmann::json::array();
+  for (const auto &it : Follower.refusals())
+    settings["refusals"].push_back(
+        {{"revision", it.Stamp.Revision}, {"errors", it.Errors}});
+  root["platform"] = {{"reachable", PlatformReachable},
+                      {"reader", Members.isSettingsReader()},
+                      {"host_list_version", HostListVersion}};
+  root["control"] = {{"bytes_sent", bytesSent},
+                     {"bytes_received", bytesReceived}};
+  root["hosts"] = nlohmann::json::array();
+  for (const auto &[name, host] : Members.hosts())
+    root["hosts"].push_back(
+        {{"name", name},
+         {"state", state::toString(host.State)},
+         {"operator", common::toString(host.Addresses.Operator)}});
+  root["services"] = nlohmann::json::array();
+  if (Table)
+    for (const auto &it : Follower.settings()->Services)
+      root["services"].push_back(
+          {{"name", it.Name},
+           {"admission_owner", Members.admissionOwner(it.Name).value_or("")},
+           {"backend_servers", it.BackendServers.size()}});
+  root["waits"] = {{"count", Waits.Count},
+                   {"mean_us", Waits.Mean.count()},
+                   {"p50_us", Waits.Median.count()},
+                   {"p99_us", Waits.Percentile99.count()},
+                   {"max_us", Waits.Longest.count()}};
+  return root.dump(2) + "\n";
+}
+
+std::string ControlPlane::causesJson(std::chrono::seconds since) const {
+  return protocol::encodeCauses(Local.Host,
+                                Causes.since(Clock.wallTime() - since));
+}
+
+std::string ControlPlane::burnJson() const {
+  protocol::HostBurn burn;
+  burn.Host = Local.Host;
+  burn.Uptime =
+      std::chrono::duration_cast<std::chrono::minutes>(Clock.now() - Started);
+  const auto wall = Clock.wallTime();
+  const auto &settings = Follower.settings();
+  for (const auto &name : Burn.services()) {
+    auto &service = burn.Services[name];
+    const auto *found = settings ? settings->findService(name) : nullptr;
+    const auto zone = settings ? settings->zoneIndex(Local.Zone) : std::nullopt;
+    if (found != nullptr && zone)
+      service.Policy = found->PolicyByZone[*zone];
+    for (const auto &pair : state::BurnWindowPairs)
+      for (const auto window : {pair.Long, pair.Short})
+        service.Windows[window] = Burn.sum(wall, name, window);
+    service.Minutes = Burn.minutes(wall, name, protocol::PlottedMinutes);
+  }
+  return protocol::encodeBurn(burn);
+}
+
+std::string ControlPlane::metricsText() const {
+  std::string text;
+  const auto add = [&](absl::string_view name, absl::string_view type,
+                       std::uint64_t value) {
+    absl::StrAppend(&text, "# TYPE auburnroute_", name, " ", type,
+                    "\nauburnroute_", name, " ", value, "\n");
+  };
+  add("settings_revision", "gauge", Follower.stamp().Revision);
+  add("settings_refused_total", "counter", Follower.counters().Refused);
+  add("hosts_known", "gauge", Members.hosts().size());
+  add("confirmed", "gauge", isConfirmed() ? 1 : 0);
+  add("suspicions_total", "counter", Members.counters().Suspicions);
+  add("pauses_total", "counter", Members.counters().Pauses);
+  add("cause_entries", "gauge", Causes.size());
+  add("cause_entries_evicted_total", "counter", Causes.evicted());
+  for (int i = 0; i < static_cast<int>(protocol::PeerRefusal::Count); ++i) {
+    const auto reason = static_cast<protocol::PeerRefusal>(i);
+    absl::StrAppend(&text, "auburnroute_peer_frames_refused_total{reason=\"",
+                    common::toAbsl(protocol::toString(reason)), "\"} ",
+                    Codec.refused(reason), "\n");
+  }
+  absl::StrAppend(
+      &text, "auburnroute_flow_wait_microseconds{quantile=\"0.5\"} ",
+      Waits.Median.count(),
+      "\nauburnroute_flow_wait_microseconds{quantile=\"0.99\"} ",
+      Waits.Percentile99.count(), "\nauburnroute_flow_wait_microseconds_count ",
+      Waits.Count, "\n");
+  return text;
+}
+
+} // namespace auburnroute::daemon
--- /dev/null
+++ b/Source/Daemon/ControlPlane.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Coordination/Membership.h"
+#include "Coordination/SettingsFollower.h"
+#include "Daemon/AdmissionSummary.h"
+#include "Daemon/ControlSnapshot.h"
+#include "Protocol/PeerCodec.h"
+#include "State/BurnLedger.h"
+#include "State/CauseLedger.h"
+#include "State/DaemonSettings.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace auburnroute::daemon {
+
+/// A frame and the peer endpoint that it goes to.
+struct PeerFrame {
+  common::Endpoint To;
+  std::string Bytes;
+};
+
+/// Control state of a daemon: settings in force, membership, causes and burn.
+///
+/// Combines the decisions of the coordination layer. Events go in; frames and
+/// snapshots are taken out. Used from the control thread only; opens no socket.
+class ControlPlane {
+public:
+  /// \p incarnation is the start of the process, ms since the epoch.
+  ControlPlane(const state::DaemonSettings &settings,
+               const common::Clock &clock, std::uint64_t incarnation);
+
+  void onPlatformSettings(std::string_view text);
+  void onPlatformHosts(std::string_view text);
+  /// The platform stopped or started answering.
+  void onPlatformReachable(bool reachable, const std::string &why);
+  void onPeerFrame(std::string_view frame);
+  void onAdmission(const AdmissionSummary &summary);
+  /// Call at least every 100 ms.
+  void onTick();
+  void beginStop();
+
+  /// Frames to send, since the last call.
+  std::vector<PeerFrame> takeFrames();
+  /// A new snapshot, or nullptr if nothing changed since the last call.
+  std::shared_ptr<const ControlSnapshot> takeSnapshot();
+
+  /// Whether this host may place new flows.
+  bool isConfirmed() const;
+  /// Whether the fabric may send packets here.
+  bool isReady() const;
+  /// Whether this host is one of the platform readers of its zone. Also true
+  /// while it has no settings.
+  bool readsPlatform() const;
+  /// Revision to wait beyond, for GET /settings.
+  std::uint64_t settingsRevision() const { return Follower.stamp().Revision; }
+  /// Version to wait beyond, for GET /hosts.
+  std::uint64_t hostListVersion() const { return HostListVersion; }
+
+  /// Status as JSON; \p bytesSent and \p bytesReceived are those of the link.
+  std::string statusJson(std::uint64_t bytesSent,
+                         std::uint64_t bytesReceived) const;
+  std::string causesJson(std::chrono::seconds since) const;
+  std::string burnJson() const;
+  /// Gauges and counters of the control state, as Prometheus text.
+  std::string metricsText() const;
+
+private:
+  void send(const common::Endpoint &to,
+            const coordination::PeerMessage &message);
+  void send(const coordination::AddressedRequest &request);
+  void onHeartbeat(const coordination::PeerMessage &message);
+  void onRequest(const coordination::PeerMessage &message);
+  void onReply(const coordination::PeerMessage &message);
+  void onSettingsInForce();
+  void noteRefusals();
+  void noteTransitions();
+  void replicateCauses();
+  std::vector<common::Endpoint> causeReplicas() const;
+  std::vector<common::Endpoint> admissionOwners() const;
+  std::vector<std::uint32_t> leavingBackendServers() const;
+  void record(state::Cause why, const std::string &subject);
+
+  state::DaemonSettings Local;
+  const common::Clock &Clock;
+  common::TimePoint Started;
+  coordination::Membership Members;
+  coordination::SettingsFollower Follower;
+  protocol::PeerCodec Codec;
+  state::CauseLedger Causes;
+  state::BurnLedger Burn;
+  state::WaitSummary Waits;
+  std::shared_ptr<const state::ServiceTable> Table;
+  std::vector<coordination::LeavingBackendServer> ListedLeaving;
+  std::vector<PeerFrame> Outbox;
+  std::uint64_t HostListVersion = 0;
+  std::uint64_t PublishedOwnership = 0;
+  std::uint64_t NotedRefusals = 0;
+  std::uint64_t NotedPauses = 0;
+  common::TimePoint NextReplication;
+  bool PlatformReachable = false;
+  bool Leaving = false;
+  bool WasConfirmed = false;
+  bool SnapshotDue = false;
+};
+
+} // namespace auburnroute::daemon
--- a/Source/Daemon/ControlSnapshot.h
+++ b/Source/Daemon/ControlSnapshot.h
@@ -21,9 +21,6 @@
   std::vector<std::uint32_t> LeavingBackendServers;
   bool Confirmed = false; ///< This host may place new flows.
   bool Leaving = false;   ///< A graceful stop has begun.
-  /// When the host was last confirmed; it does not count for a thread that
-  /// noticed a pause after it.
-  common::TimePoint ConfirmedAt;
 };
 
 /// Hands snapshots from the control thread to the others.
@@ -39,12 +36,23 @@
   std::uint64_t version() const {
     return Version.load(std::memory_order_acquire);
   }
+  /// Notes that the host is up to date at \p now. Control thread only.
+  void confirm(common::TimePoint now) {
+    Confirmed.store(now.time_since_epoch().count(), std::memory_order_release);
+  }
+  /// When the host was last up to date. A thread that noticed a pause waits
+  /// until this is later.
+  common::TimePoint confirmedAt() const {
+    return common::TimePoint(
+        common::TimePoint::duration(Confirmed.load(std::memory_order_acquire)));
+  }
   /// The latest snapshot; nullptr before the first.
   std::shared_ptr<const ControlSnapshot> load() const { return Current.load(); }
 
 private:
   std::atomic<std::shared_ptr<const ControlSnapshot>> Current;
   std::atomic<std::uint64_t> Version{0};
+  std::atomic<common::TimePoint::rep> Confirmed{0};
 };
 
 } // namespace auburnroute::daemon
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -1,17 +1,18 @@
 #include "Daemon/Daemon.h"
 
 #include "Common/Log.h"
+#include "Common/Text.h"
 #include "Daemon/AdmissionWorker.h"
 #include "Daemon/ControlActor.h"
 #include "Daemon/LoadPoller.h"
 #include "Daemon/PlatformReader.h"
 #include "Daemon/TrafficWorker.h"
 #include "Transport/HttpServer.h"
+#include "Transport/PeerLink.h"
 
 #include "absl/strings/str_cat.h"
 
 #include <csignal>
-#include <nlohmann/json.hpp>
 #include <thread>
 
 namespace auburnroute::daemon {
@@ -22,14 +23,9 @@
 
 constexpr std::chrono::seconds ReportTimeout{1};
 constexpr std::chrono::milliseconds StopCheckInterval{20};
-
-/// The version field of a platform document, or 0.
-std::uint64_t versionOf(const std::string &text, const char *key) {
-  const auto root = nlohmann::json::parse(text, nullptr, false, true);
-  const auto it = root.is_object() ? root.find(key) : root.end();
-  return it != root.end() && it->is_number_unsigned() ? it->get<std::uint64_t>()
-                                                      : 0;
-}
+// Bounds how long a frame to a peer waits in the mailbox of the link.
+constexpr std::chrono::milliseconds LinkPollTime{5};
+constexpr std::chrono::milliseconds SummaryInterval{200};
 
 /// Blocks the signals that end the daemon, so that only wait() takes them.
 /// Must be called before any thread starts.
@@ -58,9 +54,15 @@
 private:
   absl::Status startTraffic();
   absl::Status startOperatorServer();
+  void startControl();
+  void startLink(transport::PeerLink link);
   void startAdmission(transport::UdpSocket socket);
+  void startLoadPoller();
+  void createPlatformReaders();
   void startPlatformReaders();
   Report ask(ReportQuery query);
+  /// Sums over all threads, as Prometheus text.
+  std::string countersText() const;
 
   const state::DaemonSettings &Settings;
   const common::Clock &Clock;
@@ -70,10 +72,14 @@
   caf::actor_system System;
   caf::actor Control;
   caf::actor Admission;
+  caf::actor Link;
+  std::atomic<std::uint64_t> LinkBytesSent{0};
+  std::atomic<std::uint64_t> LinkBytesReceived{0};
   std::vector<std::unique_ptr<TrafficWorker>> Workers;
   std::unique_ptr<AdmissionWorker> AdmissionCore;
   std::unique_ptr<LoadPoller> Poller;
-  std::vector<std::unique_ptr<PlatformReader>> Readers;
+  std::unique_ptr<PlatformReader> SettingsReader;
+  std::unique_ptr<PlatformReader> HostListReader;
   transport::HttpServer Operators;
 };
 
@@ -81,10 +87,16 @@
   auto admission = transport::UdpSocket::bind(Settings.Admission, false);
   if (!admission.ok())
     return admission.status();
+  auto link = transport::PeerLink::bind(Settings.Peer);
+  if (!link.ok())
+    return link.status();
   if (auto status = startTraffic(); !status.ok())
     return status;
-  Control = System.spawn<ControlActor>(Settings, Clock, Snapshots);
+  createPlatformReaders();
+  startControl();
+  startLink(*std::move(link));
   startAdmission(*std::move(admission));
+  startLoadPoller();
   startPlatformReaders();
   return startOperatorServer();
 }
@@ -106,10 +118,48 @@
   return absl::OkStatus();
 }
 
+void Runtime::startControl() {
+  ControlEnvironment environment;
+  environment.SendFrame = [this](PeerFrame frame) {
+    caf::anon_send(Link, PeerFrameToSend{frame.To, std::move(frame.Bytes)});
+  };
+  environment.SteerReaders = [this](bool enabled, std::uint64_t revision,
+                                    std::uint64_t version) {
+    if (!SettingsReader)
+      return;
+    SettingsReader->steer(enabled, revision);
+    HostListReader->steer(enabled, version);
+  };
+  environment.LinkBytes = [this] {
+    return std::pair{LinkBytesSent.load(), LinkBytesReceived.load()};
+  };
+  Control = System.spawn<ControlActor>(Settings, Clock, Snapshots,
+                                       std::move(environment));
+}
+
+void Runtime::startLink(transport::PeerLink link) {
+  Link = System.spawn<caf::detached>(
+      [this, peers = std::make_shared<transport::PeerLink>(std::move(link))](
+          caf::blocking_actor *self) {
+        while (!Stop) {
+          peers->poll(LinkPollTime, [this](std::string_view frame) {
+            caf::anon_send(Control, PeerFrameReceived{std::string(frame)});
+          });
+          while (self->has_next_message())
+            self->receive([&](const PeerFrameToSend &it) {
+              peers->send(it.To, it.Bytes);
+            });
+          LinkBytesSent = peers->counters().BytesSent;
+          LinkBytesReceived = peers->counters().BytesReceived;
+        }
+      });
+}
+
 void Runtime::startAdmission(transport::UdpSocket socket) {
   AdmissionCore = std::make_unique<AdmissionWorker>(Settings, Clock, Snapshots,
                                                     std::move(socket));
   Admission = System.spawn<caf::detached>([this](caf::blocking_actor *self) {
+    auto nextSummary = Clock.now();
     while (!Stop) {
       AdmissionCore->turn();
       while (self->has_next_message())
@@ -120,8 +170,15 @@
           else
             AdmissionCore->onReportFailure(it.Revision, it.BackendServer);
         });
+      if (Clock.now() < nextSummary)
+        continue;
+      nextSummary = Clock.now() + SummaryInterval;
+      caf::anon_send(Control, AdmissionCore->takeSummary());
     }
   });
+}
+
+void Runtime::startLoadPoller() {
   Poller = std::make_unique<LoadPoller>(
       Settings.Admission, Clock, Snapshots,
       [this](const BackendServerPolled &it) { caf::anon_send(Admission, it); });
@@ -129,33 +186,29 @@
       [this](caf::blocking_actor *) { Poller->run(Stop); });
 }
 
-void Runtime::startPlatformReaders() {
+void Runtime::createPlatformReaders() {
   if (!Settings.Platform)
     return;
-  const auto told = [this](const PlatformReachability &it) {
-    caf::anon_send(Control, it);
-  };
-  Readers.push_back(std::make_unique<PlatformReader>(
+  SettingsReader = std::make_unique<PlatformReader>(
       *Settings.Platform, "/settings",
       [this](std::string text) {
-        const auto version = versionOf(text, "revision");
         caf::anon_send(Control, PlatformSettings{std::move(text)});
-        return version;
       },
-      told));
-  Readers.push_back(std::make_unique<PlatformReader>(
+      [this](const PlatformReachability &it) { caf::anon_send(Control, it); });
+  HostListReader = std::make_unique<PlatformReader>(
       *Settings.Platform, "/hosts",
       [this](std::string text) {
-        const auto version = versionOf(text, "version");
         caf::anon_send(Control, PlatformHosts{std::move(text)});
-        return version;
       },
-      [](const PlatformReachability &) {}));
-  for (auto &it : Readers)
-    System.spawn<caf::detached>(
-        [this, reader = it.get()](caf::blocking_actor *) {
-          reader->run(Stop);
-        });
+      // Reachability is told by the other reader.
+      [](const PlatformReachability &) {});
+}
+
+void Runtime::startPlatformReaders() {
+  for (auto *it : {SettingsReader.get(), HostListReader.get()})
+    if (it != nullptr)
+      System.spawn<caf::detached>(
+          [this, it](caf::blocking_actor *) { it->run(Stop); });
 }
 
 Report Runtime::ask(ReportQuery query) {
@@ -166,6 +219,36 @@
   return answer;
 }
 
+std::string Runtime::countersText() const {
+  std::vector<const state::CounterSet *> sets{&AdmissionCore->counters()};
+  for (const auto &it : Workers)
+    sets.push_back(&it->counters());
+  for (const auto *it : {SettingsReader.get(), HostListReader.get()})
+    if (it != nullptr)
+      sets.push_back(&it->counters());
+  const auto sum = [&](auto which) {
+    std::uint64_t total = 0;
+    for (const auto *it : sets)
+      total += it->value(which);
+    return total;
+  };
+  std::string text;
+  for (int i = 0; i < static_cast<int>(state::Counter::Count); ++i) {
+    const auto counter = static_cast<state::Counter>(i);
+    const auto name = common::toAbsl(state::toString(counter));
+    absl::StrAppend(&text, "# TYPE auburnroute_", name,
+                    " counter\nauburnroute_", name, " ", sum(counter), "\n");
+  }
+  text += "# TYPE auburnroute_causes_total counter\n";
+  for (int i = 1; i < static_cast<int>(state::Cause::Count); ++i) {
+    const auto why = static_cast<state::Cause>(i);
+    absl::StrAppend(&text, "auburnroute_causes_total{cause=\"",
+                    common::toAbsl(state::toString(why)), "\"} ", sum(why),
+                    "\n");
+  }
+  return text;
+}
+
 absl::Status Runtime::startOperatorServer() {
   const auto serve = [this](const char *path, const char *type,
                             ReportQuery::Kind kind) {
@@ -174,7 +257,9 @@
           ReportQuery query{kind, std::chrono::hours(1)};
           if (const auto it = parameters.find("since"); it != parameters.end())
             query.Since = std::chrono::seconds(std::atoll(it->second.c_str()));
-          const auto answer = ask(query);
+          auto answer = ask(query);
+          if (kind == ReportQuery::Kind::Metrics)
+            answer.Text += countersText();
           return transport::HttpResponse{answer.Good ? 200 : 503, answer.Text};
         });
   };
--- a/Source/Daemon/Messages.h
+++ b/Source/Daemon/Messages.h
@@ -1,13 +1,15 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "Coordination/AdmissionController.h"
+#include "Common/Endpoint.h"
+#include "Coordination/LoadReport.h"
+#include "Daemon/AdmissionSummary.h"
 
 #include <caf/all.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
-#include <variant>
 
 namespace auburnroute::daemon {
 
@@ -34,6 +36,17 @@
   std::optional<coordination::LoadReport> Report; ///< None if it failed.
 };
 
+/// A frame that arrived from a peer.
+struct PeerFrameReceived {
+  std::string Bytes;
+};
+
+/// A frame for the link to send.
+struct PeerFrameToSend {
+  common::Endpoint To;
+  std::string Bytes;
+};
+
 /// Wakes the control actor at its interval.
 struct ControlTick {};
 
@@ -59,6 +72,9 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::PlatformHosts)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::PlatformReachability)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::BackendServerPolled)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::PeerFrameReceived)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::PeerFrameToSend)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::AdmissionSummary)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::ControlTick)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::BeginStop)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::ReportQuery)
--- a/Source/Daemon/PlatformReader.h
+++ b/Source/Daemon/PlatformReader.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace auburnroute::daemon {
@@ -14,8 +15,8 @@
 /// own; while it is disabled it makes no calls.
 class PlatformReader {
 public:
-  /// Gets a new document; returns the version to wait beyond.
-  using Receiver = std::function<std::uint64_t(std::string)>;
+  /// Gets a new document.
+  using Receiver = std::function<void(std::string)>;
   /// Told when the platform stops or starts answering.
   using ReachabilityReceiver =
       std::function<void(const PlatformReachability &)>;
@@ -26,12 +27,16 @@
 
   /// Reads until \p stop is set.
   void run(const std::atomic<bool> &stop);
-  /// Whether this host is one of the readers of its zone.
-  void enable(bool on) { Enabled = on; }
+  /// Whether to read, and the version to wait beyond. Any thread.
+  void steer(bool enabled, std::uint64_t after) {
+    Enabled.store(enabled, std::memory_order_relaxed);
+    After.store(after, std::memory_order_relaxed);
+  }
   const state::CounterSet &counters() const { return Counters; }
 
 private:
-  void readOnce();
+  void readOnce(const std::atomic<bool> &stop);
+  void awaitSteering(std::uint64_t before, const std::atomic<bool> &stop);
   void reachable(bool now, const std::string &why);
 
   transport::HttpClient Client;
@@ -39,8 +44,9 @@
   Receiver Deliver;
   ReachabilityReceiver TellReachability;
   std::atomic<bool> Enabled{true};
-  std::uint64_t After = 0;
-  bool Reachable = true;
+  std::atomic<std::uint64_t> After{0};
+  /// Nothing before the first answer or failure.
+  std::optional<bool> Reachable;
   state::CounterSet Counters;
 };
 
--- a/Source/Protocol/PeerCodec.cpp
+++ b/Source/Protocol/PeerCodec.cpp
@@ -139,20 +139,32 @@
   return true;
 }
 
+std::uint64_t millisecondsOf(common::WallTime time) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          time.time_since_epoch())
+          .count());
+}
+
+common::WallTime timeOf(std::uint64_t milliseconds) {
+  return common::WallTime(
+      std::chrono::milliseconds(static_cast<std::int64_t>(milliseconds)));
+}
+
 bool write(const CauseBatch &from, wire::Envelope &envelope) {
   auto &to = *envelope.mutable_cause_batch();
   for (const auto &it : from.Entries) {
     auto &entry = *to.add_entries();
-    entry.set_origin(it.Origin);
-    entry.set_incarnation(it.Incarnation);
-    entry.set_minute(it.Minute);
-    entry.set_cause(static_cast<std::uint32_t>(it.Why));
-    entry.set_service(it.Service);
-    entry.set_revision(it.Revision);
-    entry.set_subject(it.Subject);
+    entry.set_origin(it.Key.Origin);
+    entry.set_incarnation(it.Key.Incarnation);
+    entry.set_minute(it.Key.Minute);
+    entry.set_cause(static_cast<std::uint32_t>(it.Key.Why));
+    entry.set_service(it.Key.Service);
+    entry.set_revision(it.Key.Revision);
+    entry.set_subject(it.Key.Subject);
     entry.set_count(it.Count);
-    entry.set_first_ms(it.FirstMs);
-    entry.set_last_ms(it.LastMs);
+    entry.set_first_ms(millisecondsOf(it.First));
+    entry.set_last_ms(millisecondsOf(it.Last));
   }
   return to.entries_size() <= PeerCodec::MaxCauseEntries;
 }
@@ -166,10 +178,12 @@
         it.service().size() > PeerCodec::MaxNameBytes ||
         it.subject().size() > PeerCodec::MaxNameBytes)
       return PeerRefusal::Malformed;
-    to.Entries.push_back({it.origin(), it.incarnation(), it.minute(),
-                          static_cast<state::Cause>(it.cause()), it.service(),
-                          it.revision(), it.subject(), it.count(),
-                          it.first_ms(), it.last_ms()});
+    to.Entries.push_back({{it.origin(), it.incarnation(), it.minute(),
+                           static_cast<state::Cause>(it.cause()), it.service(),
+                           it.revision(), it.subject()},
+                          it.count(),
+                          timeOf(it.first_ms()),
+                          timeOf(it.last_ms())});
   }
   return std::nullopt;
 }
