--- a/Source/Bench/ZoneSimulation.h
+++ b/Source/Bench/ZoneSimulation.h
@@ -292,10 +292,8 @@
 
 /// A settings document of \p services services with \p servers backend servers
 /// each; \p variant changes the weight of one backend server.
-inline std::string sampleDocument(std::uint64_t revision,
-                                         std::size_t services,
-                                         std::size_t servers,
-                                         std::uint64_t variant) {
+inline std::string sampleDocument(std::uint64_t revision, std::size_t services,
+                                  std::size_t servers, std::uint64_t variant) {
   constexpr std::size_t Addresses = 254;
   const auto text = [](auto... parts) { return absl::StrCat(parts...); };
   std::string out =
