Refuse packets that stacks read in different ways

Cause: parse() took option lists with bad lengths for 'no timestamps', used the first of two timestamps options (stacks use the last), and accepted a SYN with FIN, RST or payload and segments with none of SYN, ACK and RST. A SYN with payload (TCP Fast Open) could run a request on each server that gets a copy of the SYN.

Change: such packets are BadHeader. decrementTimeToLive() updates the IPv4 checksum incrementally.

--- a/Source/Protocol/PacketView.cpp
+++ b/Source/Protocol/PacketView.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t MinTcpHeader = 20;
 constexpr std::size_t SourceAddressOffset = 12;
 constexpr std::size_t DestinationAddressOffset = 16;
+constexpr std::size_t TimeToLiveOffset = 8; // The protocol follows it.
 constexpr std::size_t IpChecksumOffset = 10;
 constexpr std::size_t TcpFlagsOffset = 13;
 constexpr std::size_t TcpChecksumOffset = 16;
@@ -78,31 +79,59 @@
   if (tcpHeader < MinTcpHeader || TcpOffset + tcpHeader > Size)
     return state::Cause::BadHeader;
   HeaderSize = TcpOffset + tcpHeader;
-  findTimestamps();
+  if (!findTimestamps() || !flagsAreConsistent())
+    return state::Cause::BadHeader;
   return state::Cause::None;
 }
 
-void PacketView::findTimestamps() {
+bool PacketView::flagsAreConsistent() const {
+  if (hasFlag(SynFlag) && (isFin() || isRst()))
+    return false;
+  if (isSyn() && payloadSize() != 0)
+    return false;
+  // RFC 9293, 3.10.7: a segment of an established flow has ACK or RST set.
+  return hasFlag(SynFlag | AckFlag | RstFlag);
+}
+
+bool PacketView::findTimestamps() {
   auto at = TcpOffset + MinTcpHeader;
   while (at < HeaderSize) {
     const auto kind = std::to_integer<std::uint8_t>(Data[at]);
     if (kind == OptionEnd)
-      return;
+      return true;
     if (kind == OptionNop) {
       ++at;
       continue;
     }
     if (at + 1 >= HeaderSize)
-      return;
+      return false;
     const auto length = std::to_integer<std::uint8_t>(Data[at + 1]);
     if (length < 2 || at + length > HeaderSize)
-      return;
-    if (kind == OptionTimestamps && length == OptionTimestampsSize) {
+      return false;
+    if (kind == OptionTimestamps) {
+      // Stacks differ in which of two options they use.
+      if (length != OptionTimestampsSize || TimestampOffset != 0)
+        return false;
       TimestampOffset = at + 2;
-      return;
     }
     at += length;
   }
+  return true;
+}
+
+std::uint8_t PacketView::timeToLive() const {
+  return std::to_integer<std::uint8_t>(Data[TimeToLiveOffset]);
+}
+
+bool PacketView::decrementTimeToLive() {
+  if (timeToLive() <= 1)
+    return false;
+  const auto before = load16(TimeToLiveOffset);
+  const auto after = static_cast<std::uint16_t>(before - 0x100);
+  store16(IpChecksumOffset,
+          updateChecksum(load16(IpChecksumOffset), before, after));
+  store16(TimeToLiveOffset, after);
+  return true;
 }
 
 bool PacketView::hasFlag(std::uint8_t flag) const {
--- a/Source/Protocol/PacketView.h
+++ b/Source/Protocol/PacketView.h
@@ -17,7 +17,14 @@
 class PacketView {
 public:
   /// Parses \p buf. Returns Cause::None, or why the packet is malformed; the
-  /// view is valid only in the first case. Checksums are not verified here.
+  /// view is valid only in the first case. Bytes after the IPv4 total length
+  /// are ignored. Checksums are not verified: incremental updates keep a wrong
+  /// one wrong, so the endpoint discards the segment.
+  ///
+  /// Malformed are also option lists that stacks read in different ways, flags
+  /// that contradict each other, and a SYN with payload (TCP Fast Open): its
+  /// payload could run on each backend server that gets a copy of the SYN. The
+  /// caller's TCP repeats such a SYN without payload.
   state::Cause parse(std::span<std::byte> buf);
 
   common::Endpoint source() const;
@@ -37,6 +44,11 @@
     return {Data + HeaderSize, payloadSize()};
   }
 
+  std::uint8_t timeToLive() const;
+  /// Takes one off the time to live, as RFC 1812 asks of each hop. Returns
+  /// false, and changes nothing, if the packet must not be forwarded.
+  bool decrementTimeToLive();
+
   bool hasTimestamps() const { return TimestampOffset != 0; }
   std::uint32_t timestampValue() const;
   std::uint32_t timestampEcho() const;
@@ -65,7 +77,9 @@
   void store32(std::size_t offset, std::uint32_t value);
   /// Replaces 32 bits and updates the TCP checksum.
   void replace32(std::size_t offset, std::uint32_t value);
-  void findTimestamps();
+  /// Returns false if the option list is malformed.
+  bool findTimestamps();
+  bool flagsAreConsistent() const;
   void setEndpoint(std::size_t addressOffset, std::size_t portOffset,
                    common::Endpoint endpoint);
 
