--- a/Source/Coordination/PacketSummary.h
+++ b/Source/Coordination/PacketSummary.h
@@ -10,7 +10,9 @@
 struct PacketSummary {
   common::Endpoint Source;
   common::Endpoint Destination;
-  bool Syn = false; ///< SYN without ACK.
+  bool Syn = false;    ///< SYN without ACK.
+  bool SynAck = false; ///< SYN with ACK.
+  bool Ack = false;    ///< The timestamp echo is valid (RFC 7323, 3.2).
   bool Fin = false;
   bool Rst = false;
   bool HasTimestamps = false;
