Build the reset that refuses a SYN

The reset acknowledges the SYN and has sequence 0, so that a refusal of a late copy of a SYN cannot end the flow that another copy established (RFC 5961).

--- /dev/null
+++ b/Source/Protocol/ResetBuilder.cpp
@@ -0,0 +1,17 @@
+#include "Protocol/ResetBuilder.h"
+
+#include "Protocol/PacketBuilder.h"
+
+namespace auburnroute::protocol {
+
+std::vector<std::byte> ResetBuilder::build(const PacketView &syn) {
+  Segment reset;
+  reset.Source = syn.destination();
+  reset.Destination = syn.source();
+  reset.Flags = PacketView::RstFlag | PacketView::AckFlag;
+  // The SYN takes one sequence number; PacketView refuses a SYN with payload.
+  reset.Acknowledgement = syn.sequence() + 1;
+  return buildPacket(reset);
+}
+
+} // namespace auburnroute::protocol
