Authenticate whole hand-over datagrams and limit their hops

Cause: the code covered the kind and the first 120 bytes of the packet only. Altered or cut payload and altered header bytes were accepted, and nothing kept two hosts with different views of the admission owner from passing a SYN back and forth.

Change: the code covers the header fields and the whole packet; a byte of the header counts hops; reserved bytes must be 0. Replays stay accepted: they have the effect of a repeated segment, and hosts have no common clock that could bound their age.

Before: AnyAlteredByteIsRefused failed for 335 bytes, TruncatedDatagramsAreRefused for 332 lengths. After: both pass, as does HandOversAreLimited.

--- a/Source/Protocol/HandOverCodec.cpp
+++ b/Source/Protocol/HandOverCodec.cpp
@@ -1,11 +1,14 @@
 #include "Protocol/HandOverCodec.h"
 
+#include "Common/Invariant.h"
+
 #include <algorithm>
 #include <cstring>
 
+#include <openssl/core_names.h>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
+#include <openssl/params.h>
 
 namespace auburnroute::protocol {
 
@@ -14,14 +17,27 @@
 constexpr std::array<std::byte, 4> Magic{std::byte{0xAB}, std::byte{0x52},
                                          std::byte{0x48}, std::byte{0x31}};
 constexpr std::size_t KindOffset = 4;
+constexpr std::size_t HopsOffset = 5;
+constexpr std::size_t ZeroOffset = 6;
 constexpr std::size_t MacOffset = 8;
-// Enough for the longest IPv4 and TCP headers. The payload is covered by the
-// TCP checksum end to end, as it is on every other path.
-constexpr std::size_t AuthenticatedBytes = 120;
+constexpr std::uint8_t MaxHops = 2;
 
 } // namespace
 
-HandOverCodec::HandOverCodec(std::string key) : Key(std::move(key)) {}
+HandOverCodec::HandOverCodec(const std::string &key) {
+  const std::unique_ptr<EVP_MAC, decltype(&EVP_MAC_free)> mac(
+      EVP_MAC_fetch(nullptr, OSSL_MAC_NAME_HMAC, nullptr), EVP_MAC_free);
+  Keyed.reset(EVP_MAC_CTX_new(mac.get()), EVP_MAC_CTX_free);
+  std::string digest = "SHA256";
+  const std::array<OSSL_PARAM, 2> params{
+      OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, digest.data(), 0),
+      OSSL_PARAM_construct_end()};
+  // OpenSSL takes a null key for "keep the key", so an empty one needs data.
+  const auto *data = reinterpret_cast<const unsigned char *>(key.c_str());
+  common::invariant(
+      Keyed && EVP_MAC_init(Keyed.get(), data, key.size(), params.data()) == 1,
+      "HMAC-SHA256 is available");
+}
 
 bool HandOverCodec::matches(std::span<const std::byte> datagram) {
   return datagram.size() >= HeaderSize &&
@@ -29,12 +45,13 @@
 }
 
 std::array<std::byte, HandOverCodec::HeaderSize>
-HandOverCodec::encode(HandOverKind kind,
-                      std::span<const std::byte> packet) const {
+HandOverCodec::encode(HandOverKind kind, std::span<const std::byte> packet,
+                      std::uint8_t hops) const {
   std::array<std::byte, HeaderSize> header{};
   std::copy(Magic.begin(), Magic.end(), header.begin());
   header[KindOffset] = static_cast<std::byte>(kind);
-  const auto mac = authenticate(kind, packet);
+  header[HopsOffset] = static_cast<std::byte>(hops);
+  const auto mac = authenticate(std::span(header).first(MacOffset), packet);
   std::memcpy(header.data() + MacOffset, &mac, sizeof(mac));
   return header;
 }
@@ -47,25 +64,35 @@
   if (kind != static_cast<std::uint8_t>(HandOverKind::Syn) &&
       kind != static_cast<std::uint8_t>(HandOverKind::Finish))
     return state::Cause::BadHandOver;
+  view.Hops = std::to_integer<std::uint8_t>(datagram[HopsOffset]);
+  if (view.Hops == 0 || view.Hops > MaxHops ||
+      datagram[ZeroOffset] != std::byte{0} ||
+      datagram[ZeroOffset + 1] != std::byte{0})
+    return state::Cause::BadHandOver;
   view.Kind = static_cast<HandOverKind>(kind);
   view.Packet = datagram.subspan(HeaderSize);
-  const auto mac = authenticate(view.Kind, view.Packet);
+  const auto mac = authenticate(datagram.first(MacOffset), view.Packet);
   if (CRYPTO_memcmp(&mac, datagram.data() + MacOffset, sizeof(mac)) != 0)
     return state::Cause::BadHandOver;
   return state::Cause::None;
 }
 
 std::uint64_t
-HandOverCodec::authenticate(HandOverKind kind,
+HandOverCodec::authenticate(std::span<const std::byte> fields,
                             std::span<const std::byte> packet) const {
-  std::array<unsigned char, AuthenticatedBytes + 1> buf{};
-  const auto n = std::min(packet.size(), AuthenticatedBytes);
-  buf[0] = static_cast<unsigned char>(kind);
-  std::memcpy(buf.data() + 1, packet.data(), n);
+  const std::unique_ptr<EVP_MAC_CTX, decltype(&EVP_MAC_CTX_free)> context(
+      EVP_MAC_CTX_dup(Keyed.get()), EVP_MAC_CTX_free);
+  const auto update = [&](std::span<const std::byte> data) {
+    return EVP_MAC_update(context.get(),
+                          reinterpret_cast<const unsigned char *>(data.data()),
+                          data.size()) == 1;
+  };
   std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned int size = 0;
-  HMAC(EVP_sha256(), Key.data(), static_cast<int>(Key.size()), buf.data(),
-       n + 1, digest.data(), &size);
+  std::size_t size = 0;
+  common::invariant(context && update(fields) && update(packet) &&
+                        EVP_MAC_final(context.get(), digest.data(), &size,
+                                      digest.size()) == 1,
+                    "HMAC-SHA256 succeeds");
   std::uint64_t mac = 0;
   std::memcpy(&mac, digest.data(), sizeof(mac));
   return mac;
