Leave ambiguous addresses out of the service table

Cause: a backend server address and port, or a service address, that stands in two services was silently taken by the one read last. Replies of the server then left with the address of the other service. Server numbers above 4095 were cut to 12 bits by the tag and named another server.

Change: such listeners and servers are left out, which refuses new flows instead of crossing services. The settings checker is expected to refuse such documents; this guards against its faults. A policy list shorter than the zones no longer reads past its end.

--- a/Source/State/ServiceTable.cpp
+++ b/Source/State/ServiceTable.cpp
@@ -4,16 +4,43 @@
 
 namespace auburnroute::state {
 
+namespace {
+
+constexpr std::uint16_t MaxNumber = 4095; // The tag has 12 bits.
+
+/// How often each service address and each backend server address with port
+/// stands in the settings.
+absl::flat_hash_map<std::uint64_t, std::uint32_t>
+countClaims(const Settings &settings) {
+  absl::flat_hash_map<std::uint64_t, std::uint32_t> claims;
+  for (const auto &service : settings.Services)
+    for (const auto &listener : service.Listeners) {
+      ++claims[listener.Address.key()];
+      for (const auto &it : service.BackendServers)
+        ++claims[common::Endpoint{it.Address, listener.BackendPort}.key()];
+    }
+  return claims;
+}
+
+} // namespace
+
 ServiceTable::ServiceTable(const Settings &settings, std::string_view zone)
     : Revision(settings.Revision), FlowSeed(settings.FlowSeed) {
   const auto zoneIndex = settings.zoneIndex(zone);
+  const auto claims = countClaims(settings);
+  const auto ambiguous = [&claims](common::Endpoint address) {
+    return claims.at(address.key()) > 1;
+  };
   FirstOfService.push_back(0);
   for (std::uint32_t i = 0; i < settings.Services.size(); ++i) {
     const auto &service = settings.Services[i];
-    const auto policy =
-        zoneIndex ? service.PolicyByZone[*zoneIndex] : ServicePolicy{};
+    const auto policy = zoneIndex && *zoneIndex < service.PolicyByZone.size()
+                            ? service.PolicyByZone[*zoneIndex]
+                            : ServicePolicy{};
     const auto firstListener = static_cast<std::uint32_t>(Listeners.size());
     for (const auto &it : service.Listeners) {
+      if (ambiguous(it.Address))
+        continue;
       ListenerByAddress[it.Address.key()] =
           static_cast<std::uint32_t>(Listeners.size());
       Listeners.push_back(
@@ -23,6 +50,12 @@
     std::sort(servers.begin(), servers.end(),
               [](const auto &a, const auto &b) { return a.Number < b.Number; });
     for (const auto &it : servers) {
+      if (it.Number == 0 || it.Number > MaxNumber ||
+          std::any_of(service.Listeners.begin(), service.Listeners.end(),
+                      [&](const auto &n) {
+                        return ambiguous({it.Address, n.BackendPort});
+                      }))
+        continue;
       const auto id = static_cast<std::uint32_t>(BackendServers.size());
       BackendServers.push_back(
           {it.Address, it.Tunnel, i, id, it.Number, it.Weight, it.Mode});
--- a/Source/State/ServiceTable.h
+++ b/Source/State/ServiceTable.h
@@ -44,6 +44,11 @@
 public:
   /// \p zone is the availability zone whose policies apply; a zone that the
   /// settings do not name gets the default policy.
+  ///
+  /// Listeners and backend servers whose address is claimed twice, and backend
+  /// servers whose number is not in 1 to 4095, are left out: the service of
+  /// their packets could not be told. The settings checker refuses such
+  /// settings; this guards against its faults.
   ServiceTable(const Settings &settings, std::string_view zone);
 
   /// The listener at \p address, or nullptr.
