Mend faults of the forwarding engine and add hash placement

Faults, each with a test of ForwardingEngineTest that failed before and passes now: - a tagged value of 0 was taken for a missing tag, which broke a flow for the 16 ms in which its server's value stays there (TaggedValueOfZeroIsATag); - until a server's first packet was seen, the restored echo was invented, e.g. 3430000; it is 0 now, which stacks skip (EchoIsZeroUntilAServerTimestampWasSeen); - a SYN placed under an earlier revision could go to a server of another service when service indices moved (SynIsNotForwardedToAnotherService); - forwardSyn without settings crashed (NothingIsForwardedWithoutSettings); - a SYN from a service address made two services talk to each other (SynFromAServiceAddressIsDropped); - SYN|ACK from callers and SYN from servers were forwarded (HandshakeSegmentsFromTheWrongSideAreDropped); - a SYN|ACK without timestamps established a flow that no host could forward (SynAckWithoutTimestampsIsDropped).

Ruled out by tests that passed before: wraps in FlowTag::restoreEcho and decreasing tagged values.

Added: timestamps mode hash by weighted rendezvous hashing. A draining server keeps its flows and its share of new flows is refused, since packets without a tag cannot tell old flows from new ones. Invariants on both directions abort on a packet that would cross services.

--- a/Source/Coordination/ForwardingEngine.cpp
+++ b/Source/Coordination/ForwardingEngine.cpp
@@ -1,6 +1,8 @@
 #include "Coordination/ForwardingEngine.h"
 
+#include "Common/Invariant.h"
 #include "Coordination/FlowTag.h"
+#include "Coordination/HashPlacement.h"
 
 #include <unordered_map>
 
@@ -10,10 +12,12 @@
 
 void ForwardingEngine::setTable(
     std::shared_ptr<const state::ServiceTable> table) {
-  std::vector<std::uint32_t> last(table->backendServers().size(), 0);
+  common::invariant(table != nullptr, "the engine gets a table");
+  std::vector<std::optional<std::uint32_t>> last(
+      table->backendServers().size());
   if (Table) {
     // Ids change with the settings; addresses identify servers across them.
-    std::unordered_map<std::uint32_t, std::uint32_t> byAddress;
+    std::unordered_map<std::uint32_t, std::optional<std::uint32_t>> byAddress;
     for (const auto &it : Table->backendServers())
       byAddress[it.Address] = LastTimestamp[it.Id];
     for (const auto &it : table->backendServers())
@@ -30,26 +34,46 @@
   const auto *listener = Table->findListener(packet.Destination);
   if (listener == nullptr)
     return Drop{Cause::UnknownAddress};
-  if (packet.Syn) {
-    if (!packet.HasTimestamps)
-      return Refuse{listener->Service, Cause::MissingTimestamps};
-    return HandOver{listener->Service};
+  if (packet.SynAck)
+    return Drop{Cause::BadHeader};
+  if (packet.Syn)
+    return onSyn(*listener, packet);
+  const FlowKey key{packet.Source, packet.Destination};
+  if (!packet.HasTimestamps) {
+    const auto *server = listener->Timestamps == state::TimestampMode::Hash
+                             ? chooseByHash(listener->Service, key)
+                             : nullptr;
+    return server == nullptr ? Outcome{Drop{Cause::MissingTag}}
+                             : forwardTo(*server, *listener, packet, 0);
   }
-  if (!packet.HasTimestamps || packet.TimestampEcho == 0)
+  // Any value is a valid echo if ACK is set; without ACK the field is 0.
+  if (!packet.Ack && packet.TimestampEcho == 0)
     return Drop{Cause::MissingTag};
-  const FlowKey key{packet.Source, packet.Destination};
   const auto number = FlowTag::decode(key, FlowTag::tagOf(packet.TimestampEcho),
                                       Table->flowSeed());
   const auto *server = Table->findBackendServer(listener->Service, number);
   if (server == nullptr)
     return Drop{Cause::UnknownTag};
-  return ForwardToBackendServer{
-      server->Id,
-      server->Tunnel,
-      {server->Address, listener->BackendPort},
-      FlowTag::restoreEcho(packet.TimestampEcho, LastTimestamp[server->Id]),
-      listener->Service,
-      packet.Rst};
+  return forwardTo(*server, *listener, packet, echoFor(server->Id, packet));
+}
+
+Outcome ForwardingEngine::onSyn(const state::ListenerEntry &listener,
+                                const PacketSummary &packet) const {
+  // Spoofed: the replies would come back to the hosts as packets of callers.
+  if (Table->findListener(packet.Source) != nullptr ||
+      Table->findSource(packet.Source).BackendServer != nullptr)
+    return Drop{Cause::BadHeader};
+  if (packet.HasTimestamps)
+    return HandOver{listener.Service};
+  if (listener.Timestamps != state::TimestampMode::Hash)
+    return Refuse{listener.Service, Cause::MissingTimestamps};
+  const auto *server =
+      chooseByHash(listener.Service, {packet.Source, packet.Destination});
+  if (server == nullptr)
+    return Refuse{listener.Service, Cause::NoBackendServer};
+  if (server->Mode == state::BackendServerMode::Draining)
+    return Refuse{listener.Service, Cause::BackendServerDraining};
+  return forwardTo(*server, listener, packet, 0);
 }
 
 Outcome ForwardingEngine::onBackendServerPacket(const PacketSummary &packet) {
@@ -60,6 +84,16 @@
     return Drop{Cause::UnknownSource};
   const auto &server = *source.BackendServer;
   const auto &listener = *source.Listener;
+  common::invariant(server.Service == listener.Service,
+                    "a reply leaves with an address of its own service");
+  if (packet.Syn)
+    return Drop{Cause::BadHeader};
+  const FlowKey key{packet.Destination, listener.Address};
+  // Later packets of a flow without timestamps would not reach this server.
+  if (packet.SynAck && !packet.HasTimestamps &&
+      (listener.Timestamps != state::TimestampMode::Hash ||
+       chooseByHash(server.Service, key) != &server))
+    return Drop{Cause::MissingTimestamps};
   ForwardToCaller forward;
   forward.BackendServer = server.Id;
   forward.Service = server.Service;
@@ -68,7 +102,6 @@
   forward.EndsFlow = packet.Fin || packet.Rst;
   if (packet.HasTimestamps) {
     LastTimestamp[server.Id] = packet.TimestampValue;
-    const FlowKey key{packet.Destination, listener.Address};
     forward.TimestampValue = FlowTag::tagValue(
         packet.TimestampValue,
         FlowTag::encode(key, server.Number, Table->flowSeed()));
@@ -79,15 +112,41 @@
 Outcome ForwardingEngine::forwardSyn(std::uint32_t service,
                                      std::uint16_t number,
                                      const PacketSummary &packet) const {
+  if (!Table)
+    return Drop{Cause::NoSettings};
   const auto *listener = Table->findListener(packet.Destination);
-  const auto *server = Table->findBackendServer(service, number);
-  if (listener == nullptr || server == nullptr)
+  if (listener == nullptr || listener->Service != service)
     return Drop{Cause::UnknownAddress};
-  return ForwardToBackendServer{server->Id,
-                                server->Tunnel,
-                                {server->Address, listener->BackendPort},
-                                packet.TimestampEcho,
-                                service};
+  const auto *server = Table->findBackendServer(service, number);
+  if (server == nullptr)
+    return Drop{Cause::NoBackendServer};
+  return forwardTo(*server, *listener, packet, packet.TimestampEcho);
+}
+
+Outcome ForwardingEngine::forwardTo(const state::BackendServerEntry &server,
+                                    const state::ListenerEntry &listener,
+                                    const PacketSummary &packet,
+                                    std::uint32_t echo) const {
+  common::invariant(
+      server.Service == listener.Service &&
+          listener.Address == packet.Destination,
+      "a packet goes to a backend server of its destination's service");
+  return ForwardToBackendServer{
+      server.Id, server.Tunnel,    {server.Address, listener.BackendPort},
+      echo,      listener.Service, packet.Rst};
+}
+
+std::uint32_t ForwardingEngine::echoFor(std::uint32_t server,
+                                        const PacketSummary &packet) const {
+  const auto &last = LastTimestamp[server];
+  return last ? FlowTag::restoreEcho(packet.TimestampEcho, *last) : 0;
+}
+
+const state::BackendServerEntry *
+ForwardingEngine::chooseByHash(std::uint32_t service,
+                               const FlowKey &key) const {
+  return HashPlacement::choose(Table->backendServersOf(service),
+                               key.hash(Table->flowSeed()));
 }
 
 } // namespace auburnroute::coordination
--- a/Source/Coordination/Outcome.h
+++ b/Source/Coordination/Outcome.h
@@ -28,13 +28,14 @@
   bool EndsFlow = false; ///< FIN or RST; goes by way of the admission owner.
 };
 
-/// Give a SYN to the host that admits new flows of the service.
+/// Give a SYN to the host that admits new flows of the service. A SYN that came
+/// by a hand-over is not given on; see protocol::HandOverView::mayHandOver.
 struct HandOver {
   std::uint32_t Service = 0;
 };
 
-/// Answer a SYN with a reset. The only outcome that tells the caller that its
-/// request was not run.
+/// Answer a SYN with a reset (protocol::ResetBuilder). The only outcome that
+/// tells the caller that its request was not run.
 struct Refuse {
   std::uint32_t Service = 0;
   state::Cause Why = state::Cause::None;
