Test forwarding with random changes, faults and packet disorder

A simulation of hosts with their own revisions, backend servers and callers as minimal TCP endpoints, driven by one seed over virtual time: packets are lost, repeated, delayed up to 3 s and sprayed over hosts; servers are added, drained, re-weighted and removed; hosts are added, killed and paused; SYN copies are placed on different servers; callers reuse 60 ports, give up and are refused.

Two faults of the simulation itself, not of the engine, were mended on the way: its servers let a late SYN of an earlier flow replace a half-open or closing connection, which real stacks refuse by timestamp, and a broken flow was only noticed at the end of a run.

--- /dev/null
+++ b/Source/UnitTests/Coordination/ForwardingRandomTest.cpp
@@ -0,0 +1,519 @@
+#include "Coordination/ForwardingEngine.h"
+#include "ForwardingSettings.h"
+#include "SimulatedTcp.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <deque>
+#include <iterator>
+#include <queue>
+#include <random>
+#include <sstream>
+
+using namespace auburnroute;
+using namespace auburnroute::coordination;
+
+namespace {
+
+using Phase = SimulatedCaller::Phase;
+
+constexpr Millis Tick{25};
+constexpr Millis ActiveTime{40000};
+constexpr Millis EndTime{130000}; // Feeds and timers end well before.
+constexpr std::uint16_t CallerPorts = 60; // Few, so that ports are reused.
+
+struct Host {
+  ForwardingEngine Engine;
+  std::size_t Revision = 0; ///< Index into the history.
+  bool Alive = true;
+  bool Confirmed = true;   ///< Places new flows.
+  Millis PausedUntil{0};
+  Millis RemovedAt{-1};    ///< The fabric stops sending to it.
+};
+
+struct Counts {
+  std::uint64_t Flows = 0, Feeds = 0, Answers = 0, Refusals = 0, Forwarded = 0,
+                Dropped = 0, PawsDrops = 0, TwicePlaced = 0, Changes = 0;
+};
+
+/// Hosts, backend servers and callers joined by a network that loses, delays,
+/// repeats and reorders packets, all driven by one seed.
+class Simulation {
+public:
+  explicit Simulation(std::uint32_t seed) : Random(seed) {
+    Settings = makeSettings(6);
+    for (std::uint32_t i = 0; i < 2; ++i)
+      for (std::uint16_t n = 1; n <= 6; ++n)
+        startServer(i, n);
+    publish("start", Millis{0});
+    for (int i = 0; i < 6; ++i)
+      addHost();
+  }
+
+  /// Returns false after a violation.
+  bool run() {
+    for (Now = Millis{0}; Now < EndTime && Violation.empty(); Now += Tick) {
+      distribute();
+      if (Now < ActiveTime) {
+        if (chance(0.5))
+          startFlow();
+        if (chance(0.06))
+          change();
+      }
+      deliver();
+      for (auto &it : Callers)
+        stepCaller(it);
+      for (auto &[address, it] : Servers)
+        it.tick(Now, serverSend());
+      deliver();
+    }
+    if (Violation.empty())
+      checkEnd();
+    return Violation.empty();
+  }
+
+  std::string explain() const {
+    std::string text = Violation + "\ntrace:";
+    for (const auto &it : Trace)
+      text += "\n  " + it;
+    return text;
+  }
+
+  Counts Seen;
+
+private:
+  struct Arrival {
+    Millis At;
+    std::uint64_t Order;
+    std::size_t Host;
+    SimulatedSegment Segment;
+    enum class Where { Host, HandedOver, Server, Caller } To;
+
+    bool operator>(const Arrival &other) const {
+      return std::tie(At, Order) > std::tie(other.At, other.Order);
+    }
+  };
+
+  bool chance(double p) { return std::bernoulli_distribution(p)(Random); }
+  std::size_t below(std::size_t n) { return Random() % n; }
+
+  void fail(const std::string &what) {
+    if (Violation.empty())
+      Violation = std::to_string(Now.count()) + " ms: " + what;
+  }
+  Report reporter() {
+    return [this](const std::string &what) { fail(what); };
+  }
+  void trace(const std::string &what) {
+    Trace.push_back(std::to_string(Now.count()) + " ms: " + what);
+    ++Seen.Changes;
+  }
+
+  // Network.
+
+  Millis delay() {
+    // Rare long delays let replies outlive their flow.
+    return Millis(chance(0.01) ? 500 + below(2500) : 1 + below(20));
+  }
+
+  void transmit(Arrival::Where to, const SimulatedSegment &segment) {
+    if (chance(0.01))
+      return;
+    const int copies = chance(0.02) ? 2 : 1;
+    for (int i = 0; i < copies; ++i)
+      Network.push({Now + delay(), ++Order, pickHost(), segment, to});
+  }
+
+  /// Any host that the fabric still lists, dead ones included.
+  std::size_t pickHost() {
+    for (;;) {
+      const auto i = below(Hosts.size());
+      if (Hosts[i].RemovedAt < Millis{0} || Now < Hosts[i].RemovedAt)
+        return i;
+    }
+  }
+
+  Send callerSend() {
+    return [this](const auto &it) { transmit(Arrival::Where::Host, it); };
+  }
+  Send serverSend() { return callerSend(); }
+
+  void deliver() {
+    while (!Network.empty() && Network.top().At <= Now && Violation.empty()) {
+      auto arrival = Network.top();
+      Network.pop();
+      switch (arrival.To) {
+      case Arrival::Where::Server:
+        deliverToServer(arrival.Segment);
+        break;
+      case Arrival::Where::Caller:
+        deliverToCaller(arrival.Segment);
+        break;
+      default:
+        deliverToHost(arrival);
+      }
+    }
+  }
+
+  void deliverToHost(Arrival &arrival) {
+    auto &host = Hosts[arrival.Host];
+    if (!host.Alive)
+      return;
+    if (Now < host.PausedUntil) { // Stays in the socket buffer.
+      arrival.At = host.PausedUntil;
+      Network.push(arrival);
+      return;
+    }
+    const auto &headers = arrival.Segment.Headers;
+    const bool fromServer = Servers.contains(headers.Source);
+    const auto outcome = fromServer
+                             ? host.Engine.onBackendServerPacket(headers)
+                             : host.Engine.onCallerPacket(headers);
+    if (const auto *it = std::get_if<ForwardToCaller>(&outcome))
+      forwardToCaller(*it, arrival.Segment);
+    else if (const auto *to = std::get_if<ForwardToBackendServer>(&outcome))
+      forwardToServer(*to, arrival.Segment);
+    else if (const auto *syn = std::get_if<HandOver>(&outcome))
+      admit(host, *syn, arrival);
+    else if (std::holds_alternative<Refuse>(outcome))
+      fail("a caller with timestamps was refused by the engine");
+    else
+      ++Seen.Dropped;
+  }
+
+  void forwardToServer(const ForwardToBackendServer &forward,
+                       SimulatedSegment segment) {
+    ++Seen.Forwarded;
+    segment.Headers.Destination = forward.Destination;
+    segment.Headers.TimestampEcho = forward.TimestampEcho;
+    transmit(Arrival::Where::Server, segment);
+  }
+
+  void forwardToCaller(const ForwardToCaller &forward,
+                       SimulatedSegment segment) {
+    ++Seen.Forwarded;
+    const auto service = Servers.at(segment.Headers.Source).Service;
+    if (forward.Source != Settings.Services[service].Listeners[0].Address)
+      fail("a reply left with the address of another service");
+    segment.Headers.Source = forward.Source;
+    segment.Headers.TimestampValue = forward.TimestampValue;
+    transmit(Arrival::Where::Caller, segment);
+  }
+
+  /// Places a SYN here, hands it over once, or refuses it.
+  void admit(Host &host, const HandOver &syn, Arrival &arrival) {
+    const bool handedOver = arrival.To == Arrival::Where::HandedOver;
+    if (!handedOver && chance(0.5))
+      return transmit(Arrival::Where::HandedOver, arrival.Segment);
+    if (!host.Confirmed)
+      return;
+    if (chance(0.03))
+      return refuse(arrival.Segment);
+    std::vector<const state::BackendServerEntry *> usable;
+    for (const auto &it : host.Engine.table()->backendServersOf(syn.Service))
+      if (it.Mode == state::BackendServerMode::Active)
+        usable.insert(usable.end(), it.Weight, &it);
+    if (usable.empty())
+      return;
+    const auto &server = *usable[below(usable.size())];
+    auto &placed = PlacedAt[arrival.Segment.Flow];
+    Seen.TwicePlaced += placed != 0 && placed != server.Address ? 1 : 0;
+    placed = server.Address;
+    const auto outcome = host.Engine.forwardSyn(syn.Service, server.Number,
+                                                arrival.Segment.Headers);
+    forwardToServer(std::get<ForwardToBackendServer>(outcome),
+                    arrival.Segment);
+  }
+
+  void refuse(const SimulatedSegment &syn) {
+    SimulatedSegment reset;
+    reset.Headers.Source = syn.Headers.Destination;
+    reset.Headers.Destination = syn.Headers.Source;
+    reset.Headers.Rst = true;
+    reset.Acknowledgement = syn.Sequence + 1;
+    transmit(Arrival::Where::Caller, reset);
+  }
+
+  void deliverToServer(const SimulatedSegment &segment) {
+    const auto it = Servers.find(segment.Headers.Destination);
+    if (it == Servers.end())
+      return; // Removed after its drain.
+    auto &server = it->second;
+    if (Settings.Services[server.Service].Listeners[0].Address !=
+        segment.Service)
+      return fail("a packet reached a server of another service");
+    const auto flow = segment.Headers.Syn ? segment.Flow : 0;
+    server.receive(
+        Now, segment, static_cast<std::uint32_t>(Random()), Callers[flow].Feed,
+        Callers[flow].Feed ? 20 + flow % 120 : 1 + flow % 4, serverSend(),
+        [this](std::uint32_t n) {
+          if (++Runs[n] > 1)
+            fail("request " + std::to_string(n) + " ran twice");
+        },
+        reporter());
+  }
+
+  void deliverToCaller(const SimulatedSegment &segment) {
+    const auto it = ByPort.find({segment.Headers.Destination.Port,
+                                 segment.Headers.Source.Address});
+    if (it != ByPort.end())
+      Callers[it->second].receive(Now, segment, callerSend(), reporter());
+  }
+
+  // Callers.
+
+  void startFlow() {
+    const auto port = static_cast<std::uint16_t>(1 + below(CallerPorts));
+    const auto service = static_cast<std::uint32_t>(below(2));
+    const auto address = Settings.Services[service].Listeners[0].Address;
+    const auto old = ByPort.find({port, address.Address});
+    if (old != ByPort.end() && Callers[old->second].open())
+      return;
+    const auto flow = static_cast<std::uint32_t>(Callers.size());
+    const bool feed = chance(0.3);
+    Callers.emplace_back(flow, common::Endpoint{CallerAddress, port}, address,
+                         feed, static_cast<std::uint32_t>(Random()), Now);
+    ByPort[{port, address.Address}] = flow;
+    ++(feed ? Seen.Feeds : Seen.Flows);
+  }
+
+  void stepCaller(SimulatedCaller &caller) {
+    if (caller.State == Phase::Broken)
+      fail((caller.Feed ? "feed " : "request ") + std::to_string(caller.Flow) +
+           " broke after " + std::to_string(caller.Received) + " messages");
+    if (!caller.open())
+      return;
+    if (Now < ActiveTime && chance(0.0005))
+      caller.giveUp(Now, callerSend());
+    caller.tick(Now, callerSend());
+  }
+
+  void checkEnd() {
+    for (const auto &it : Callers) {
+      Seen.PawsDrops += it.PawsDrops;
+      Seen.Answers += it.State == Phase::Done ? 1 : 0;
+      Seen.Refusals += it.State == Phase::Refused ? 1 : 0;
+      if (it.State == Phase::Broken || it.State == Phase::Established)
+        fail("flow " + std::to_string(it.Flow) + " did not end");
+      if (it.State == Phase::Refused && Runs.contains(it.Flow))
+        fail("refused request " + std::to_string(it.Flow) + " ran");
+      if (it.State == Phase::Done &&
+          it.Received != (it.Feed ? 20 + it.Flow % 120 : 1 + it.Flow % 4))
+        fail("flow " + std::to_string(it.Flow) + " lost messages");
+    }
+  }
+
+  // Changes.
+
+  void startServer(std::uint32_t service, std::uint16_t number) {
+    // Clocks start close to the wraps of timestamps and of their kept bits.
+    constexpr std::array<std::uint32_t, 4> Bases{0U - 20000, (1U << 24) - 20000,
+                                                 0x80000000U - 20000, 1000};
+    const auto address = makeServer(service, number).Address;
+    Servers.try_emplace({address, BackendPort},
+                        common::Endpoint{address, BackendPort}, service,
+                        Bases[below(Bases.size())]);
+  }
+
+  void addHost() {
+    Hosts.emplace_back();
+    Hosts.back().Revision = History.size() - 1;
+    Hosts.back().Engine.setTable(History.back());
+  }
+
+  /// Makes a revision of the settings; hosts get it within \p skew.
+  void publish(const std::string &what, Millis skew) {
+    ++Settings.Revision;
+    History.push_back(makeTable(Settings));
+    trace("revision " + std::to_string(Settings.Revision) + ": " + what);
+    for (std::size_t i = 0; i < Hosts.size(); ++i)
+      Revisions.push_back({Now + Millis(below(skew.count() + 1)), i,
+                           History.size() - 1});
+  }
+
+  void distribute() {
+    std::erase_if(Revisions, [this](const auto &it) {
+      auto &host = Hosts[it.Host];
+      if (Now < it.At || Now < host.PausedUntil + ConfirmDelay)
+        return false;
+      if (host.Revision < it.Revision) {
+        host.Revision = it.Revision;
+        host.Engine.setTable(History[it.Revision]);
+      }
+      return true;
+    });
+    for (auto &it : Hosts)
+      it.Confirmed = Now >= it.PausedUntil + ConfirmDelay;
+  }
+
+  void change() {
+    const auto service = static_cast<std::uint32_t>(below(2));
+    switch (below(8)) {
+    case 0:
+      return addServer(service);
+    case 1:
+      return drainServer(service);
+    case 2:
+      return weighServer(service);
+    case 3:
+      return removeServer(service);
+    case 4:
+      if (Hosts.size() < 20) {
+        addHost();
+        trace("host added");
+      }
+      return;
+    case 5:
+      return killHost();
+    case 6:
+      return pauseHost();
+    default: // Two changes at once.
+      addServer(service);
+      drainServer(service);
+    }
+  }
+
+  static constexpr Millis Skew{2000};
+  static constexpr Millis ConfirmDelay{100};
+
+  state::BackendServer &anyServer(std::uint32_t service) {
+    auto &servers = Settings.Services[service].BackendServers;
+    return servers[below(servers.size())];
+  }
+
+  void addServer(std::uint32_t service) {
+    auto &servers = Settings.Services[service].BackendServers;
+    // Numbers are not reused.
+    const auto number = static_cast<std::uint16_t>(servers.back().Number + 1);
+    if (servers.size() > 10 || number > 60)
+      return;
+    startServer(service, number);
+    servers.push_back(makeServer(service, number));
+    publish("add " + std::to_string(service) + "/" + std::to_string(number),
+            Skew);
+  }
+
+  void drainServer(std::uint32_t service) {
+    const auto &servers = Settings.Services[service].BackendServers;
+    const auto active =
+        std::count_if(servers.begin(), servers.end(), [](const auto &it) {
+          return it.Mode == state::BackendServerMode::Active;
+        });
+    auto &server = anyServer(service);
+    if (active <= 3)
+      return;
+    server.Mode = state::BackendServerMode::Draining;
+    publish("drain " + std::to_string(service) + "/" +
+                std::to_string(server.Number),
+            Skew);
+  }
+
+  void weighServer(std::uint32_t service) {
+    auto &server = anyServer(service);
+    server.Weight = 1 + static_cast<std::uint32_t>(below(4));
+    publish("weigh " + std::to_string(service) + "/" +
+                std::to_string(server.Number),
+            Skew);
+  }
+
+  /// Removes a draining server that has no flow left.
+  void removeServer(std::uint32_t service) {
+    auto &servers = Settings.Services[service].BackendServers;
+    for (auto it = servers.begin(); it != servers.end(); ++it) {
+      const common::Endpoint address{it->Address, BackendPort};
+      if (it->Mode != state::BackendServerMode::Draining ||
+          Servers.at(address).connections() != 0 || it + 1 == servers.end())
+        continue;
+      const auto number = it->Number;
+      Servers.erase(address);
+      servers.erase(it);
+      return publish("remove " + std::to_string(service) + "/" +
+                         std::to_string(number),
+                     Skew);
+    }
+  }
+
+  std::vector<std::size_t> runningHosts() const {
+    std::vector<std::size_t> result;
+    for (std::size_t i = 0; i < Hosts.size(); ++i)
+      if (Hosts[i].Alive && Hosts[i].PausedUntil <= Now)
+        result.push_back(i);
+    return result;
+  }
+
+  void killHost() {
+    const auto running = runningHosts();
+    if (running.size() <= 3)
+      return;
+    auto &host = Hosts[running[below(running.size())]];
+    host.Alive = false;
+    host.RemovedAt = Now + Millis(1000);
+    trace("host killed");
+  }
+
+  void pauseHost() {
+    const auto running = runningHosts();
+    if (running.size() <= 3)
+      return;
+    auto &host = Hosts[running[below(running.size())]];
+    host.PausedUntil = Now + Millis(300 + below(6000));
+    host.Confirmed = false;
+    trace("host paused");
+  }
+
+  struct Delivery {
+    Millis At;
+    std::size_t Host;
+    std::size_t Revision;
+  };
+
+  std::mt19937 Random;
+  Millis Now{0};
+  std::uint64_t Order = 0;
+  state::Settings Settings;
+  std::vector<std::shared_ptr<const state::ServiceTable>> History;
+  std::vector<Delivery> Revisions;
+  std::deque<Host> Hosts;
+  std::map<common::Endpoint, SimulatedServer> Servers;
+  std::deque<SimulatedCaller> Callers; ///< By flow.
+  /// Flow that uses a caller port and service address.
+  std::map<std::pair<std::uint16_t, std::uint32_t>, std::uint32_t> ByPort;
+  std::map<std::uint32_t, int> Runs;
+  std::map<std::uint32_t, std::uint32_t> PlacedAt;
+  std::priority_queue<Arrival, std::vector<Arrival>, std::greater<>> Network;
+  std::string Violation;
+  std::vector<std::string> Trace;
+};
+
+std::vector<std::uint32_t> seedsToRun() {
+  const char *given = std::getenv("AUBURN_TEST_SEEDS");
+  std::istringstream seeds(given != nullptr ? given : "1 2 3 4 5 6 7 8");
+  return {std::istream_iterator<std::uint32_t>(seeds), {}};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ForwardingRandomTest)
+
+// Guards against flows that planned changes, host failures or packet disorder
+// break, cross, run twice or refuse wrongly.
+BOOST_AUTO_TEST_CASE(FlowsSurviveChanges) {
+  for (const auto seed : seedsToRun()) {
+    Simulation simulation(seed);
+    const bool held = simulation.run();
+    BOOST_TEST(held, "seed " << seed << ": " << simulation.explain());
+    const auto &seen = simulation.Seen;
+    BOOST_TEST_MESSAGE("seed " << seed << ": " << seen.Flows << " requests, "
+                               << seen.Feeds << " feeds, " << seen.Answers
+                               << " completed, " << seen.Refusals
+                               << " refused, " << seen.TwicePlaced
+                               << " placed twice, " << seen.Changes
+                               << " changes, " << seen.Forwarded
+                               << " packets forwarded, " << seen.Dropped
+                               << " dropped, " << seen.PawsDrops
+                               << " dropped by PAWS");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Coordination/SimulatedTcp.h
@@ -0,0 +1,421 @@
+#pragma once
+
+#include "Coordination/PacketSummary.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburnroute::coordination {
+
+using Millis = std::chrono::milliseconds;
+
+/// One TCP segment. Each message takes one number of the sequence space.
+struct SimulatedSegment {
+  PacketSummary Headers;
+  std::uint32_t Sequence = 0;
+  std::uint32_t Acknowledgement = 0;
+  bool HasPayload = false;
+  std::uint32_t Flow = 0;  ///< Payload: the flow that it is meant for.
+  std::uint32_t Index = 0; ///< Payload: position in the flow.
+  /// Where the caller sent it; endpoints do not look at it.
+  common::Endpoint Service;
+};
+
+using Send = std::function<void(const SimulatedSegment &)>;
+using Report = std::function<void(const std::string &)>;
+
+/// Serial number arithmetic (RFC 1982) on sequence numbers and timestamps.
+inline bool isBefore(std::uint32_t a, std::uint32_t b) {
+  return static_cast<std::int32_t>(a - b) < 0;
+}
+
+/// Go-back-N retransmission with a doubling timeout.
+struct RetransmissionTimer {
+  static constexpr Millis First{200};
+  static constexpr Millis Longest{2000};
+  Millis Due{0};
+  Millis Timeout = First;
+
+  void restart(Millis now) {
+    Timeout = First;
+    Due = now + Timeout;
+  }
+  bool expired(Millis now) {
+    if (now < Due)
+      return false;
+    Timeout = std::min(Timeout * 2, Longest);
+    Due = now + Timeout;
+    return true;
+  }
+};
+
+/// The caller's end of one flow: a request with an answer, or a feed.
+class SimulatedCaller {
+public:
+  enum class Phase { Connecting, Established, Done, Refused, GaveUp, Broken };
+
+  SimulatedCaller(std::uint32_t flow, common::Endpoint own,
+                  common::Endpoint service, bool feed, std::uint32_t iss,
+                  Millis now)
+      : Flow(flow), Own(own), Service(service), Feed(feed), Next(iss + 1),
+        Unacknowledged(iss), LastProgress(now) {
+    Timer.Due = now;
+  }
+
+  const std::uint32_t Flow;
+  const common::Endpoint Own;
+  const common::Endpoint Service;
+  const bool Feed;
+  Phase State = Phase::Connecting;
+  std::uint32_t Received = 0;
+  std::uint32_t PawsDrops = 0;
+
+  bool open() const {
+    return State == Phase::Connecting || State == Phase::Established;
+  }
+
+  void tick(Millis now, const Send &send) {
+    if (!open() || !Timer.expired(now))
+      return;
+    // Long enough for the longest pause and skew with backed-off timers.
+    constexpr Millis Patience{60000};
+    if (now - LastProgress > Patience)
+      State = State == Phase::Established ? Phase::Broken : Phase::GaveUp;
+    else if (State == Phase::Connecting)
+      emit(now, send, Unacknowledged, {.Syn = true});
+    else if (Unacknowledged != Next)
+      emit(now, send, Unacknowledged, {.Payload = true});
+  }
+
+  void giveUp(Millis now, const Send &send) {
+    if (State == Phase::Established)
+      emit(now, send, Next, {.Rst = true});
+    State = Phase::GaveUp;
+  }
+
+  void receive(Millis now, const SimulatedSegment &segment, const Send &send,
+               const Report &report) {
+    const auto &headers = segment.Headers;
+    if (State == Phase::Connecting)
+      return connect(now, segment, send);
+    if (State == Phase::Done && !headers.Rst && headers.HasTimestamps)
+      return emit(now, send, Next, {.Fin = true});
+    if (State != Phase::Established) {
+      if (!headers.Rst)
+        reset(segment, send);
+      return;
+    }
+    if (headers.Rst) {
+      // RFC 5961: only an exact reset ends the flow.
+      if (segment.Sequence == Expected)
+        State = Phase::Broken;
+      return;
+    }
+    if (headers.HasTimestamps && isBefore(headers.TimestampValue, Recent)) {
+      ++PawsDrops;
+      return emit(now, send, Next, {});
+    }
+    if (headers.SynAck || segment.Sequence != Expected)
+      return emit(now, send, Next, {});
+    if (headers.HasTimestamps)
+      Recent = headers.TimestampValue;
+    if (isBefore(Unacknowledged, segment.Acknowledgement) &&
+        !isBefore(Next, segment.Acknowledgement)) {
+      Unacknowledged = segment.Acknowledgement;
+      LastProgress = now;
+      Timer.restart(now);
+    }
+    if (segment.HasPayload) {
+      if (segment.Flow != Flow || segment.Index != Received)
+        report("flow " + std::to_string(Flow) + " got message " +
+               std::to_string(segment.Index) + " of flow " +
+               std::to_string(segment.Flow));
+      ++Received;
+      ++Expected;
+      LastProgress = now;
+      emit(now, send, Next, {});
+    } else if (headers.Fin) {
+      ++Expected;
+      State = Phase::Done;
+      emit(now, send, Next, {.Fin = true});
+    }
+  }
+
+private:
+  struct Kind {
+    bool Syn = false;
+    bool Fin = false;
+    bool Rst = false;
+    bool Payload = false;
+  };
+
+  void connect(Millis now, const SimulatedSegment &segment, const Send &send) {
+    const auto &headers = segment.Headers;
+    if (segment.Acknowledgement != Next) {
+      if (!headers.Rst)
+        reset(segment, send);
+      return;
+    }
+    if (headers.Rst) {
+      State = Phase::Refused;
+      return;
+    }
+    if (!headers.SynAck)
+      return;
+    State = Phase::Established;
+    LastProgress = now;
+    Unacknowledged = Next;
+    Expected = segment.Sequence + 1;
+    Recent = headers.TimestampValue;
+    Timer.restart(now);
+    emit(now, send, Next, {});
+    if (!Feed)
+      emit(now, send, Next++, {.Payload = true});
+  }
+
+  void emit(Millis now, const Send &send, std::uint32_t sequence, Kind kind) {
+    SimulatedSegment segment;
+    auto &headers = segment.Headers;
+    headers.Source = Own;
+    headers.Destination = Service;
+    headers.Syn = kind.Syn;
+    headers.Ack = !kind.Syn;
+    headers.Fin = kind.Fin;
+    headers.Rst = kind.Rst;
+    headers.HasTimestamps = true;
+    headers.TimestampValue = static_cast<std::uint32_t>(now.count());
+    headers.TimestampEcho = kind.Syn ? 0 : Recent;
+    segment.Sequence = sequence;
+    segment.Acknowledgement = kind.Syn ? 0 : Expected;
+    segment.HasPayload = kind.Payload;
+    segment.Flow = Flow;
+    segment.Service = Service;
+    send(segment);
+  }
+
+  /// A reset without timestamps, as stacks send it for flows they don't know.
+  void reset(const SimulatedSegment &cause, const Send &send) const {
+    SimulatedSegment segment;
+    segment.Headers.Source = Own;
+    segment.Headers.Destination = Service;
+    segment.Headers.Rst = true;
+    segment.Sequence = cause.Acknowledgement;
+    segment.Service = Service;
+    send(segment);
+  }
+
+  std::uint32_t Next;
+  std::uint32_t Unacknowledged;
+  std::uint32_t Expected = 0;
+  std::uint32_t Recent = 0;
+  Millis LastProgress;
+  RetransmissionTimer Timer;
+};
+
+/// A backend server with its connections.
+class SimulatedServer {
+public:
+  /// \p clockBase is added to the time to make timestamps.
+  SimulatedServer(common::Endpoint own, std::uint32_t service,
+                  std::uint32_t clockBase)
+      : Own(own), Service(service), ClockBase(clockBase) {}
+
+  const common::Endpoint Own;
+  const std::uint32_t Service;
+
+  std::size_t connections() const { return Connections.size(); }
+
+  /// \p ran is called with the flow of each request that is run; \p length
+  /// tells how many messages a flow gets.
+  void receive(Millis now, const SimulatedSegment &segment, std::uint32_t iss,
+               bool feed, std::uint32_t length, const Send &send,
+               const std::function<void(std::uint32_t)> &ran,
+               const Report &report) {
+    const auto &headers = segment.Headers;
+    const auto it = Connections.find(headers.Source);
+    if (headers.Syn) {
+      // An open connection challenges a SYN. One that is half-open or closing
+      // gives way to a SYN that is newer by its timestamp.
+      if (it != Connections.end()) {
+        const bool open = it->second.Established && !it->second.Closing;
+        if (open || !isBefore(it->second.Recent, headers.TimestampValue))
+          return emit(now, it->first, it->second, send,
+                      {.SynAck = !it->second.Established});
+      }
+      Connection fresh;
+      fresh.Iss = fresh.Unacknowledged = iss;
+      fresh.Expected = segment.Sequence + 1;
+      fresh.Flow = segment.Flow;
+      fresh.Length = length;
+      fresh.Feed = feed;
+      fresh.Recent = headers.TimestampValue;
+      if (it == Connections.end() || it->second.Expected != fresh.Expected)
+        Connections[headers.Source] = fresh;
+      Connections[headers.Source].LastHeard = now;
+      return;
+    }
+    if (it == Connections.end()) {
+      if (!headers.Rst)
+        reset(segment, send);
+      return;
+    }
+    auto &connection = it->second;
+    checkEcho(now, headers, report);
+    if (headers.Rst) {
+      if (segment.Sequence == connection.Expected)
+        Connections.erase(it);
+      return;
+    }
+    if (isBefore(headers.TimestampValue, connection.Recent))
+      return emit(now, it->first, connection, send, {});
+    advance(now, it->first, connection, segment, send, ran);
+    if (headers.Fin && connection.Closing)
+      Connections.erase(it);
+  }
+
+  void tick(Millis now, const Send &send) {
+    // A caller that has gone without a reset is forgotten after this long.
+    constexpr Millis IdleLimit{90000};
+    constexpr Millis HandshakeLimit{15000};
+    std::erase_if(Connections, [&](const auto &it) {
+      return now - it.second.LastHeard >
+             (it.second.Established ? IdleLimit : HandshakeLimit);
+    });
+    for (auto &[caller, it] : Connections) {
+      produce(now, it);
+      if (it.Timer.expired(now))
+        retransmit(now, caller, it, send);
+    }
+  }
+
+private:
+  struct Connection {
+    std::uint32_t Iss = 0;
+    std::uint32_t Unacknowledged = 0;
+    std::uint32_t Expected = 0;
+    std::uint32_t Recent = 0; ///< Last timestamp of the caller.
+    std::uint32_t Flow = 0;
+    std::uint32_t Length = 0;   ///< Messages to send in all.
+    std::uint32_t Produced = 0; ///< Messages ready so far.
+    bool Feed = false;
+    bool Established = false;
+    bool Closing = false; ///< All messages were acknowledged.
+    Millis LastHeard{0};
+    Millis NextMessage{0};
+    RetransmissionTimer Timer;
+  };
+  struct Kind {
+    bool SynAck = false;
+    bool Fin = false;
+    std::optional<std::uint32_t> Index{};
+  };
+
+  std::uint32_t timestamp(Millis now) const {
+    return ClockBase + static_cast<std::uint32_t>(now.count());
+  }
+
+  /// An echo is a time of this server's clock in the recent past, or 0.
+  void checkEcho(Millis now, const PacketSummary &headers,
+                 const Report &report) const {
+    constexpr std::uint32_t Oldest = 200000;
+    if (headers.HasTimestamps && headers.TimestampEcho != 0 &&
+        timestamp(now) - headers.TimestampEcho > Oldest)
+      report("echo " + std::to_string(headers.TimestampEcho) + " at " +
+             std::to_string(timestamp(now)));
+  }
+
+  void advance(Millis now, common::Endpoint caller, Connection &connection,
+               const SimulatedSegment &segment, const Send &send,
+               const std::function<void(std::uint32_t)> &ran) {
+    if (!connection.Established) {
+      if (segment.Acknowledgement != connection.Iss + 1)
+        return reset(segment, send);
+      connection.Established = true;
+      connection.Unacknowledged = connection.Iss + 1;
+      connection.Produced = 0;
+    }
+    const auto last = connection.Iss + 1 + connection.Produced;
+    if (!isBefore(segment.Acknowledgement, connection.Iss + 1) &&
+        !isBefore(last + 1, segment.Acknowledgement)) {
+      connection.LastHeard = now;
+      if (isBefore(connection.Unacknowledged, segment.Acknowledgement)) {
+        connection.Unacknowledged = segment.Acknowledgement;
+        connection.Timer.Due = now;
+        connection.Timer.Timeout = RetransmissionTimer::First;
+      }
+    }
+    if (segment.HasPayload && segment.Sequence == connection.Expected) {
+      ++connection.Expected;
+      connection.Recent = segment.Headers.TimestampValue;
+      ran(segment.Flow);
+      connection.Produced = connection.Length;
+      connection.Timer.Due = now;
+    }
+    if (segment.HasPayload)
+      emit(now, caller, connection, send, {});
+  }
+
+  static void produce(Millis now, Connection &it) {
+    constexpr Millis Interval{150};
+    if (!it.Feed || !it.Established || it.Produced == it.Length ||
+        now < it.NextMessage)
+      return;
+    ++it.Produced;
+    it.NextMessage = now + Interval;
+    if (it.Unacknowledged == it.Iss + it.Produced)
+      it.Timer.Due = now;
+  }
+
+  void retransmit(Millis now, common::Endpoint caller, Connection &it,
+                  const Send &send) const {
+    if (!it.Established)
+      return emit(now, caller, it, send, {.SynAck = true});
+    const auto sent = it.Unacknowledged - (it.Iss + 1);
+    for (auto n = sent; n < it.Produced; ++n)
+      emit(now, caller, it, send, {.Index = n});
+    if (it.Produced == it.Length && sent >= it.Length) {
+      it.Closing = true;
+      emit(now, caller, it, send, {.Fin = true});
+    }
+  }
+
+  void emit(Millis now, common::Endpoint caller, const Connection &connection,
+            const Send &send, Kind kind) const {
+    SimulatedSegment segment;
+    auto &headers = segment.Headers;
+    headers.Source = Own;
+    headers.Destination = caller;
+    headers.SynAck = kind.SynAck;
+    headers.Ack = true;
+    headers.Fin = kind.Fin;
+    headers.HasTimestamps = true;
+    headers.TimestampValue = timestamp(now);
+    segment.Acknowledgement = connection.Expected;
+    segment.Sequence = kind.SynAck  ? connection.Iss
+                       : kind.Index ? connection.Iss + 1 + *kind.Index
+                                    : connection.Unacknowledged;
+    segment.HasPayload = kind.Index.has_value();
+    segment.Flow = connection.Flow;
+    segment.Index = kind.Index.value_or(0);
+    send(segment);
+  }
+
+  void reset(const SimulatedSegment &cause, const Send &send) const {
+    SimulatedSegment segment;
+    segment.Headers.Source = Own;
+    segment.Headers.Destination = cause.Headers.Source;
+    segment.Headers.Rst = true;
+    segment.Sequence = cause.Acknowledgement;
+    send(segment);
+  }
+
+  std::uint32_t ClockBase;
+  std::map<common::Endpoint, Connection> Connections;
+};
+
+} // namespace auburnroute::coordination
