--- a/Source/Daemon/AdmissionWorker.h
+++ b/Source/Daemon/AdmissionWorker.h
@@ -56,6 +56,8 @@
               const protocol::PacketView &view);
   void release(common::TimePoint now);
   void applySnapshot(common::TimePoint now);
+  /// Gives a SYN to another host, which then does not give it on.
+  void passOn(common::Endpoint next, std::span<const std::byte> syn);
   /// Gives the held SYNs to the next admission owners, on a graceful stop.
   void giveUpHeld();
   void noteWait(std::uint32_t service, std::chrono::nanoseconds wait);
