--- a/Source/Programs/standin-backend.cpp
+++ b/Source/Programs/standin-backend.cpp
@@ -1,6 +1,6 @@
+#include "Common/Files.h"
 #include "StandIns/BackendServerGroup.h"
 #include "StandIns/StopSignal.h"
-#include "StandIns/TextFile.h"
 #include "State/SettingsLoader.h"
 
 #include "absl/flags/flag.h"
@@ -39,7 +39,7 @@
 
 absl::Status serve() {
   const auto path = absl::GetFlag(FLAGS_settings);
-  const auto text = standins::readTextFile(path);
+  const auto text = common::readFile(path);
   if (!text.ok())
     return text.status();
   const auto settings = state::loadSettings(*text, path);
--- a/Source/Programs/standin-caller.cpp
+++ b/Source/Programs/standin-caller.cpp
@@ -1,7 +1,7 @@
+#include "Common/Files.h"
 #include "StandIns/CallerReport.h"
 #include "StandIns/DatagramSocket.h"
 #include "StandIns/StopSignal.h"
-#include "StandIns/TextFile.h"
 #include "State/SettingsLoader.h"
 
 #include "absl/flags/flag.h"
@@ -121,7 +121,7 @@
 
 absl::Status run() {
   const auto path = absl::GetFlag(FLAGS_settings);
-  const auto text = standins::readTextFile(path);
+  const auto text = common::readFile(path);
   if (!text.ok())
     return text.status();
   const auto settings = state::loadSettings(*text, path);
--- a/Source/Programs/standin-platform.cpp
+++ b/Source/Programs/standin-platform.cpp
@@ -1,6 +1,6 @@
+#include "Common/Files.h"
 #include "StandIns/PlatformRoutes.h"
 #include "StandIns/StopSignal.h"
-#include "StandIns/TextFile.h"
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
@@ -21,14 +21,14 @@
 
 absl::Status loadDocuments(standins::PlatformStore &store) {
   if (const auto path = absl::GetFlag(FLAGS_settings); !path.empty()) {
-    const auto text = standins::readTextFile(path);
+    const auto text = common::readFile(path);
     if (!text.ok())
       return text.status();
     if (const auto status = store.setSettings(*text); !status.ok())
       return status;
   }
   if (const auto path = absl::GetFlag(FLAGS_hosts); !path.empty()) {
-    const auto text = standins::readTextFile(path);
+    const auto text = common::readFile(path);
     if (!text.ok())
       return text.status();
     return store.setHosts(*text);
