--- a/Source/Programs/standin-backend.cpp
+++ b/Source/Programs/standin-backend.cpp
@@ -30,7 +30,7 @@
     for (const auto &server : service.BackendServers) {
       if (!zone.empty() && server.Zone != zone)
         continue;
-      if (const auto status = group.add(service, server); !status.ok())
+      if (auto status = group.add(service, server); !status.ok())
         return status;
     }
   }
@@ -48,13 +48,13 @@
     if (!status.ok())
       return status;
   standins::BackendServerGroup group(*fabric, absl::GetFlag(FLAGS_seed));
-  if (const auto status = addServers(group, *settings); !status.ok())
+  if (auto status = addServers(group, *settings); !status.ok())
     return status;
   if (const auto at = absl::GetFlag(FLAGS_operator); !at.empty()) {
     const auto endpoint = common::parseEndpoint(at);
     if (!endpoint.ok())
       return endpoint.status();
-    if (const auto status = group.serveOperator(*endpoint); !status.ok())
+    if (auto status = group.serveOperator(*endpoint); !status.ok())
       return status;
   }
   group.run();
@@ -70,7 +70,7 @@
       "UDP datagrams. For tests only.");
   absl::ParseCommandLine(argc, argv);
   standins::StopSignal::install();
-  if (const auto status = serve(); !status.ok()) {
+  if (auto status = serve(); !status.ok()) {
     std::cerr << "standin-backend: " << status.message() << "\n";
     return 1;
   }
--- a/Source/Programs/standin-caller.cpp
+++ b/Source/Programs/standin-caller.cpp
@@ -156,7 +156,7 @@
       "in UDP datagrams. For tests only.");
   absl::ParseCommandLine(argc, argv);
   standins::StopSignal::install();
-  if (const auto status = run(); !status.ok()) {
+  if (auto status = run(); !status.ok()) {
     std::cerr << "standin-caller: " << status.message() << "\n";
     return 1;
   }
--- a/Source/Programs/standin-fabric.cpp
+++ b/Source/Programs/standin-fabric.cpp
@@ -150,7 +150,7 @@
                                        absl::GetFlag(FLAGS_seed)),
                 std::chrono::milliseconds(absl::GetFlag(FLAGS_delay_ms)));
   standins::HttpService service(OperatorWorkers);
-  if (const auto status = startOperator(service, fabric, pool); !status.ok())
+  if (auto status = startOperator(service, fabric, pool); !status.ok())
     return status;
   const standins::HostWatcher watcher(pool, *platform);
   fabric.run();
@@ -166,7 +166,7 @@
       "servers over the ready hosts. For tests only.");
   absl::ParseCommandLine(argc, argv);
   standins::StopSignal::install();
-  if (const auto status = serve(); !status.ok()) {
+  if (auto status = serve(); !status.ok()) {
     std::cerr << "standin-fabric: " << status.message() << "\n";
     return 1;
   }
--- a/Source/Programs/standin-platform.cpp
+++ b/Source/Programs/standin-platform.cpp
@@ -24,7 +24,7 @@
     const auto text = common::readFile(path);
     if (!text.ok())
       return text.status();
-    if (const auto status = store.setSettings(*text); !status.ok())
+    if (auto status = store.setSettings(*text); !status.ok())
       return status;
   }
   if (const auto path = absl::GetFlag(FLAGS_hosts); !path.empty()) {
@@ -41,11 +41,11 @@
   if (!listen.ok())
     return listen.status();
   standins::PlatformStore store;
-  if (const auto status = loadDocuments(store); !status.ok())
+  if (auto status = loadDocuments(store); !status.ok())
     return status;
   standins::HttpService service(Workers);
   standins::addPlatformRoutes(service, store);
-  if (const auto status = service.start(*listen); !status.ok())
+  if (auto status = service.start(*listen); !status.ok())
     return status;
   standins::StopSignal::wait();
   store.shutDown();
@@ -60,7 +60,7 @@
                                "the host list over HTTP. For tests only.");
   absl::ParseCommandLine(argc, argv);
   standins::StopSignal::install();
-  if (const auto status = serve(); !status.ok()) {
+  if (auto status = serve(); !status.ok()) {
     std::cerr << "standin-platform: " << status.message() << "\n";
     return 1;
   }
--- a/Source/StandIns/BackendServerGroup.cpp
+++ b/Source/StandIns/BackendServerGroup.cpp
@@ -77,13 +77,13 @@
 
 bool BackendServerGroup::control(const std::string &name,
                                  const std::string &mode) {
-  static const std::map<std::string, BackendServerBehaviour> Modes = {
+  static const std::map<std::string, BackendServerBehaviour> modes = {
       {"active", BackendServerBehaviour::Active},
       {"draining", BackendServerBehaviour::Draining},
       {"shedding", BackendServerBehaviour::Shedding},
       {"dead", BackendServerBehaviour::Dead}};
-  const auto behaviour = Modes.find(mode);
-  if (behaviour == Modes.end())
+  const auto behaviour = modes.find(mode);
+  if (behaviour == modes.end())
     return false;
   const std::lock_guard lock(Mutex);
   for (auto &member : Members) {
--- a/Source/StandIns/CallerReport.cpp
+++ b/Source/StandIns/CallerReport.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace auburnroute::standins {
 
@@ -16,9 +17,9 @@
   if (values.empty())
     return 0;
   std::sort(values.begin(), values.end());
-  const auto rank =
-      static_cast<std::size_t>(share * static_cast<double>(values.size()));
-  return values[std::min(rank, values.size() - 1)].count();
+  const auto rank = static_cast<std::size_t>(
+      std::ceil(share * static_cast<double>(values.size())));
+  return values[std::max<std::size_t>(rank, 1) - 1].count();
 }
 
 } // namespace
--- a/Source/StandIns/HostWatcher.cpp
+++ b/Source/StandIns/HostWatcher.cpp
@@ -44,8 +44,7 @@
   while (!Stopped) {
     auto client = clientFor(Platform, WatchTimeout);
     const auto result = client.Get(
-        absl::StrCat("/hosts?after=", version, "&wait=", WatchWait.count())
-            .c_str());
+        absl::StrCat("/hosts?after=", version, "&wait=", WatchWait.count()));
     if (result && result->status == 200 &&
         Pool.apply(result->body, version).ok())
       updateProbers();
--- a/Source/StandIns/HttpService.cpp
+++ b/Source/StandIns/HttpService.cpp
@@ -27,7 +27,7 @@
 absl::Status HttpService::start(const common::Endpoint &listen) {
   const auto text = common::toString(listen);
   const auto address = text.substr(0, text.rfind(':'));
-  if (!Server.bind_to_port(address.c_str(), listen.Port))
+  if (!Server.bind_to_port(address, listen.Port))
     return absl::UnavailableError(absl::StrCat("cannot listen on ", text));
   Thread = std::thread([this] { Server.listen_after_bind(); });
   return absl::OkStatus();
--- /dev/null
+++ b/Source/UnitTests/StandIns/CallerStandInTest.cpp
@@ -0,0 +1,214 @@
+#include "StandIns/CallerStandIn.h"
+
+#include "Common/ManualClock.h"
+#include "StandIns/BackendServerStandIn.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <set>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+using standins::BackendServerBehaviour;
+
+namespace {
+
+constexpr std::uint32_t ServerAddress = 0xC000020B;
+constexpr common::Endpoint FeedAddress{0xC6336401, 7001};
+constexpr common::Endpoint RequestAddress{0xC6336401, 7002};
+
+state::Service serviceNamed(const std::string &name) {
+  state::Service service;
+  service.Name = name;
+  service.Listeners = {{FeedAddress, state::ListenerKind::Feed, 9001},
+                       {RequestAddress, state::ListenerKind::Request, 9002}};
+  state::BackendServer server;
+  server.Name = name + "-1";
+  server.Number = 1;
+  server.Address = ServerAddress;
+  server.Slots = 2;
+  service.BackendServers = {server};
+  return service;
+}
+
+standins::CallerOptions fewCallers() {
+  standins::CallerOptions options;
+  options.Callers = 2;
+  options.PortsPerCaller = 20;
+  options.RequestsPerSecond = 50;
+  options.Feeds = 3;
+  return options;
+}
+
+/// Callers and one backend server; packets are rewritten between them as a host
+/// would do it.
+class Loopback {
+public:
+  explicit Loopback(const std::string &servedService = "counter",
+                    standins::CallerOptions options = fewCallers())
+      : Callers(settings(), options),
+        Server(serviceNamed(servedService),
+               serviceNamed(servedService).BackendServers[0], 9) {
+    Callers.start(Clock.now());
+  }
+
+  void run(std::chrono::milliseconds length) {
+    for (const auto end = Clock.now() + length; Clock.now() < end;
+         Clock.advance(1ms)) {
+      Callers.onTimer(Clock.now());
+      Server.onTimer(Clock.now());
+      for (int i = 0; i < 6; ++i)
+        exchange();
+    }
+  }
+
+  /// Stops sending, waits for the outcomes and ends the run.
+  void settle() {
+    Callers.stopSending();
+    run(12s);
+    Callers.finish(Clock.now());
+    run(100ms);
+  }
+
+  /// Every request has one outcome.
+  void checkSums() const {
+    const auto &log = Callers.log();
+    BOOST_TEST(log.Sent == log.Answered.size() + log.ToldNotRun.size() +
+                               log.UnknownOutcome.size());
+  }
+
+  common::ManualClock Clock;
+  standins::CallerStandIn Callers;
+  standins::BackendServerStandIn Server;
+  /// Returns false for packets to the callers that are lost.
+  std::function<bool(const protocol::PacketView &)> Deliver = [](const auto &) {
+    return true;
+  };
+
+private:
+  static state::Settings settings() {
+    state::Settings made;
+    made.Services = {serviceNamed("counter")};
+    return made;
+  }
+
+  void exchange() {
+    protocol::PacketView view;
+    for (auto &packet : Callers.takePackets()) {
+      BOOST_REQUIRE(view.parse(packet) == state::Cause::None);
+      const bool feed = view.destination() == FeedAddress;
+      view.setDestination(
+          {ServerAddress, static_cast<std::uint16_t>(feed ? 9001 : 9002)});
+      Server.onDatagram(Clock.now(), packet);
+    }
+    for (auto &packet : Server.takePackets()) {
+      BOOST_REQUIRE(view.parse(packet) == state::Cause::None);
+      view.setSource(view.source().Port == 9001 ? FeedAddress : RequestAddress);
+      if (Deliver(view))
+        Callers.onDatagram(Clock.now(), packet);
+    }
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CallerStandInTest)
+
+// Guards against counts that are wrong without any fault: all requests are
+// answered once, run once, and no feed breaks, while ports are reused.
+BOOST_AUTO_TEST_CASE(FaultlessRunAnswersAll) {
+  Loopback net;
+  net.run(5s);
+  net.settle();
+  net.checkSums();
+  const auto &log = net.Callers.log();
+  BOOST_TEST(log.Sent > 200);
+  BOOST_TEST(log.Answered.size() == log.Sent);
+  BOOST_TEST(log.WrongAnswers == 0);
+  BOOST_TEST(log.FeedsOpened == 3);
+  BOOST_TEST(log.FeedMessages > 100);
+  BOOST_TEST(log.BrokenFeeds.empty());
+  BOOST_TEST(net.Server.results().Executed.size() == log.Sent);
+  for (const auto &[id, n] : net.Server.results().Executed)
+    BOOST_TEST(n == 1);
+}
+
+// Guards against "not run" being reported for a request that ran.
+BOOST_AUTO_TEST_CASE(RefusedRequestsAreNotRun) {
+  Loopback net;
+  net.run(1s);
+  net.Server.setBehaviour(net.Clock.now(), BackendServerBehaviour::Shedding);
+  net.run(2s);
+  net.settle();
+  net.checkSums();
+  const auto &log = net.Callers.log();
+  BOOST_TEST(log.ToldNotRun.size() > 50);
+  BOOST_TEST(log.BrokenFeeds.empty());
+  for (const auto &id : log.ToldNotRun)
+    BOOST_TEST(!net.Server.results().Executed.contains(id));
+}
+
+// Guards against an optimistic classification when a backend server dies: what
+// was established is unknown, what never was is not run.
+BOOST_AUTO_TEST_CASE(DeadServerLeavesUnknownOutcomes) {
+  Loopback net;
+  net.run(2s);
+  // Loses the answers but not the handshakes.
+  net.Deliver = [](const auto &packet) {
+    return packet.isSynAck() || packet.source() == FeedAddress;
+  };
+  net.run(300ms);
+  net.Server.setBehaviour(net.Clock.now(), BackendServerBehaviour::Dead);
+  net.run(300ms);
+  net.settle();
+  net.run(30s);
+  net.checkSums();
+  const auto &log = net.Callers.log();
+  BOOST_TEST(!log.UnknownOutcome.empty());
+  BOOST_TEST(!log.ToldNotRun.empty());
+  for (const auto &id : log.ToldNotRun)
+    BOOST_TEST(!net.Server.results().Executed.contains(id));
+}
+
+// Guards against a broken feed that goes unnoticed.
+BOOST_AUTO_TEST_CASE(BrokenFeedIsRecordedAndReopened) {
+  auto options = fewCallers();
+  options.RequestsPerSecond = 0;
+  Loopback net("counter", options);
+  net.run(1s);
+  net.Server.setBehaviour(net.Clock.now(), BackendServerBehaviour::Dead);
+  net.run(25s);
+  net.Server.setBehaviour(net.Clock.now(), BackendServerBehaviour::Active);
+  net.run(5s);
+  const auto &log = net.Callers.log();
+  BOOST_TEST(log.BrokenFeeds.size() == 3);
+  BOOST_TEST(log.FeedsOpened == 6);
+}
+
+// Guards against a misrouted flow that goes unnoticed: the payload names the
+// service that the caller meant.
+BOOST_AUTO_TEST_CASE(WrongServiceIsCountedOnBothSides) {
+  Loopback net("catalogue");
+  net.run(1s);
+  net.settle();
+  BOOST_TEST(net.Server.results().WrongServicePackets > 0);
+  BOOST_TEST(net.Server.results().Executed.empty());
+  BOOST_TEST(net.Callers.log().WrongAnswers > 0);
+  BOOST_TEST(net.Callers.log().Answered.empty());
+}
+
+// Guards against new work on a leaving server that goes unnoticed.
+BOOST_AUTO_TEST_CASE(NewWorkAfterDrainLimitIsCounted) {
+  Loopback net;
+  net.run(1s);
+  net.Server.setBehaviour(net.Clock.now(), BackendServerBehaviour::Draining);
+  net.run(2900ms);
+  BOOST_TEST(net.Server.results().NewWhileDraining > 0);
+  BOOST_TEST(net.Server.results().NewAfterDrainLimit == 0);
+  net.run(2s);
+  BOOST_TEST(net.Server.results().NewAfterDrainLimit > 0);
+  BOOST_TEST(net.Callers.log().BrokenFeeds.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
