--- a/Source/Coordination/PeerMessage.h
+++ b/Source/Coordination/PeerMessage.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Coordination/SettingsStamp.h"
-#include "State/Cause.h"
+#include "State/CauseLedger.h"
 #include "State/HostTable.h"
 
 #include <cstdint>
@@ -63,24 +63,9 @@
   bool operator==(const SettingsReply &) const = default;
 };
 
-/// Summary of one cause in one minute, replicated to peers.
-struct CauseEntry {
-  std::string Origin; ///< Host that decided.
-  std::uint64_t Incarnation = 0;
-  std::uint64_t Minute = 0; ///< Minutes since the epoch.
-  state::Cause Why = state::Cause::None;
-  std::string Service;
-  std::uint64_t Revision = 0;
-  std::string Subject; ///< Backend server, host or zone concerned.
-  std::uint64_t Count = 0;
-  std::uint64_t FirstMs = 0; ///< Milliseconds since the epoch.
-  std::uint64_t LastMs = 0;  ///< Milliseconds since the epoch.
-
-  bool operator==(const CauseEntry &) const = default;
-};
-
+/// Summaries of causes, replicated to peers.
 struct CauseBatch {
-  std::vector<CauseEntry> Entries; ///< Bounded.
+  std::vector<state::CauseEntry> Entries; ///< Bounded.
 
   bool operator==(const CauseBatch &) const = default;
 };
--- a/Source/Protocol/PeerCodec.cpp
+++ b/Source/Protocol/PeerCodec.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::uint64_t MaxEndpointKey = (std::uint64_t{1} << 48) - 1;
 
+// Year 2200; later times would overflow the nanoseconds of the clock.
+constexpr std::uint64_t MaxWallMs = 7'258'118'400'000;
+
 // Reading functions return nothing on success.
 using Fault = std::optional<PeerRefusal>;
 
@@ -139,37 +142,55 @@
   return true;
 }
 
+std::uint64_t toMilliseconds(common::WallTime time) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          time.time_since_epoch())
+          .count());
+}
+
+common::WallTime toWallTime(std::uint64_t milliseconds) {
+  return common::WallTime(std::chrono::milliseconds(milliseconds));
+}
+
 bool write(const CauseBatch &from, wire::Envelope &envelope) {
   auto &to = *envelope.mutable_cause_batch();
   for (const auto &it : from.Entries) {
     auto &entry = *to.add_entries();
-    entry.set_origin(it.Origin);
-    entry.set_incarnation(it.Incarnation);
-    entry.set_minute(it.Minute);
-    entry.set_cause(static_cast<std::uint32_t>(it.Why));
-    entry.set_service(it.Service);
-    entry.set_revision(it.Revision);
-    entry.set_subject(it.Subject);
+    entry.set_origin(it.Key.Origin);
+    entry.set_incarnation(it.Key.Incarnation);
+    entry.set_minute(it.Key.Minute);
+    entry.set_cause(static_cast<std::uint32_t>(it.Key.Why));
+    entry.set_service(it.Key.Service);
+    entry.set_revision(it.Key.Revision);
+    entry.set_subject(it.Key.Subject);
     entry.set_count(it.Count);
-    entry.set_first_ms(it.FirstMs);
-    entry.set_last_ms(it.LastMs);
+    entry.set_first_ms(toMilliseconds(it.First));
+    entry.set_last_ms(toMilliseconds(it.Last));
   }
   return to.entries_size() <= PeerCodec::MaxCauseEntries;
 }
 
+bool validEntry(const wire::CauseEntry &entry) {
+  return entry.cause() < static_cast<std::uint32_t>(state::Cause::Count) &&
+         validName(entry.origin()) &&
+         entry.service().size() <= PeerCodec::MaxNameBytes &&
+         entry.subject().size() <= PeerCodec::MaxNameBytes &&
+         entry.first_ms() <= MaxWallMs && entry.last_ms() <= MaxWallMs;
+}
+
 Fault read(const wire::CauseBatch &from, CauseBatch &to) {
   if (from.entries_size() > PeerCodec::MaxCauseEntries)
     return PeerRefusal::Oversized;
   for (const auto &it : from.entries()) {
-    if (it.cause() >= static_cast<std::uint32_t>(state::Cause::Count) ||
-        !validName(it.origin()) ||
-        it.service().size() > PeerCodec::MaxNameBytes ||
-        it.subject().size() > PeerCodec::MaxNameBytes)
+    if (!validEntry(it))
       return PeerRefusal::Malformed;
-    to.Entries.push_back({it.origin(), it.incarnation(), it.minute(),
-                          static_cast<state::Cause>(it.cause()), it.service(),
-                          it.revision(), it.subject(), it.count(),
-                          it.first_ms(), it.last_ms()});
+    to.Entries.push_back({{it.origin(), it.incarnation(), it.minute(),
+                           static_cast<state::Cause>(it.cause()), it.service(),
+                           it.revision(), it.subject()},
+                          it.count(),
+                          toWallTime(it.first_ms()),
+                          toWallTime(it.last_ms())});
   }
   return std::nullopt;
 }
--- a/Source/UnitTests/Protocol/PeerCodecTest.cpp
+++ b/Source/UnitTests/Protocol/PeerCodecTest.cpp
@@ -48,8 +48,12 @@
 // Guards against fields that are lost or mixed up on the wire.
 BOOST_AUTO_TEST_CASE(MessagesSurviveTheWire) {
   PeerCodec codec("key");
-  const CauseEntry entry{
-      "origin", 2, 3, state::Cause::HostDead, "service", 4, "subject", 5, 6, 7};
+  const common::WallTime time(std::chrono::milliseconds(1'750'000'000'123));
+  const state::CauseEntry entry{
+      {"origin", 2, 3, state::Cause::HostDead, "service", 4, "subject"},
+      5,
+      time,
+      time + std::chrono::milliseconds(1)};
   const PeerMessage messages[] = {
       heartbeat(1),
       {"host", 1, 2, SettingsRequest{{8, 9}}},
