Add a bench of four ways to find the backend server of a packet

Candidates: consistent hash per settings generation with tracked exceptions, one owner per flow, a full table copied to all peers (baseline), and the tag in the timestamp as the engine has it. All see the same generated traffic over virtual time, with one change each.

--- /dev/null
+++ b/Source/Bench/PlacementBench.cpp
@@ -0,0 +1,402 @@
+// Compares ways to find the backend server of a flow's packets on any host, on
+// the same generated traffic over virtual time. One JSON object per line.
+// Arguments: share of the full load in the change scenarios (default 0.1).
+
+#include "Bench/FullTableCandidate.h"
+#include "Bench/GenerationCandidate.h"
+#include "Bench/OwnerCandidate.h"
+#include "Bench/TagCandidate.h"
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+
+using namespace auburnroute;
+using namespace auburnroute::bench;
+
+namespace {
+
+constexpr std::size_t HostCount = 8;
+constexpr std::size_t FullNewFlows = 3000;    // Per second and host.
+constexpr std::size_t FullOpenFlows = 300000; // Per host.
+constexpr std::size_t StepsPerSecond = 100;
+constexpr std::size_t ChangeStep = 100;
+constexpr std::size_t LastStep = 1100;
+// Hosts learn of a dead host after suspect_after and of a new one by heartbeat.
+constexpr std::size_t SuspectSteps = 100;
+constexpr std::size_t HeartbeatSteps = 50;
+constexpr std::size_t RevisionSteps = 10; // Spread of an ordinary revision.
+constexpr std::size_t SkewSteps = 200;
+constexpr common::Endpoint ServiceAddress{0xC6336401, 7001};
+
+struct ServerSpec {
+  std::uint16_t Number;
+  std::uint32_t Weight = 1;
+  bool Draining = false;
+};
+
+RevisionPtr makeRevision(const std::vector<ServerSpec> &servers) {
+  state::Settings settings;
+  settings.FlowSeed = 7321;
+  settings.Zones = {"sando"};
+  state::Service service;
+  service.Name = "counter";
+  service.Listeners = {
+      {ServiceAddress, state::ListenerKind::Feed, TagCandidate::BackendPort}};
+  for (const auto &it : servers) {
+    state::BackendServer server;
+    server.Number = it.Number;
+    server.Address = TagCandidate::ServerAddress + it.Number;
+    server.Weight = it.Weight;
+    if (it.Draining)
+      server.Mode = state::BackendServerMode::Draining;
+    service.BackendServers.push_back(server);
+  }
+  service.PolicyByZone.resize(1);
+  settings.Services.push_back(service);
+  auto revision = std::make_shared<Revision>();
+  revision->Table =
+      std::make_shared<const state::ServiceTable>(settings, "sando");
+  for (const auto &it : revision->Table->backendServers())
+    if (it.Mode == state::BackendServerMode::Active)
+      revision->Active.push_back(it);
+  return revision;
+}
+
+enum class Change {
+  None,
+  ServerAdded,
+  ServerDrained,
+  ServerReweighted,
+  HostKilled,
+  HostAdded,
+  RevisionSkew, ///< As ServerAdded, with 2 s between hosts.
+  TwoChanges    ///< Server added and host killed.
+};
+
+/// One candidate under one change.
+class Run {
+public:
+  Run(PlacementCandidate &candidate, double scale)
+      : Candidate(candidate), Scale(scale) {
+    for (std::uint16_t n = 1; n <= 14; ++n)
+      Servers.push_back({n});
+    const auto first = makeRevision(Servers);
+    for (std::size_t i = 0; i < HostCount; ++i)
+      addHost(first);
+    for (auto i : Alive)
+      Candidate.setMembers(i, Alive);
+    // Half of the flows are older than an earlier change.
+    const auto open = static_cast<std::size_t>(
+        Scale * static_cast<double>(FullOpenFlows * HostCount));
+    populate(open / 2);
+    Servers.push_back({15});
+    InForce = makeRevision(Servers);
+    for (auto i : Alive)
+      Candidate.setRevision(i, InForce);
+    populate(open - open / 2);
+    Candidate.ControlBytes = 0;
+    Packets = ExtraHops = Stalled = 0;
+  }
+
+  void play(Change change, std::size_t steps) {
+    for (Step = 0; Step < steps; ++Step) {
+      if (Step == ChangeStep) {
+        Considered = Open.size();
+        apply(change);
+      }
+      const auto [first, last] = Due.equal_range(Step);
+      for (auto it = first; it != last; ++it)
+        it->second();
+      const auto arrivals = static_cast<std::size_t>(
+          Scale * static_cast<double>(FullNewFlows * HostCount) /
+          StepsPerSecond);
+      for (std::size_t i = 0; i < arrivals; ++i) {
+        start();
+        finish();
+      }
+      Candidate.deliver();
+      // Each flow sends a packet a second, the first after the SYN|ACK made its
+      // way to the caller and back, which takes longer than a control message.
+      for (std::size_t i = 0; i < Open.size() / StepsPerSecond; ++i)
+        sendPacket(Random() % Open.size(), pickHost());
+    }
+  }
+
+  /// Sends a packet of each flow through each live host; a flow that cannot
+  /// pass any more counts as broken.
+  void sweep() {
+    for (std::size_t i = Open.size(); i-- > 0;)
+      for (const auto host : Alive) {
+        const auto decision = Candidate.onPacket(host, Flows[Open[i]]);
+        if (decision.Server != Flows[Open[i]].Server) {
+          breakFlow(i);
+          break;
+        }
+      }
+  }
+
+  double brokenPer100k() const { return per100k(Broken); }
+  double stalledPer100k() const { return per100k(Stalled); }
+  double secondHopShare() const {
+    return static_cast<double>(ExtraHops) / static_cast<double>(Packets);
+  }
+  std::size_t openFlows() const { return Open.size(); }
+
+  double peakToMean() const {
+    std::map<std::uint16_t, double> load;
+    for (const auto &it : Servers)
+      load[it.Number] = 0;
+    for (const auto it : Open)
+      ++load[Flows[it].Server];
+    double peak = 0;
+    double sum = 0;
+    for (const auto &[number, n] : load) {
+      peak = std::max(peak, n);
+      sum += n;
+    }
+    return peak * static_cast<double>(load.size()) / sum;
+  }
+
+  /// Wall time of one decision on random flows and hosts.
+  double nanosecondsPerPacket() {
+    constexpr std::size_t N = 2'000'000;
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> picks(N);
+    for (auto &it : picks)
+      it = {static_cast<std::uint32_t>(Open[Random() % Open.size()]),
+            static_cast<std::uint32_t>(pickHost())};
+    std::uint64_t sum = 0;
+    const auto begin = std::chrono::steady_clock::now();
+    for (const auto &[flow, host] : picks)
+      sum += Candidate.onPacket(host, Flows[flow]).Server;
+    const std::chrono::duration<double, std::nano> took =
+        std::chrono::steady_clock::now() - begin;
+    return sum == 0 ? 0 : took.count() / static_cast<double>(N);
+  }
+
+private:
+  void addHost(const RevisionPtr &revision) {
+    Candidate.addHost(revision);
+    Alive.push_back(HostsSeen);
+    Sprayed.push_back(HostsSeen++);
+  }
+
+  std::size_t pickHost() { return Sprayed[Random() % Sprayed.size()]; }
+  bool isAlive(std::size_t host) const {
+    return std::find(Alive.begin(), Alive.end(), host) != Alive.end();
+  }
+
+  void populate(std::size_t n) {
+    for (std::size_t i = 0; i < n; ++i) {
+      start();
+      if (i % 1000 == 0)
+        Candidate.deliver();
+    }
+    Candidate.deliver();
+  }
+
+  void start() {
+    const auto id = static_cast<std::uint32_t>(Flows.size());
+    constexpr std::uint32_t Ports = 60000;
+    Flow flow;
+    flow.Key = {{0xCB007100 + id / Ports,
+                 static_cast<std::uint16_t>(1024 + id % Ports)},
+                ServiceAddress};
+    const auto host = pickHost();
+    if (!isAlive(host))
+      return; // The SYN is repeated; that is another flow here.
+    const auto decision = Candidate.onSyn(host, flow);
+    count(decision);
+    flow.Server = decision.Server;
+    if (flow.Server == 0) {
+      ++Stalled;
+      return;
+    }
+    bool established = false;
+    // The server repeats its SYN|ACK, on other hosts.
+    for (int i = 0; i < 20 && !established; ++i) {
+      const auto back = pickHost();
+      established = isAlive(back) && Candidate.onSynAck(back, flow);
+      Stalled += established ? 0 : 1;
+    }
+    if (!established)
+      return;
+    Open.push_back(Flows.size());
+    Flows.push_back(flow);
+    Considered += Step > ChangeStep ? 1 : 0;
+  }
+
+  void finish() {
+    const auto i = Random() % Open.size();
+    const auto host = Alive[Random() % Alive.size()];
+    count(Candidate.onFinish(host, Flows[Open[i]]));
+    remove(i);
+  }
+
+  void remove(std::size_t i) {
+    Open[i] = Open.back();
+    Open.pop_back();
+  }
+
+  void breakFlow(std::size_t i) {
+    ++Broken;
+    remove(i);
+  }
+
+  void sendPacket(std::size_t i, std::size_t host) {
+    if (!isAlive(host)) {
+      ++Stalled;
+      return;
+    }
+    const auto decision = Candidate.onPacket(host, Flows[Open[i]]);
+    count(decision);
+    if (decision.Server == 0)
+      ++Stalled;
+    else if (decision.Server != Flows[Open[i]].Server)
+      breakFlow(i);
+  }
+
+  void count(Decision decision) {
+    ++Packets;
+    ExtraHops += decision.ExtraHops > 0 ? 1 : 0;
+  }
+
+  double per100k(std::size_t n) const {
+    return Considered == 0
+               ? 0
+               : 1e5 * static_cast<double>(n) / static_cast<double>(Considered);
+  }
+
+  void apply(Change change) {
+    switch (change) {
+    case Change::None:
+      break;
+    case Change::ServerAdded:
+      Servers.push_back({16});
+      return publish(RevisionSteps);
+    case Change::ServerDrained:
+      Servers[3].Draining = true;
+      return publish(RevisionSteps);
+    case Change::ServerReweighted:
+      Servers[3].Weight = 3;
+      return publish(RevisionSteps);
+    case Change::HostKilled:
+      return killHost();
+    case Change::HostAdded:
+      addHost(InForce);
+      Candidate.setMembers(HostsSeen - 1, Alive);
+      return announce(HeartbeatSteps);
+    case Change::RevisionSkew:
+      Servers.push_back({16});
+      return publish(SkewSteps);
+    case Change::TwoChanges:
+      Servers.push_back({16});
+      publish(RevisionSteps);
+      return killHost();
+    }
+  }
+
+  void publish(std::size_t spread) {
+    InForce = makeRevision(Servers);
+    // Host 0 learns first. It is the admission owner of the tag candidate,
+    // which then places flows on servers that the other hosts do not know.
+    for (const auto host : Alive)
+      Due.emplace(Step + (host == 0 ? 0 : Random() % (spread + 1)),
+                  [this, host] { Candidate.setRevision(host, InForce); });
+  }
+
+  void killHost() {
+    // The admission owner of the tag candidate, its worst case.
+    constexpr std::size_t Victim = 0;
+    Candidate.killHost(Victim);
+    std::erase(Alive, Victim);
+    Due.emplace(Step + SuspectSteps, [this] { Sprayed = Alive; });
+    announce(SuspectSteps);
+  }
+
+  void announce(std::size_t spread) {
+    for (const auto host : Alive)
+      Due.emplace(Step + spread / 2 + Random() % (spread / 2 + 1),
+                  [this, host] { Candidate.setMembers(host, Alive); });
+  }
+
+  PlacementCandidate &Candidate;
+  double Scale;
+  std::mt19937_64 Random{42};
+  std::vector<ServerSpec> Servers;
+  RevisionPtr InForce;
+  std::size_t HostsSeen = 0;
+  std::vector<std::size_t> Alive;
+  std::vector<std::size_t> Sprayed; ///< Hosts that the fabric sends to.
+  std::vector<Flow> Flows;
+  std::vector<std::size_t> Open; ///< Into Flows.
+  std::multimap<std::size_t, std::function<void()>> Due;
+  std::size_t Step = 0;
+  std::size_t Considered = 0;
+  std::size_t Broken = 0;
+  std::size_t Stalled = 0; ///< Packets lost that TCP repeats.
+  std::size_t Packets = 0;
+  std::size_t ExtraHops = 0;
+};
+
+template <typename Candidate> void measureChanges(double scale) {
+  const std::pair<Change, const char *> changes[] = {
+      {Change::None, "none"},
+      {Change::ServerAdded, "backendServerAdded"},
+      {Change::ServerDrained, "backendServerDrained"},
+      {Change::ServerReweighted, "backendServerReweighted"},
+      {Change::HostKilled, "hostKilled"},
+      {Change::HostAdded, "hostAdded"},
+      {Change::RevisionSkew, "revisionSkew2s"},
+      {Change::TwoChanges, "serverAddedAndHostKilled"}};
+  for (const auto &[change, text] : changes) {
+    Candidate candidate;
+    Run run(candidate, scale);
+    run.play(change, LastStep);
+    run.sweep();
+    std::printf("{\"candidate\":\"%s\",\"change\":\"%s\","
+                "\"brokenPer100k\":%.1f,\"stalledPacketsPer100k\":%.1f}\n",
+                std::string(candidate.name()).c_str(), text,
+                run.brokenPer100k(), run.stalledPer100k());
+    std::fflush(stdout);
+  }
+}
+
+template <typename Candidate> void measureSteadyState() {
+  constexpr std::size_t Seconds = 3;
+  Candidate candidate;
+  Run run(candidate, 1.0);
+  run.play(Change::None, Seconds * StepsPerSecond);
+  std::printf("{\"candidate\":\"%s\",\"openFlows\":%zu,"
+              "\"controlBytesPerSecondPerHost\":%.0f,\"secondHopShare\":%.4f,"
+              "\"peakToMean\":%.3f,\"bytesPerFlow\":%.1f,"
+              "\"nanosecondsPerPacket\":%.0f}\n",
+              std::string(candidate.name()).c_str(), run.openFlows(),
+              static_cast<double>(candidate.ControlBytes) /
+                  (Seconds * HostCount),
+              run.secondHopShare(), run.peakToMean(),
+              static_cast<double>(candidate.memoryBytes()) /
+                  static_cast<double>(run.openFlows()),
+              run.nanosecondsPerPacket());
+  std::fflush(stdout);
+}
+
+template <typename Candidate> void measure(double scale) {
+  measureChanges<Candidate>(scale);
+  measureSteadyState<Candidate>();
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  const double scale = argc > 1 ? std::atof(argv[1]) : 0.1;
+  measure<GenerationCandidate>(scale);
+  measure<OwnerCandidate>(scale);
+  measure<FullTableCandidate>(scale);
+  measure<TagCandidate>(scale);
+  return 0;
+}
--- /dev/null
+++ b/Source/Bench/TagCandidate.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "Bench/PlacementCandidate.h"
+#include "Coordination/ForwardingEngine.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <algorithm>
+
+namespace auburnroute::bench {
+
+/// What the product does: the forwarding engine of each host reads the server
+/// from the timestamp echo. SYNs and finishing packets pass one admission
+/// owner, which places a flow on the server with the fewest open flows by
+/// weight.
+class TagCandidate final : public PlacementCandidate {
+public:
+  std::string_view name() const override { return "tag"; }
+
+  void addHost(RevisionPtr revision) override {
+    Hosts.emplace_back();
+    setRevision(Hosts.size() - 1, std::move(revision));
+  }
+  void killHost(std::size_t host) override {
+    Hosts[host].Alive = false;
+    Hosts[host].Admitted.clear();
+  }
+  void setRevision(std::size_t host, RevisionPtr revision) override {
+    Hosts[host].Engine.setTable(revision->Table);
+    Hosts[host].InForce = std::move(revision);
+  }
+  void setMembers(std::size_t host, std::vector<std::size_t> members) override {
+    Hosts[host].Members = std::move(members);
+  }
+
+  Decision onSyn(std::size_t host, const Flow &flow) override {
+    const auto owner = admissionOwner(host);
+    const std::uint8_t hops = owner == host ? 0 : 1;
+    auto &at = Hosts[owner];
+    if (!at.Alive)
+      return {0, hops};
+    at.Open.resize(4096);
+    const auto &active = at.InForce->Active;
+    const auto best = std::min_element(
+        active.begin(), active.end(), [&](const auto &a, const auto &b) {
+          return std::uint64_t{at.Open[a.Number]} * b.Weight <
+                 std::uint64_t{at.Open[b.Number]} * a.Weight;
+        });
+    ++at.Open[best->Number];
+    at.Admitted[flow.Key] = best->Number;
+    return {best->Number, hops};
+  }
+
+  bool onSynAck(std::size_t host, Flow &flow) override {
+    coordination::PacketSummary packet;
+    // A server that this host does not know yet has an address of its table.
+    packet.Source = {ServerAddress + flow.Server, BackendPort};
+    packet.Destination = flow.Key.Caller;
+    packet.SynAck = packet.Ack = packet.HasTimestamps = true;
+    packet.TimestampValue = 5'000'000;
+    const auto outcome = Hosts[host].Engine.onBackendServerPacket(packet);
+    const auto *forward = std::get_if<coordination::ForwardToCaller>(&outcome);
+    if (forward == nullptr)
+      return false;
+    flow.Echo = forward->TimestampValue;
+    return true;
+  }
+
+  Decision onPacket(std::size_t host, const Flow &flow) override {
+    coordination::PacketSummary packet;
+    packet.Source = flow.Key.Caller;
+    packet.Destination = flow.Key.Service;
+    packet.Ack = packet.HasTimestamps = true;
+    packet.TimestampEcho = flow.Echo;
+    const auto outcome = Hosts[host].Engine.onCallerPacket(packet);
+    const auto *forward =
+        std::get_if<coordination::ForwardToBackendServer>(&outcome);
+    if (forward == nullptr)
+      return {};
+    return {static_cast<std::uint16_t>(forward->Destination.Address -
+                                       ServerAddress),
+            0};
+  }
+
+  Decision onFinish(std::size_t host, const Flow &flow) override {
+    const auto owner = admissionOwner(host);
+    auto &at = Hosts[owner];
+    if (at.Admitted.erase(flow.Key) != 0)
+      --at.Open[flow.Server];
+    return {flow.Server, static_cast<std::uint8_t>(owner == host ? 0 : 1)};
+  }
+
+  std::size_t memoryBytes() const override {
+    std::size_t n = 0;
+    for (const auto &it : Hosts)
+      n += bytesOf(it.Admitted);
+    return n;
+  }
+
+  static constexpr std::uint32_t ServerAddress = 0xC0000200; // 192.0.2.0
+  static constexpr std::uint16_t BackendPort = 9001;
+  static constexpr std::uint64_t ServiceHash = 31;
+
+private:
+  struct Host {
+    RevisionPtr InForce;
+    std::vector<std::size_t> Members;
+    coordination::ForwardingEngine Engine;
+    std::vector<std::uint32_t> Open; ///< By server number.
+    absl::flat_hash_map<coordination::FlowKey, std::uint16_t> Admitted;
+    bool Alive = true;
+  };
+
+  std::size_t admissionOwner(std::size_t host) const {
+    // Host 0 is the first in rank, which the change scenarios rely on.
+    return rank(ServiceHash, Hosts[host].Members).first;
+  }
+
+  std::vector<Host> Hosts;
+};
+
+} // namespace auburnroute::bench
