--- a/Source/Coordination/ForwardingEngine.h
+++ b/Source/Coordination/ForwardingEngine.h
@@ -32,7 +32,8 @@
 
   /// A packet that a caller sent to a service.
   Outcome onCallerPacket(const PacketSummary &packet);
-  /// A packet that a backend server sent.
+  /// A packet that a backend server sent. The source address is all that shows
+  /// it, so the fabric must not let callers send from those addresses.
   Outcome onBackendServerPacket(const PacketSummary &packet);
   /// Forwards a SYN to the backend server that admission chose. Dropped if
   /// \p service no longer is the service of the SYN's destination, as after a
