Ignore resets in TIME-WAIT in the stand-ins' TCP

An old SYN provoked an acknowledgement, the peer's answering reset ended TIME-WAIT (RFC 1337), and the test of TIME-WAIT passed without RFC 6191 at work. Found by removing the RFC 6191 rule: the test still passed.

The tests now also cover sequence numbers outside of the window and a request that TCP gives up after the handshake.

--- a/Source/StandIns/TcpConnection.cpp
+++ b/Source/StandIns/TcpConnection.cpp
@@ -191,6 +191,10 @@
 
 void TcpConnection::onReset(common::TimePoint now, const PacketView &segment,
                             TcpOutput &out) {
+  // A late duplicate can provoke a reset that would end TIME-WAIT early
+  // (RFC 1337).
+  if (State == TcpState::TimeWait)
+    return;
   if (segment.sequence() != ReceiveNext) {
     challenge(now, out);
     return;
@@ -198,7 +202,7 @@
   // After both FINs there is nothing left that a reset could interrupt.
   if (State == TcpState::LastAck || State == TcpState::Closing)
     out.Events.emplace_back(Closed{Id});
-  else if (State != TcpState::TimeWait)
+  else
     out.Events.emplace_back(Reset{Id});
   end();
 }
--- a/Source/UnitTests/StandIns/CallerStandInTest.cpp
+++ b/Source/UnitTests/StandIns/CallerStandInTest.cpp
@@ -152,7 +152,9 @@
 // Guards against an optimistic classification when a backend server dies: what
 // was established is unknown, what never was is not run.
 BOOST_AUTO_TEST_CASE(DeadServerLeavesUnknownOutcomes) {
-  Loopback net;
+  auto options = fewCallers();
+  options.AnswerTimeout = 60s; // TCP gives up before.
+  Loopback net("counter", options);
   net.run(2s);
   // Loses the answers but not the handshakes.
   net.Deliver = [](const auto &packet) {
@@ -161,8 +163,9 @@
   net.run(300ms);
   net.Server.setBehaviour(net.Clock.now(), BackendServerBehaviour::Dead);
   net.run(300ms);
+  net.Callers.stopSending();
+  net.run(25s);
   net.settle();
-  net.run(30s);
   net.checkSums();
   const auto &log = net.Callers.log();
   BOOST_TEST(!log.UnknownOutcome.empty());
--- a/Source/UnitTests/StandIns/TcpEndpointTest.cpp
+++ b/Source/UnitTests/StandIns/TcpEndpointTest.cpp
@@ -295,6 +295,15 @@
   BOOST_TEST(std::get<standins::Received>(events[0]).Bytes == "good");
 }
 
+// Guards against payload from outside of the window being kept for later.
+BOOST_AUTO_TEST_CASE(SequenceOutsideOfWindowIsDropped) {
+  Established client;
+  for (const auto sequence : {5001U + 65535, 1000U})
+    deliver(client.Tcp, client.Clock.now(), client.segment(sequence, "late"));
+  BOOST_TEST(client.Tcp.takeEvents().empty());
+  BOOST_TEST(client.Tcp.counters().LateSegments == 2);
+}
+
 // Guards against delivery of payload that a faulty rewrite has corrupted.
 BOOST_AUTO_TEST_CASE(WrongChecksumIsDropped) {
   Established client;
@@ -353,6 +362,7 @@
   deliver(net.B, net.now(), old);
   net.exchange();
   BOOST_TEST(net.of<standins::Incoming>(false).size() == 1);
+  BOOST_TEST(net.B.connectionCount() == 1);
   net.A.connect(net.now(), Client, Server);
   net.run(10ms);
   BOOST_TEST(net.of<standins::Accepted>(false).size() == 2);
