--- a/Source/Common/Invariant.h
+++ b/Source/Common/Invariant.h
@@ -1,16 +1,24 @@
 #pragma once
 
+#include <source_location>
+
 namespace auburnroute::common {
 
-/// Logs \p text with its place in the source and aborts the process.
-[[noreturn]] void invariantFailed(const char *text, const char *file, int line);
+/// Logs the broken invariant \p what and ends the process with abort().
+[[noreturn]] void invariantFailed(const char *what,
+                                  const std::source_location &where);
+
+/// Ends the process if \p holds is false. For conditions that no input can
+/// break; faults in input are errors and are returned as values. Active in
+/// every build type.
+inline void
+invariant(bool holds, const char *what,
+          const std::source_location &where = std::source_location::current()) {
+  if (!holds) [[unlikely]]
+    invariantFailed(what, where);
+}
 
 } // namespace auburnroute::common
 
-/// Ends the process if \p condition does not hold. For program faults only;
-/// bad input is an error value. Active in every build type.
 #define AUBURN_INVARIANT(condition, text)                                      \
-  do {                                                                         \
-    if (!(condition))                                                          \
-      ::auburnroute::common::invariantFailed(text, __FILE__, __LINE__);        \
-  } while (false)
+  ::auburnroute::common::invariant((condition), (text))
