Add JSON nodes that know their lines

Cause: a fault in a settings document must name the line of the value, and nlohmann-json keeps no lines.

Ruled out: an own parser, which would accept other texts than the library; searching the text for the path afterwards, which fails on repeated keys.

Change: the library's SAX interface builds the nodes while an input iterator counts the lines that the parser consumes. A line feed counts when the next character is read, since the parser reads one character past a number.

--- /dev/null
+++ b/Source/State/JsonReader.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "State/FaultList.h"
+#include "State/JsonNode.h"
+
+#include <optional>
+#include <string_view>
+
+namespace auburnroute::state {
+
+/// Parses JSON with comments into nodes that know their lines.
+class JsonReader {
+public:
+  /// Size of the largest document in bytes; values of the platform's
+  /// configuration service are limited to 1 MB.
+  static constexpr std::size_t MaxSize = 1'000'000;
+  /// Depth of nested objects and arrays; the settings need 5.
+  static constexpr std::size_t MaxDepth = 16;
+
+  /// The root of \p text, or nothing and one entry in \p faults.
+  static std::optional<JsonNode> read(std::string_view text, FaultList &faults);
+};
+
+} // namespace auburnroute::state
