Compare settings and estimate the flows that a change moves

Cause: an operator must see what a change does, and what it would break, before it is published.

Ruled out: comparing the JSON text, which shows a changed default as one line and not what it does to each service; calling the placement of the forwarding engine, which is in a layer above State.

Change: SettingsDiff lists typed changes per service, warnings (a number reused for another address, an address moved between services, removal without draining, a removed listener, a changed flow seed, a revision that is not higher) and shares of flows.

--- /dev/null
+++ b/Source/State/SettingsDiff.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "State/FlowShares.h"
+#include "State/Settings.h"
+#include "State/SettingsChange.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburnroute::state {
+
+/// Differences of one service.
+struct ServiceDiff {
+  std::string Name;
+  std::vector<SettingsChange> Changes;
+  /// Nothing if the service is added or removed.
+  std::optional<FlowShares> Shares;
+};
+
+/// What a change from one settings document to another does.
+struct SettingsDiff {
+  std::uint64_t OldRevision = 0;
+  std::uint64_t NewRevision = 0;
+  std::vector<SettingsChange> Changes; ///< Outside services.
+  std::vector<ServiceDiff> Services;   ///< With changes only, by name.
+  std::vector<SettingsWarning> Warnings;
+
+  /// Whether the settings differ in more than the revision.
+  bool empty() const { return Changes.empty() && Services.empty(); }
+
+  static SettingsDiff between(const Settings &before, const Settings &after);
+};
+
+} // namespace auburnroute::state
