Add the commands check, show and diff

Cause: settings could not be checked or compared without a running host.

Change: a table of commands with one class each; flags are checked before Abseil parses them. Exit codes: 0 done, 1 a file has faults or cannot be read, 2 wrong use.

--- a/Source/Programs/auburnctl.cpp
+++ b/Source/Programs/auburnctl.cpp
@@ -1,1 +1,95 @@
-int main() { return 0; }
+#include "Common/Text.h"
+#include "Tool/CommandTable.h"
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/reflection.h"
+
+#include <algorithm>
+#include <array>
+#include <exception>
+#include <iostream>
+#include <optional>
+
+ABSL_FLAG(std::string, settings, "", "settings file to read");
+ABSL_FLAG(bool, daemon, false, "check a daemon's local settings file");
+ABSL_FLAG(bool, json, false, "write the report as JSON");
+
+namespace {
+
+using namespace auburnroute;
+
+/// Flags of the tool; Abseil's own (such as --flagfile, which reads files) are
+/// not offered.
+constexpr std::array<std::string_view, 3> Flags{"settings", "daemon", "json"};
+
+/// What is wrong with the flag at \p at, which is moved over its value; nothing
+/// if it is right. Abseil ends the process with code 1 and help text on a bad
+/// flag, so flags are checked before it parses them.
+std::optional<std::string> flagFault(const std::vector<std::string> &args,
+                                     std::size_t &at) {
+  const auto &arg = args[at];
+  const auto first = arg.starts_with("--") ? std::size_t{2} : std::size_t{1};
+  const auto name = arg.substr(first, arg.find('=') - first);
+  if (std::find(Flags.begin(), Flags.end(), name) == Flags.end())
+    return "unknown flag \"" + arg + "\"";
+  auto *flag = absl::FindCommandLineFlag(name);
+  std::string value;
+  if (const auto equals = arg.find('='); equals != std::string::npos)
+    value = arg.substr(equals + 1);
+  else if (flag->IsOfType<bool>())
+    return std::nullopt;
+  else if (++at == args.size())
+    return "flag \"" + arg + "\" needs a value";
+  else
+    value = args[at];
+  std::string error;
+  if (value.empty() || !flag->ParseFrom(value, &error))
+    return "flag \"" + arg + "\" has a bad value";
+  return std::nullopt;
+}
+
+int run(int argc, char **argv) {
+  const auto commands = tool::offlineCommands();
+  const std::vector<std::string> args(argv + 1, argv + argc);
+  for (std::size_t i = 0; i < args.size() && args[i] != "--"; ++i) {
+    if (args[i] == "--help" || args[i] == "-h") {
+      std::cout << commands.help();
+      return tool::ExitSuccess;
+    }
+    if (args[i] == "--version") {
+      std::cout << "auburnctl " AUBURN_VERSION "\n";
+      return tool::ExitSuccess;
+    }
+    if (args[i].size() < 2 || args[i][0] != '-')
+      continue;
+    if (const auto fault = flagFault(args, i)) {
+      std::cerr << "auburnctl: " << *fault << ", see --help\n";
+      return tool::ExitUsage;
+    }
+  }
+  const auto words = absl::ParseCommandLine(argc, argv);
+  tool::Arguments arguments;
+  arguments.SettingsFile = absl::GetFlag(FLAGS_settings);
+  arguments.Daemon = absl::GetFlag(FLAGS_daemon);
+  arguments.Json = absl::GetFlag(FLAGS_json);
+  tool::Output output{std::cout, std::cerr};
+  return commands.run({words.begin() + 1, words.end()}, arguments, output);
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  try {
+    const auto code = run(argc, argv);
+    std::cout.flush();
+    if (!std::cout) {
+      std::cerr << "auburnctl: the output cannot be written\n";
+      return tool::ExitFailure;
+    }
+    return code;
+  } catch (const std::exception &ex) {
+    std::cerr << "auburnctl: " << ex.what() << "\n";
+    return tool::ExitFailure;
+  }
+}
--- /dev/null
+++ b/Source/Tool/CheckCommand.cpp
@@ -0,0 +1,52 @@
+#include "Tool/CheckCommand.h"
+
+#include "State/DaemonSettingsLoader.h"
+#include "Tool/SettingsFile.h"
+
+#include "absl/strings/str_format.h"
+
+namespace auburnroute::tool {
+
+bool CheckCommand::accepts(const Arguments &arguments) const {
+  return arguments.Operands.size() == 1 && arguments.SettingsFile.empty() &&
+         !arguments.Json;
+}
+
+int CheckCommand::run(const Arguments &arguments, Output &output) const {
+  const auto &fileName = arguments.Operands.front();
+  return arguments.Daemon ? checkDaemon(fileName, output)
+                          : checkSettings(fileName, output);
+}
+
+int CheckCommand::checkSettings(const std::string &fileName, Output &output) {
+  const auto document = SettingsFile::read(fileName, output);
+  if (!document)
+    return ExitFailure;
+  const auto &settings = document->Content;
+  std::size_t servers = 0;
+  for (const auto &it : settings.Services)
+    servers += it.BackendServers.size();
+  output.Out << fileName << ": no fault, revision " << settings.Revision
+             << ", digest " << absl::StrFormat("%016x", settings.Digest) << ", "
+             << settings.Services.size() << " services, " << servers
+             << " backend servers\n";
+  return ExitSuccess;
+}
+
+int CheckCommand::checkDaemon(const std::string &fileName, Output &output) {
+  const auto text = SettingsFile::readText(fileName);
+  if (!text.ok()) {
+    output.Err << text.status().message() << "\n";
+    return ExitFailure;
+  }
+  const auto settings = state::loadDaemonSettings(*text, fileName);
+  if (!settings.ok()) {
+    output.Err << settings.status().message() << "\n";
+    return ExitFailure;
+  }
+  output.Out << fileName << ": no fault, host " << settings->Host << ", zone "
+             << settings->Zone << "\n";
+  return ExitSuccess;
+}
+
+} // namespace auburnroute::tool
--- /dev/null
+++ b/Source/Tool/CheckCommand.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Tool/Command.h"
+
+namespace auburnroute::tool {
+
+/// Checks a settings document or a daemon settings file.
+class CheckCommand final : public Command {
+public:
+  std::string_view name() const override { return "check"; }
+  std::string_view usage() const override { return "[--daemon] FILE"; }
+  std::string_view summary() const override {
+    return "lists the faults of a settings file, or of a daemon's local file";
+  }
+  bool accepts(const Arguments &arguments) const override;
+  int run(const Arguments &arguments, Output &output) const override;
+
+private:
+  static int checkSettings(const std::string &fileName, Output &output);
+  static int checkDaemon(const std::string &fileName, Output &output);
+};
+
+} // namespace auburnroute::tool
--- /dev/null
+++ b/Source/Tool/Command.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace auburnroute::tool {
+
+/// Exit codes of the tool.
+constexpr int ExitSuccess = 0;
+constexpr int ExitFailure = 1; ///< A file with faults or one not readable.
+constexpr int ExitUsage = 2;   ///< Wrong use of the command.
+
+/// What follows the name of a command on the command line.
+struct Arguments {
+  std::vector<std::string> Operands; ///< Without the name of the command.
+  std::string SettingsFile;          ///< --settings; empty if absent.
+  bool Daemon = false;               ///< --daemon
+  bool Json = false;                 ///< --json
+};
+
+/// Where a command writes.
+struct Output {
+  std::ostream &Out; ///< Results.
+  std::ostream &Err; ///< Faults.
+};
+
+/// One command of the tool.
+class Command {
+public:
+  virtual ~Command() = default;
+
+  virtual std::string_view name() const = 0;
+  /// Operands and flags, as in "SERVICE --settings FILE [--json]".
+  virtual std::string_view usage() const = 0;
+  /// One line of help.
+  virtual std::string_view summary() const = 0;
+  /// Whether the operands and flags are those of usage(). A command that does
+  /// not take a flag refuses it, so that no flag is silently without effect.
+  virtual bool accepts(const Arguments &arguments) const = 0;
+  /// Runs with accepted arguments and returns the exit code.
+  virtual int run(const Arguments &arguments, Output &output) const = 0;
+};
+
+} // namespace auburnroute::tool
--- /dev/null
+++ b/Source/Tool/CommandTable.cpp
@@ -0,0 +1,69 @@
+#include "Tool/CommandTable.h"
+
+#include "Tool/CheckCommand.h"
+#include "Tool/DiffCommand.h"
+#include "Tool/ShowCommand.h"
+
+#include "Common/Text.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+
+namespace auburnroute::tool {
+
+using common::toAbsl;
+
+void CommandTable::add(std::unique_ptr<Command> command) {
+  Commands.push_back(std::move(command));
+}
+
+std::string CommandTable::help() const {
+  std::string text = "auburnctl: checks and compares settings of auburnroute\n";
+  for (const auto &it : Commands)
+    absl::StrAppend(&text, "\n  auburnctl ", toAbsl(it->name()), " ",
+                    toAbsl(it->usage()), "\n      ", toAbsl(it->summary()),
+                    "\n");
+  absl::StrAppend(&text,
+                  "\n  --help, --version\n\nExit code: 0 done, 1 a file has "
+                  "faults or cannot be read, 2 wrong use.\n");
+  return text;
+}
+
+int CommandTable::run(const std::vector<std::string> &words,
+                      Arguments arguments, Output &output) const {
+  if (words.empty()) {
+    output.Err << "auburnctl: a command is required, see --help\n";
+    return ExitUsage;
+  }
+  const auto *command = find(words.front());
+  if (command == nullptr) {
+    output.Err << "auburnctl: unknown command \"" << words.front()
+               << "\", see --help\n";
+    return ExitUsage;
+  }
+  arguments.Operands.assign(words.begin() + 1, words.end());
+  if (!command->accepts(arguments)) {
+    output.Err << "usage: auburnctl " << command->name() << " "
+               << command->usage() << "\n";
+    return ExitUsage;
+  }
+  return command->run(arguments, output);
+}
+
+const Command *CommandTable::find(std::string_view name) const {
+  const auto it =
+      std::find_if(Commands.begin(), Commands.end(),
+                   [&](const auto &c) { return c->name() == name; });
+  return it == Commands.end() ? nullptr : it->get();
+}
+
+CommandTable offlineCommands() {
+  CommandTable table;
+  table.add(std::make_unique<CheckCommand>());
+  table.add(std::make_unique<ShowCommand>());
+  table.add(std::make_unique<DiffCommand>());
+  return table;
+}
+
+} // namespace auburnroute::tool
--- /dev/null
+++ b/Source/Tool/DiffReport.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "State/SettingsDiff.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace auburnroute::tool {
+
+/// A settings difference as text and as JSON.
+class DiffReport {
+public:
+  explicit DiffReport(state::SettingsDiff diff) : Diff(std::move(diff)) {}
+
+  std::string text() const;
+  nlohmann::ordered_json json() const;
+
+private:
+  state::SettingsDiff Diff;
+};
+
+} // namespace auburnroute::tool
--- a/Source/Tool/Empty.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace auburnroute {}
