--- a/Source/Daemon/TrafficWorker.cpp
+++ b/Source/Daemon/TrafficWorker.cpp
@@ -1,6 +1,6 @@
 #include "Daemon/TrafficWorker.h"
 
-#include "Daemon/PacketSummaries.h"
+#include "Protocol/PacketRewriter.h"
 #include "Protocol/ResetBuilder.h"
 
 namespace auburnroute::daemon {
@@ -12,6 +12,7 @@
 
 } // namespace
 
+using protocol::PacketRewriter;
 using state::Cause;
 using state::Counter;
 
@@ -58,7 +59,7 @@
     Counters.add(Cause::NoSettings);
     return;
   }
-  const auto packet = summarise(view);
+  const auto packet = PacketRewriter::summarise(view);
   const auto outcome = Engine.table()->findListener(packet.Destination)
                            ? Engine.onCallerPacket(packet)
                            : Engine.onBackendServerPacket(packet);
@@ -67,10 +68,12 @@
 
 void TrafficWorker::apply(const coordination::ForwardToBackendServer &outcome,
                           protocol::PacketView &view) {
+  if (const auto why = PacketRewriter::apply(outcome, view);
+      why != Cause::None) {
+    Counters.add(why);
+    return;
+  }
   Counters.add(Counter::CallerPackets);
-  view.setDestination(outcome.Destination);
-  if (view.hasTimestamps())
-    view.setTimestampEcho(outcome.TimestampEcho);
   if (outcome.EndsFlow)
     handOver(outcome.Service, protocol::HandOverKind::Finish, view);
   else
@@ -79,10 +82,12 @@
 
 void TrafficWorker::apply(const coordination::ForwardToCaller &outcome,
                           protocol::PacketView &view) {
+  if (const auto why = PacketRewriter::apply(outcome, view);
+      why != Cause::None) {
+    Counters.add(why);
+    return;
+  }
   Counters.add(Counter::BackendServerPackets);
-  view.setSource(outcome.Source);
-  if (view.hasTimestamps())
-    view.setTimestampValue(outcome.TimestampValue);
   if (outcome.EndsFlow)
     handOver(outcome.Service, protocol::HandOverKind::Finish, view);
   else
@@ -98,7 +103,7 @@
                           protocol::PacketView &view) {
   Counters.add(outcome.Why);
   Counters.add(Counter::FlowsRefused);
-  const auto reset = protocol::buildReset(view);
+  const auto reset = protocol::ResetBuilder::build(view);
   Socket.queue(Gateway, {}, reset);
   // The reset lives in this scope only.
   Socket.flush();
