Test that a woken host suspects nobody

Cause: a trial that left out the grace for peers after a wake-up passed all tests. It fails now; trials without the restart of the confirmation, the echo check, the order of stamps, the heartbeats to lost hosts, the exchange of views, the probes or the spread of news failed before.

--- a/Source/UnitTests/Coordination/MembershipTest.cpp
+++ b/Source/UnitTests/Coordination/MembershipTest.cpp
@@ -137,6 +137,7 @@
           BOOST_TEST(confirmed == (length < 200ms));
       }
       BOOST_TEST(!placed);
+      BOOST_TEST(members.counters().Suspicions == 0);
       BOOST_TEST(confirmedAgain);
       BOOST_TEST((members.confirmation() == ConfirmationState::ByPeer));
       zone.run(2s);
