Ask live daemons for status, causes and burn

Cause: operators had no command that asks the hosts.

Change: auburnctl status, cause and burn find the hosts of a zone through any of them, say who did not answer, and write text, JSON or an HTML page. Our own headers are no longer system headers through the generated code, which had hidden their warnings.

Before and after: after a kill of one of 3 hosts, status shows it as suspect and the other two still answer; burn sums the two.

Conclusion: commands work against live daemons; figures against the callers' own counts are still to be compared.

--- a/Source/Programs/auburnctl.cpp
+++ b/Source/Programs/auburnctl.cpp
@@ -14,6 +14,11 @@
 ABSL_FLAG(std::string, settings, "", "settings file to read");
 ABSL_FLAG(bool, daemon, false, "check a daemon's local settings file");
 ABSL_FLAG(bool, json, false, "write the report as JSON");
+ABSL_FLAG(std::vector<std::string>, hosts, {},
+          "operator endpoints of hosts to ask, one per zone is enough");
+ABSL_FLAG(std::string, service, "", "only this service");
+ABSL_FLAG(std::string, since, "", "how far back, such as 60m");
+ABSL_FLAG(std::string, html, "", "file for a page with a plot");
 
 namespace {
 
@@ -21,7 +26,8 @@
 
 /// Flags of the tool; Abseil's own (such as --flagfile, which reads files) are
 /// not offered.
-constexpr std::array<std::string_view, 3> Flags{"settings", "daemon", "json"};
+constexpr std::array<std::string_view, 7> Flags{
+    "settings", "daemon", "json", "hosts", "service", "since", "html"};
 
 /// What is wrong with the flag at \p at, which is moved over its value; nothing
 /// if it is right. Abseil ends the process with code 1 and help text on a bad
@@ -50,7 +56,7 @@
 }
 
 int run(int argc, char **argv) {
-  const auto commands = tool::offlineCommands();
+  const auto commands = tool::allCommands();
   const std::vector<std::string> args(argv + 1, argv + argc);
   for (std::size_t i = 0; i < args.size() && args[i] != "--"; ++i) {
     if (args[i] == "--help" || args[i] == "-h") {
@@ -73,6 +79,10 @@
   arguments.SettingsFile = absl::GetFlag(FLAGS_settings);
   arguments.Daemon = absl::GetFlag(FLAGS_daemon);
   arguments.Json = absl::GetFlag(FLAGS_json);
+  arguments.Hosts = absl::GetFlag(FLAGS_hosts);
+  arguments.Service = absl::GetFlag(FLAGS_service);
+  arguments.Since = absl::GetFlag(FLAGS_since);
+  arguments.HtmlFile = absl::GetFlag(FLAGS_html);
   tool::Output output{std::cout, std::cerr};
   return commands.run({words.begin() + 1, words.end()}, arguments, output);
 }
--- a/Source/Protocol/PeerCodec.cpp
+++ b/Source/Protocol/PeerCodec.cpp
@@ -1,6 +1,6 @@
 #include "Protocol/PeerCodec.h"
 
-#include "Protocol/Generated/Peer.pb.h"
+#include <Peer.pb.h>
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
--- a/Source/State/CauseReport.cpp
+++ b/Source/State/CauseReport.cpp
@@ -98,15 +98,6 @@
   return text;
 }
 
-std::string describeTrigger(const Trigger &trigger) {
-  const auto subject =
-      trigger.Why == Cause::SettingsApplied
-          ? absl::StrCat("settings revision ", trigger.Revision)
-          : trigger.Subject;
-  return absl::StrCat(subject, " ", triggerText(trigger.Why), " at ",
-                      timeText(trigger.First));
-}
-
 /// Entries without copies.
 std::map<CauseKey, CauseEntry>
 mergeCopies(const std::vector<CauseEntry> &entries) {
@@ -122,26 +113,28 @@
   return merged;
 }
 
+/// Adds a trigger unless another host reported the same.
+void addTrigger(std::vector<Trigger> &triggers, const CauseEntry &entry) {
+  const Trigger trigger{entry.Key.Why, entry.Key.Subject, entry.Key.Revision,
+                        entry.First};
+  const auto same =
+      std::find_if(triggers.begin(), triggers.end(), [&](const auto &it) {
+        return it.Why == trigger.Why && it.Subject == trigger.Subject &&
+               it.Revision == trigger.Revision;
+      });
+  if (same == triggers.end())
+    triggers.push_back(trigger);
+  else
+    same->First = std::min(same->First, trigger.First);
+}
+
 void addTriggers(Finding &finding,
                  const std::map<CauseKey, CauseEntry> &entries) {
-  for (const auto &[key, entry] : entries) {
-    if (!isTrigger(key.Why) || !concerns(entry, finding))
-      continue;
-    if (entry.First > finding.Last ||
-        entry.Last + TriggerWindow < finding.First)
-      continue;
-    // Several hosts may report the same change; the first report counts.
-    const Trigger trigger{key.Why, key.Subject, key.Revision, entry.First};
-    const auto same = std::find_if(
-        finding.Triggers.begin(), finding.Triggers.end(), [&](const auto &it) {
-          return it.Why == trigger.Why && it.Subject == trigger.Subject &&
-                 it.Revision == trigger.Revision;
-        });
-    if (same == finding.Triggers.end())
-      finding.Triggers.push_back(trigger);
-    else
-      same->First = std::min(same->First, trigger.First);
-  }
+  for (const auto &[key, entry] : entries)
+    if (isTrigger(key.Why) && concerns(entry, finding) &&
+        entry.First <= finding.Last &&
+        entry.Last + TriggerWindow >= finding.First)
+      addTrigger(finding.Triggers, entry);
   std::stable_sort(
       finding.Triggers.begin(), finding.Triggers.end(),
       [](const auto &a, const auto &b) { return a.First > b.First; });
@@ -179,6 +172,26 @@
   return found;
 }
 
+std::vector<Trigger> findTriggers(const std::vector<CauseEntry> &entries) {
+  std::vector<Trigger> triggers;
+  for (const auto &[key, entry] : mergeCopies(entries))
+    if (isTrigger(key.Why))
+      addTrigger(triggers, entry);
+  std::stable_sort(
+      triggers.begin(), triggers.end(),
+      [](const auto &a, const auto &b) { return a.First < b.First; });
+  return triggers;
+}
+
+std::string describe(const Trigger &trigger) {
+  const auto subject =
+      trigger.Why == Cause::SettingsApplied
+          ? absl::StrCat("settings revision ", trigger.Revision)
+          : trigger.Subject;
+  return absl::StrCat(subject, " ", triggerText(trigger.Why), " at ",
+                      timeText(trigger.First));
+}
+
 std::string describe(const Finding &finding) {
   auto text = absl::StrCat(
       finding.Service.empty() ? "all services" : finding.Service, ": ",
@@ -191,8 +204,7 @@
                               "was recorded.");
   absl::StrAppend(&text, " Before it: ");
   for (std::size_t i = 0; i < finding.Triggers.size(); ++i)
-    absl::StrAppend(&text, i == 0 ? "" : "; ",
-                    describeTrigger(finding.Triggers[i]));
+    absl::StrAppend(&text, i == 0 ? "" : "; ", describe(finding.Triggers[i]));
   return absl::StrCat(text, ".");
 }
 
--- a/Source/State/CauseReport.h
+++ b/Source/State/CauseReport.h
@@ -43,7 +43,13 @@
 std::vector<Finding> findCauses(const std::vector<CauseEntry> &entries,
                                 const std::string &service);
 
+/// All changes and failures, whether they led to anything or not; a change that
+/// several hosts report counts once. Ordered by time.
+std::vector<Trigger> findTriggers(const std::vector<CauseEntry> &entries);
+
 /// A finding in one or two sentences.
 std::string describe(const Finding &finding);
+/// A change or failure as a clause with its time.
+std::string describe(const Trigger &trigger);
 
 } // namespace auburnroute::state
--- /dev/null
+++ b/Source/Tool/CauseCommand.cpp
@@ -0,0 +1,133 @@
+#include "Tool/CauseCommand.h"
+
+#include "Common/Text.h"
+#include "Protocol/CauseCodec.h"
+#include "State/CauseReport.h"
+#include "Tool/Fleet.h"
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/time.h"
+
+#include <nlohmann/json.hpp>
+
+namespace auburnroute::tool {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::int64_t millisecondsOf(common::WallTime time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             time.time_since_epoch())
+      .count();
+}
+
+Json toJson(const state::Trigger &trigger) {
+  return {{"cause", state::toString(trigger.Why)},
+          {"subject", trigger.Subject},
+          {"revision", trigger.Revision},
+          {"first_ms", millisecondsOf(trigger.First)}};
+}
+
+Json toJson(const state::Finding &finding) {
+  Json node{{"service", finding.Service},
+            {"cause", state::toString(finding.Why)},
+            {"subject", finding.Subject},
+            {"count", finding.Count},
+            {"first_ms", millisecondsOf(finding.First)},
+            {"last_ms", millisecondsOf(finding.Last)},
+            {"known", !finding.Triggers.empty()},
+            {"text", state::describe(finding)},
+            {"triggers", Json::array()}};
+  for (const auto &it : finding.Triggers)
+    node["triggers"].push_back(toJson(it));
+  return node;
+}
+
+void writeJson(const std::vector<state::Finding> &findings,
+               const std::vector<state::Trigger> &triggers,
+               const std::vector<HostAnswer> &answers, std::ostream &out) {
+  Json root{{"findings", Json::array()},
+            {"changes_and_failures", Json::array()},
+            {"not_answered", Json::array()}};
+  for (const auto &it : triggers)
+    root["changes_and_failures"].push_back(toJson(it));
+  for (const auto &it : findings)
+    root["findings"].push_back(toJson(it));
+  for (const auto &it : answers)
+    if (!it.Body.ok())
+      root["not_answered"].push_back(it.Host);
+  out << root.dump(2) << "\n";
+}
+
+void writeText(const std::vector<state::Finding> &findings,
+               const std::vector<state::Trigger> &triggers,
+               const std::vector<HostAnswer> &answers, std::ostream &out) {
+  for (const auto &it : findings)
+    out << state::describe(it) << "\n";
+  if (findings.empty())
+    out << "No refusal, break or delay was recorded.\n";
+  if (!triggers.empty())
+    out << "Changes and failures:\n";
+  for (const auto &it : triggers)
+    out << "  " << state::describe(it) << "\n";
+  if (reportUnanswered(answers, out) > 0)
+    out << "Causes that such a host recorded in its last second may be "
+           "missing.\n";
+}
+
+absl::StatusOr<absl::Duration> sinceOf(const Arguments &arguments) {
+  if (arguments.Since.empty())
+    return absl::Minutes(60);
+  absl::Duration since;
+  if (!absl::ParseDuration(arguments.Since, &since) ||
+      since <= absl::ZeroDuration())
+    return absl::InvalidArgumentError(
+        absl::StrCat("--since \"", arguments.Since,
+                     "\" is not a duration such as 90s, 60m or 1h"));
+  return since;
+}
+
+} // namespace
+
+bool CauseCommand::accepts(const Arguments &arguments) const {
+  return arguments.Operands.empty() && !arguments.Hosts.empty() &&
+         arguments.SettingsFile.empty() && !arguments.Daemon &&
+         arguments.HtmlFile.empty();
+}
+
+int CauseCommand::run(const Arguments &arguments, Output &output) const {
+  const auto since = sinceOf(arguments);
+  if (!since.ok()) {
+    output.Err << "auburnctl: " << since.status().message() << "\n";
+    return ExitUsage;
+  }
+  const auto fleet = Fleet::discover(arguments);
+  if (!fleet.ok()) {
+    output.Err << "auburnctl: " << fleet.status().message() << "\n";
+    return ExitFailure;
+  }
+  const auto answers =
+      fleet->ask(absl::StrCat("/cause?since=", absl::ToInt64Seconds(*since)));
+  std::vector<state::CauseEntry> entries;
+  for (const auto &it : answers) {
+    if (!it.Body.ok())
+      continue;
+    const auto decoded = protocol::decodeCauses(*it.Body);
+    if (!decoded.ok()) {
+      output.Err << "auburnctl: " << it.Host << ": "
+                 << decoded.status().message() << "\n";
+      return ExitFailure;
+    }
+    entries.insert(entries.end(), decoded->begin(), decoded->end());
+  }
+  const auto findings = state::findCauses(entries, arguments.Service);
+  const auto triggers = state::findTriggers(entries);
+  if (arguments.Json)
+    writeJson(findings, triggers, answers, output.Out);
+  else
+    writeText(findings, triggers, answers, output.Out);
+  return ExitSuccess;
+}
+
+} // namespace auburnroute::tool
--- a/Source/Tool/CheckCommand.cpp
+++ b/Source/Tool/CheckCommand.cpp
@@ -8,8 +8,8 @@
 namespace auburnroute::tool {
 
 bool CheckCommand::accepts(const Arguments &arguments) const {
-  return arguments.Operands.size() == 1 && arguments.SettingsFile.empty() &&
-         !arguments.Json;
+  return !arguments.hasLiveFlags() && arguments.Operands.size() == 1 &&
+         arguments.SettingsFile.empty() && !arguments.Json;
 }
 
 int CheckCommand::run(const Arguments &arguments, Output &output) const {
--- a/Source/Tool/Command.h
+++ b/Source/Tool/Command.h
@@ -18,6 +18,16 @@
   std::string SettingsFile;          ///< --settings; empty if absent.
   bool Daemon = false;               ///< --daemon
   bool Json = false;                 ///< --json
+  std::vector<std::string> Hosts;    ///< --hosts: operator endpoints.
+  std::string Service;               ///< --service; empty for all.
+  std::string Since;                 ///< --since, such as "60m"; may be empty.
+  std::string HtmlFile;              ///< --html; empty if absent.
+
+  /// Whether a flag is set that only the commands for live daemons take.
+  bool hasLiveFlags() const {
+    return !Hosts.empty() || !Service.empty() || !Since.empty() ||
+           !HtmlFile.empty();
+  }
 };
 
 /// Where a command writes.
--- a/Source/Tool/CommandTable.cpp
+++ b/Source/Tool/CommandTable.cpp
@@ -1,8 +1,11 @@
 #include "Tool/CommandTable.h"
 
+#include "Tool/BurnCommand.h"
+#include "Tool/CauseCommand.h"
 #include "Tool/CheckCommand.h"
 #include "Tool/DiffCommand.h"
 #include "Tool/ShowCommand.h"
+#include "Tool/StatusCommand.h"
 
 #include "Common/Text.h"
 
@@ -19,14 +22,15 @@
 }
 
 std::string CommandTable::help() const {
-  std::string text = "auburnctl: checks and compares settings of auburnroute\n";
+  std::string text =
+      "auburnctl: checks settings of auburnroute and asks its hosts\n";
   for (const auto &it : Commands)
     absl::StrAppend(&text, "\n  auburnctl ", toAbsl(it->name()), " ",
                     toAbsl(it->usage()), "\n      ", toAbsl(it->summary()),
                     "\n");
   absl::StrAppend(&text,
                   "\n  --help, --version\n\nExit code: 0 done, 1 a file has "
-                  "faults or cannot be read, 2 wrong use.\n");
+                  "faults or no host answers, 2 wrong use.\n");
   return text;
 }
 
@@ -58,11 +62,14 @@
   return it == Commands.end() ? nullptr : it->get();
 }
 
-CommandTable offlineCommands() {
+CommandTable allCommands() {
   CommandTable table;
   table.add(std::make_unique<CheckCommand>());
   table.add(std::make_unique<ShowCommand>());
   table.add(std::make_unique<DiffCommand>());
+  table.add(std::make_unique<StatusCommand>());
+  table.add(std::make_unique<CauseCommand>());
+  table.add(std::make_unique<BurnCommand>());
   return table;
 }
 
--- a/Source/Tool/CommandTable.h
+++ b/Source/Tool/CommandTable.h
@@ -27,7 +27,8 @@
   std::vector<std::unique_ptr<Command>> Commands;
 };
 
-/// The commands that need no daemon: check, show and diff.
-CommandTable offlineCommands();
+/// The commands for files (check, show, diff) and those that ask live daemons
+/// (status, cause, burn).
+CommandTable allCommands();
 
 } // namespace auburnroute::tool
--- a/Source/Tool/DiffCommand.cpp
+++ b/Source/Tool/DiffCommand.cpp
@@ -6,8 +6,8 @@
 namespace auburnroute::tool {
 
 bool DiffCommand::accepts(const Arguments &arguments) const {
-  return arguments.Operands.size() == 2 && arguments.SettingsFile.empty() &&
-         !arguments.Daemon;
+  return !arguments.hasLiveFlags() && arguments.Operands.size() == 2 &&
+         arguments.SettingsFile.empty() && !arguments.Daemon;
 }
 
 int DiffCommand::run(const Arguments &arguments, Output &output) const {
--- a/Source/Tool/ShowCommand.cpp
+++ b/Source/Tool/ShowCommand.cpp
@@ -6,8 +6,8 @@
 namespace auburnroute::tool {
 
 bool ShowCommand::accepts(const Arguments &arguments) const {
-  return arguments.Operands.size() == 1 && !arguments.SettingsFile.empty() &&
-         !arguments.Daemon;
+  return !arguments.hasLiveFlags() && arguments.Operands.size() == 1 &&
+         !arguments.SettingsFile.empty() && !arguments.Daemon;
 }
 
 int ShowCommand::run(const Arguments &arguments, Output &output) const {
--- a/Source/UnitTests/Tool/CommandTableTest.cpp
+++ b/Source/UnitTests/Tool/CommandTableTest.cpp
@@ -23,7 +23,7 @@
   std::ostringstream out;
   std::ostringstream err;
   Output output{out, err};
-  const auto code = offlineCommands().run(words, std::move(arguments), output);
+  const auto code = allCommands().run(words, std::move(arguments), output);
   return {code, out.str(), err.str()};
 }
 
@@ -44,7 +44,7 @@
 
 // Guards against help that scrolls off a screen.
 BOOST_AUTO_TEST_CASE(HelpFitsAScreen) {
-  std::istringstream in(offlineCommands().help());
+  std::istringstream in(allCommands().help());
   std::string line;
   int n = 0;
   for (; std::getline(in, line); ++n)
