--- a/Source/Bench/PlacementBench.cpp
+++ b/Source/Bench/PlacementBench.cpp
@@ -3,8 +3,6 @@
 // Arguments: share of the full load in the change scenarios (default 0.1).
 
 #include "Bench/FullTableCandidate.h"
-#include "Bench/GenerationCandidate.h"
-#include "Bench/OwnerCandidate.h"
 #include "Bench/TagCandidate.h"
 
 #include <algorithm>
@@ -400,8 +398,6 @@
 
 int main(int argc, char **argv) {
   const double scale = argc > 1 ? std::atof(argv[1]) : 0.1;
-  measure<GenerationCandidate>(scale);
-  measure<OwnerCandidate>(scale);
   measure<FullTableCandidate>(scale);
   measure<TagCandidate>(scale);
   return 0;
--- a/Source/Bench/PlacementCandidate.h
+++ b/Source/Bench/PlacementCandidate.h
@@ -71,30 +71,22 @@
   std::uint64_t ControlBytes = 0;
 
 protected:
-  /// The two highest hosts by rendezvous hash; the same one if there is but
-  /// one.
-  static std::pair<std::size_t, std::size_t>
-  rank(std::uint64_t hash, const std::vector<std::size_t> &members) {
+  /// The highest of \p members by rendezvous hash.
+  static std::size_t firstInRank(std::uint64_t hash,
+                                 const std::vector<std::size_t> &members) {
     std::size_t first = members[0];
-    std::size_t second = members[0];
     std::uint64_t firstScore = 0;
-    std::uint64_t secondScore = 0;
     for (const auto it : members) {
       auto x = hash + (it + 1) * 0x9E3779B97F4A7C15;
       x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9;
       x = (x ^ (x >> 27)) * 0x94D049BB133111EB;
       x ^= x >> 31;
       if (x >= firstScore) {
-        second = first;
-        secondScore = firstScore;
         first = it;
         firstScore = x;
-      } else if (x > secondScore) {
-        second = it;
-        secondScore = x;
       }
     }
-    return {first, second};
+    return first;
   }
 
   /// Size of an absl::flat_hash_map with one control byte per slot.
--- a/Source/Bench/TagCandidate.h
+++ b/Source/Bench/TagCandidate.h
@@ -113,7 +113,7 @@
 
   std::size_t admissionOwner(std::size_t host) const {
     // Host 0 is the first in rank, which the change scenarios rely on.
-    return rank(ServiceHash, Hosts[host].Members).first;
+    return firstInRank(ServiceHash, Hosts[host].Members);
   }
 
   std::vector<Host> Hosts;
