Add a bench of placement policies

Ruled out: a bench over sockets, whose figures would be those of the machine.

Change: an event-driven model in virtual time with the AdmissionController itself, against round robin, least outstanding and two random choices on the same arrivals, in seven scenarios for two profiles. Waits count from the first SYN of a request, so that retries cannot hide a wait.

--- /dev/null
+++ b/Source/Bench/AdmissionBench.cpp
@@ -0,0 +1,165 @@
+// Compares placement policies on the same arrivals. Prints one JSON object a
+// line; a figure is the median over the seeds, and a bound holds if it does
+// for every seed. Seeds: AUBURN_TEST_SEEDS, "1 2 3 4 5" by default.
+
+#include "Bench/PlacementPolicies.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <optional>
+#include <sstream>
+
+namespace auburnroute::bench {
+
+namespace {
+
+struct Metric {
+  const char *Name;
+  const char *Unit;
+  double RunResult::*Value;
+};
+
+constexpr Metric Metrics[] = {
+    {"waitP50", "ms", &RunResult::WaitP50},
+    {"waitP99", "ms", &RunResult::WaitP99},
+    {"waitWorst", "ms", &RunResult::WaitWorst},
+    {"unserved", "%", &RunResult::Unserved},
+    {"imbalance", "ratio", &RunResult::Imbalance},
+    {"goodput", "1/s", &RunResult::Goodput},
+    {"completed", "1/s", &RunResult::Completed},
+    {"refusals", "%", &RunResult::Refusals},
+    {"retries", "%", &RunResult::Retries},
+};
+
+constexpr const char *Baseline = "least-outstanding";
+constexpr const char *Owner = "admission-owner";
+
+struct Bound {
+  std::string Text;
+  bool Holds = false;
+};
+
+/// The requirement on one figure of the admission owner, if there is one.
+std::optional<Bound> boundOf(const std::string &metric, double value,
+                             double baseline) {
+  if (metric == "waitP99")
+    return Bound{"<= 0.5 * baseline", value <= 0.5 * baseline};
+  if (metric == "goodput")
+    return Bound{">= baseline", value >= baseline};
+  if (metric == "imbalance")
+    return Bound{"<= 1.15", value <= 1.15};
+  if (metric == "retries")
+    return Bound{"<= 10", value <= 10};
+  return std::nullopt;
+}
+
+std::vector<Scenario> scenarios() {
+  std::vector<Scenario> all;
+  const auto add = [&](Scenario it, const std::string &name, auto change) {
+    it.Name += "/" + name;
+    change(it);
+    all.push_back(it);
+  };
+  Scenario carenage;
+  carenage.Name = "carenage";
+  Scenario lomoClaro = carenage;
+  lomoClaro.Name = "lomo-claro";
+  lomoClaro.Slots = 3;
+  lomoClaro.QueueTimeout = milliseconds(800);
+  for (const auto &it : {carenage, lomoClaro}) {
+    add(it, "below-capacity", [](auto &) {});
+    add(it, "above-capacity", [](auto &s) { s.Crest = 1.1; });
+    add(it, "reports-lag", [](auto &s) { s.ReportLag = seconds(1); });
+    add(it, "reports-lie", [](auto &s) { s.Lie = true; });
+    add(it, "cold-start", [](auto &s) { s.Cold = true; });
+    add(it, "sheds", [](auto &s) { s.Shed = true; });
+    add(it, "one-zone", [](auto &s) {
+      s.Servers = 5;
+      s.Hosts = 3;
+    });
+  }
+  return all;
+}
+
+std::vector<std::uint64_t> seeds() {
+  const char *text = std::getenv("AUBURN_TEST_SEEDS");
+  std::istringstream in(text != nullptr ? text : "1 2 3 4 5");
+  return {std::istream_iterator<std::uint64_t>(in), {}};
+}
+
+double median(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  return values[values.size() / 2];
+}
+
+using Results = std::map<std::string, std::vector<RunResult>>; // by policy
+
+template <typename Policy>
+std::vector<RunResult> runAll(const Scenario &scenario) {
+  std::vector<RunResult> results;
+  for (const auto seed : seeds()) {
+    QueueingModel model(scenario, seed);
+    Policy policy;
+    results.push_back(model.run(policy));
+  }
+  return results;
+}
+
+std::vector<double> valuesOf(const std::vector<RunResult> &results,
+                             const Metric &metric) {
+  std::vector<double> values;
+  for (const auto &it : results)
+    values.push_back(it.*metric.Value);
+  return values;
+}
+
+bool print(const Scenario &scenario, const std::string &policy,
+           const Metric &metric, const Results &results) {
+  const auto values = valuesOf(results.at(policy), metric);
+  const auto baseline = valuesOf(results.at(Baseline), metric);
+  nlohmann::ordered_json line;
+  line["name"] = scenario.Name + "/" + policy + "/" + metric.Name;
+  line["baseline"] = median(baseline);
+  line["value"] = median(values);
+  line["unit"] = metric.Unit;
+  line["bound"] = nullptr;
+  line["holds"] = nullptr;
+  bool holds = true;
+  for (std::size_t i = 0; i < values.size() && policy == Owner; ++i)
+    if (const auto bound = boundOf(metric.Name, values[i], baseline[i])) {
+      line["bound"] = bound->Text;
+      holds = holds && bound->Holds;
+      line["holds"] = holds;
+    }
+  std::cout << line.dump() << "\n";
+  return holds;
+}
+
+/// Returns the number of bounds that do not hold.
+int compare(const Scenario &scenario) {
+  const Results results{
+      {"round-robin", runAll<RoundRobinPolicy>(scenario)},
+      {Baseline, runAll<LeastOutstandingPolicy>(scenario)},
+      {"two-choices", runAll<TwoChoicesPolicy>(scenario)},
+      {Owner, runAll<AdmissionOwnerPolicy>(scenario)},
+  };
+  int missed = 0;
+  for (const auto &[policy, runs] : results)
+    for (const auto &metric : Metrics)
+      missed += !print(scenario, policy, metric, results);
+  return missed;
+}
+
+} // namespace
+
+} // namespace auburnroute::bench
+
+int main() {
+  int missed = 0;
+  for (const auto &scenario : auburnroute::bench::scenarios())
+    missed += auburnroute::bench::compare(scenario);
+  return missed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/Source/Bench/QueueingModel.h
@@ -0,0 +1,333 @@
+#pragma once
+
+#include "Common/Clock.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace auburnroute::bench {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+using std::chrono::seconds;
+
+/// Servers, demand and faults of one run.
+struct Scenario {
+  std::string Name;
+  unsigned Servers = 15;
+  unsigned Slots = 2;
+  unsigned Hosts = 8;
+  milliseconds QueueTimeout{600};
+  unsigned QueueLimit = 1024;
+  double Crest = 0.9; ///< Demand at the crest relative to capacity.
+  seconds ReportLag{0};
+  bool Lie = false;  ///< Server 0 always reports idle, server 1 busy.
+  bool Cold = false; ///< Server 0 joins at the crest, 5 times slower for 10 s.
+  bool Shed = false; ///< Server 0 resets all SYNs during the crest.
+};
+
+/// One request of a caller over all its tries.
+struct Request {
+  nanoseconds First{0}; ///< First SYN at a host.
+  nanoseconds Service{0};
+  bool Straggler = false;
+  unsigned Host = 0;
+  unsigned Tries = 0;
+  nanoseconds Started{-1}; ///< -1 if no server worked on it.
+  nanoseconds Ended{-1};
+};
+
+/// What a load report says.
+struct ReportedLoad {
+  unsigned Busy = 0;
+  unsigned Queued = 0;
+};
+
+/// Figures of one run.
+struct RunResult {
+  double WaitP50 = 0;   ///< ms, short work that arrived during the
+                        ///< crest, from its first SYN to service.
+  double WaitP99 = 0;   ///< ms
+  double WaitWorst = 0; ///< ms
+  double Unserved = 0;  ///< Short work of the crest that no server took, %.
+  double Imbalance = 0; ///< Peak to mean of busy time over servers.
+  double Goodput = 0;   ///< Requests per second that ended within Deadline.
+  double Completed = 0; ///< Requests per second that ended at all.
+  double Refusals = 0;  ///< Resets per first try, %.
+  double Retries = 0;   ///< Tries beyond the first per first try, %.
+};
+
+class QueueingModel;
+
+/// Chooses servers; the unit under comparison.
+class PlacementPolicy {
+public:
+  virtual ~PlacementPolicy() = default;
+  virtual void onStart(QueueingModel &) {}
+  /// A SYN reached the request's host.
+  virtual void onSyn(QueueingModel &model, std::uint32_t request) = 0;
+  /// The server ended the request, or refused its SYN.
+  virtual void onEnd(QueueingModel &, std::uint32_t, unsigned, bool) {}
+  virtual void onReport(QueueingModel &, unsigned, const ReportedLoad &) {}
+  /// Server 0 joined.
+  virtual void onJoin(QueueingModel &) {}
+};
+
+/// Event-driven model of callers, hosts and servers in virtual time.
+///
+/// Servers work on as many requests as they have slots and queue the rest in
+/// the order of arrival. Callers try again after a reset. The network between
+/// hosts and servers takes no time, alike for all policies.
+class QueueingModel {
+public:
+  static constexpr nanoseconds CrestBegin = seconds(7);
+  static constexpr nanoseconds CrestEnd = seconds(37);
+  static constexpr nanoseconds LastArrival = seconds(45);
+  static constexpr nanoseconds Ramp = seconds(2);
+  static constexpr nanoseconds End = seconds(90); ///< Bound on any run.
+  /// A response after this time is of no use to its caller.
+  static constexpr nanoseconds Deadline = seconds(2);
+  static constexpr unsigned MaxTries = 5;
+  static constexpr double Swing = 5;
+  static constexpr double StragglerShare = 0.02;
+  static constexpr double StragglerFactor = 50;
+
+  QueueingModel(const Scenario &scenario, std::uint64_t seed)
+      : Setup(scenario), Random(seed), Pool(scenario.Servers) {
+    drawArrivals();
+  }
+
+  RunResult run(PlacementPolicy &policy) {
+    Policy = &policy;
+    policy.onStart(*this);
+    for (std::uint32_t i = 0; i < Requests.size(); ++i)
+      at(Requests[i].First, [this, i] { trySyn(i); });
+    for (unsigned i = 0; i < Pool.size(); ++i)
+      report(i, milliseconds(1000 * (i + 1) / Pool.size()));
+    if (Setup.Cold)
+      at(CrestBegin, [this] { Policy->onJoin(*this); });
+    while (!Events.empty()) {
+      const auto event = Events.top();
+      Events.pop();
+      Time = event.At;
+      event.Action();
+    }
+    return result();
+  }
+
+  const Scenario &scenario() const { return Setup; }
+  nanoseconds time() const { return Time; }
+  common::TimePoint now() const {
+    return common::TimePoint(std::chrono::hours(1)) + Time;
+  }
+  const Request &request(std::uint32_t id) const { return Requests[id]; }
+  std::mt19937_64 &random() { return Random; }
+  /// Servers that policies may use now: all, but server 0 before it joined.
+  unsigned firstServer() const {
+    return Setup.Cold && Time < CrestBegin ? 1 : 0;
+  }
+
+  void at(nanoseconds time, std::function<void()> action) {
+    if (time < End)
+      Events.push({time, Sequence++, std::move(action)});
+  }
+
+  /// The SYN reaches the server.
+  void place(std::uint32_t id, unsigned server) {
+    if (server == 0 && Setup.Shed && duringCrest(Time)) {
+      Policy->onEnd(*this, id, server, true);
+      refuse(id);
+      return;
+    }
+    auto &it = Pool[server];
+    if (it.Busy < Setup.Slots)
+      begin(id, server);
+    else
+      it.Queue.push_back(id);
+  }
+
+  /// The caller gets a reset in answer to its SYN.
+  void refuse(std::uint32_t id) {
+    ++Resets;
+    auto &it = Requests[id];
+    if (it.Tries >= MaxTries)
+      return;
+    const double base = 50e6 * static_cast<double>(1U << (it.Tries - 1));
+    std::uniform_real_distribution<double> jitter(0.5, 1.5);
+    at(Time + nanoseconds(static_cast<std::int64_t>(base * jitter(Random))),
+       [this, id] { trySyn(id); });
+  }
+
+private:
+  struct Server {
+    unsigned Busy = 0;
+    std::deque<std::uint32_t> Queue;
+    nanoseconds BusyTime{0};
+  };
+  struct Event {
+    nanoseconds At;
+    std::uint64_t Sequence;
+    std::function<void()> Action;
+    bool operator<(const Event &other) const {
+      return std::pair(At, Sequence) > std::pair(other.At, other.Sequence);
+    }
+  };
+
+  static bool duringCrest(nanoseconds time) {
+    return time >= CrestBegin && time < CrestEnd;
+  }
+
+  /// Requests per second.
+  double demandAt(nanoseconds time) const {
+    const double mean =
+        0.010 * (1 - StragglerShare + StragglerShare * StragglerFactor);
+    const double crest = Setup.Crest * Setup.Servers * Setup.Slots / mean;
+    const double low = crest / Swing;
+    const auto ramp = [&](nanoseconds since) {
+      const double part = std::chrono::duration<double>(since) /
+                          std::chrono::duration<double>(Ramp);
+      return low + (crest - low) * std::clamp(part, 0.0, 1.0);
+    };
+    return time < CrestEnd ? ramp(time - (CrestBegin - Ramp))
+                           : ramp(CrestEnd + Ramp - time);
+  }
+
+  void drawArrivals() {
+    const double peak = demandAt(CrestBegin);
+    std::exponential_distribution<double> gap(peak);
+    std::uniform_real_distribution<double> uniform(0, 1);
+    std::uniform_int_distribution<unsigned> host(0, Setup.Hosts - 1);
+    nanoseconds time{0};
+    while (true) {
+      time += nanoseconds(static_cast<std::int64_t>(gap(Random) * 1e9));
+      if (time >= LastArrival)
+        return;
+      if (uniform(Random) > demandAt(time) / peak)
+        continue;
+      Request it;
+      it.First = time;
+      it.Straggler = uniform(Random) < StragglerShare;
+      const double service =
+          (5e6 + 10e6 * uniform(Random)) * (it.Straggler ? StragglerFactor : 1);
+      it.Service = nanoseconds(static_cast<std::int64_t>(service));
+      it.Host = host(Random);
+      Requests.push_back(it);
+    }
+  }
+
+  void trySyn(std::uint32_t id) {
+    ++Requests[id].Tries;
+    ++Tries;
+    Policy->onSyn(*this, id);
+  }
+
+  void begin(std::uint32_t id, unsigned server) {
+    ++Pool[server].Busy;
+    Requests[id].Started = Time;
+    const bool cold = Setup.Cold && server == 0 &&
+                      Time < CrestBegin + nanoseconds(seconds(10));
+    const auto duration = Requests[id].Service * (cold ? 5 : 1);
+    Pool[server].BusyTime += duration;
+    at(Time + duration, [this, id, server] { end(id, server); });
+  }
+
+  void end(std::uint32_t id, unsigned server) {
+    Requests[id].Ended = Time;
+    auto &it = Pool[server];
+    --it.Busy;
+    if (!it.Queue.empty()) {
+      const auto next = it.Queue.front();
+      it.Queue.pop_front();
+      begin(next, server);
+    }
+    Policy->onEnd(*this, id, server, false);
+  }
+
+  ReportedLoad loadOf(unsigned server) const {
+    if (Setup.Lie && server == 0)
+      return {0, 0};
+    if (Setup.Lie && server == 1)
+      return {Setup.Slots, 10};
+    return {Pool[server].Busy,
+            static_cast<unsigned>(Pool[server].Queue.size())};
+  }
+
+  void report(unsigned server, nanoseconds time) {
+    if (time > LastArrival + nanoseconds(seconds(15)))
+      return;
+    at(time, [this, server, time] {
+      const auto load = loadOf(server);
+      const bool joined = server >= firstServer();
+      at(Time + Setup.ReportLag, [this, server, load, joined] {
+        if (joined)
+          Policy->onReport(*this, server, load);
+      });
+      report(server, time + seconds(1));
+    });
+  }
+
+  RunResult result() const {
+    RunResult it;
+    std::vector<double> waits;
+    double unserved = 0;
+    for (const auto &request : Requests) {
+      const bool ended = request.Ended >= nanoseconds(0);
+      it.Completed += ended;
+      it.Goodput += ended && request.Ended - request.First <= Deadline;
+      if (request.Straggler || !duringCrest(request.First))
+        continue;
+      if (request.Started < nanoseconds(0)) {
+        ++unserved;
+        continue;
+      }
+      const auto wait = request.Started - request.First;
+      waits.push_back(std::chrono::duration<double, std::milli>(wait).count());
+    }
+    std::sort(waits.begin(), waits.end());
+    const auto rank = [&](double share) {
+      return waits[static_cast<std::size_t>(
+          share * static_cast<double>(waits.size() - 1))];
+    };
+    it.WaitP50 = rank(0.5);
+    it.WaitP99 = rank(0.99);
+    it.WaitWorst = waits.back();
+    it.Unserved =
+        100 * unserved / (unserved + static_cast<double>(waits.size()));
+    nanoseconds peak{0};
+    nanoseconds sum{0};
+    for (const auto &server : Pool) {
+      peak = std::max(peak, server.BusyTime);
+      sum += server.BusyTime;
+    }
+    it.Imbalance = static_cast<double>(peak.count()) *
+                   static_cast<double>(Pool.size()) /
+                   static_cast<double>(sum.count());
+    const double length = std::chrono::duration<double>(LastArrival).count();
+    const auto first = static_cast<double>(Requests.size());
+    it.Goodput /= length;
+    it.Completed /= length;
+    it.Refusals = 100 * static_cast<double>(Resets) / first;
+    it.Retries = 100 * (static_cast<double>(Tries) - first) / first;
+    return it;
+  }
+
+  Scenario Setup;
+  std::mt19937_64 Random;
+  std::vector<Server> Pool;
+  std::vector<Request> Requests;
+  std::priority_queue<Event> Events;
+  std::uint64_t Sequence = 0;
+  nanoseconds Time{0};
+  PlacementPolicy *Policy = nullptr;
+  std::uint64_t Tries = 0;
+  std::uint64_t Resets = 0;
+};
+
+} // namespace auburnroute::bench
