--- a/Source/Bench/AdmissionBench.cpp
+++ b/Source/Bench/AdmissionBench.cpp
@@ -76,6 +76,9 @@
     add(it, "reports-lie", [](auto &s) { s.Lie = true; });
     add(it, "cold-start", [](auto &s) { s.Cold = true; });
     add(it, "sheds", [](auto &s) { s.Shed = true; });
+    add(it, "handshake", [](auto &s) {
+      s.Handshake = milliseconds(s.Slots == 2 ? 2 : 6); // twice 1 ms or 3 ms
+    });
     add(it, "one-zone", [](auto &s) {
       s.Servers = 5;
       s.Hosts = 3;
--- a/Source/Bench/QueueingModel.h
+++ b/Source/Bench/QueueingModel.h
@@ -25,7 +25,9 @@
   unsigned Slots = 2;
   unsigned Hosts = 8;
   milliseconds QueueTimeout{600};
-  unsigned QueueLimit = 1024;
+  unsigned QueueLimit = 768; ///< Half a second of arrivals at the crest.
+  /// Round trip between caller and server, from a placed SYN to the request.
+  milliseconds Handshake{0};
   double Crest = 0.9; ///< Demand at the crest relative to capacity.
   seconds ReportLag{0};
   bool Lie = false;  ///< Server 0 always reports idle, server 1 busy.
@@ -83,8 +85,8 @@
 /// Event-driven model of callers, hosts and servers in virtual time.
 ///
 /// Servers work on as many requests as they have slots and queue the rest in
-/// the order of arrival. Callers try again after a reset. The network between
-/// hosts and servers takes no time, alike for all policies.
+/// the order of arrival. Callers try again after a reset. The network takes no
+/// time but for the handshake, alike for all policies.
 class QueueingModel {
 public:
   static constexpr nanoseconds CrestBegin = seconds(7);
@@ -146,11 +148,7 @@
       refuse(id);
       return;
     }
-    auto &it = Pool[server];
-    if (it.Busy < Setup.Slots)
-      begin(id, server);
-    else
-      it.Queue.push_back(id);
+    at(Time + Setup.Handshake, [this, id, server] { take(id, server); });
   }
 
   /// The caller gets a reset in answer to its SYN.
@@ -228,6 +226,14 @@
     Policy->onSyn(*this, id);
   }
 
+  void take(std::uint32_t id, unsigned server) {
+    auto &it = Pool[server];
+    if (it.Busy < Setup.Slots)
+      begin(id, server);
+    else
+      it.Queue.push_back(id);
+  }
+
   void begin(std::uint32_t id, unsigned server) {
     ++Pool[server].Busy;
     Requests[id].Started = Time;
