Give the packets of the fabric test a TCP flag

PacketView now refuses packets that stacks read in different ways, a segment without any flag among them. The packets of FabricRouterTest had none, so all checks that expect a route failed. They now carry ACK, as every packet of an established flow does; the checks themselves are unchanged.

--- a/Source/UnitTests/StandIns/FabricRouterTest.cpp
+++ b/Source/UnitTests/StandIns/FabricRouterTest.cpp
@@ -1,6 +1,7 @@
 #include "StandIns/FabricRouter.h"
 
 #include "Protocol/PacketBuilder.h"
+#include "Protocol/PacketView.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -36,6 +37,7 @@
     protocol::Segment segment;
     segment.Source = from;
     segment.Destination = to;
+    segment.Flags = protocol::PacketView::AckFlag;
     auto packet = protocol::buildPacket(segment);
     return Router.route(sender, packet);
   }
