--- a/Source/StandIns/CallerReport.cpp
+++ b/Source/StandIns/CallerReport.cpp
@@ -40,6 +40,7 @@
   Json broken = Json::array();
   for (const auto &it : log.BrokenFeeds)
     broken.push_back({{"time", epochSeconds(it.Time)},
+                      {"last_received", epochSeconds(it.LastReceived)},
                       {"service", it.Service},
                       {"server", it.Server},
                       {"reason", it.Reason}});
--- a/Source/StandIns/CallerStandIn.cpp
+++ b/Source/StandIns/CallerStandIn.cpp
@@ -302,7 +302,8 @@
   const auto &feed = it->second;
   if (feed.Established) {
     noteSilence(now, feed);
-    Log.BrokenFeeds.push_back({now, feed.To.Service, feed.Server, reason});
+    Log.BrokenFeeds.push_back(
+        {now, feed.LastReceived, feed.To.Service, feed.Server, reason});
   } else {
     ++Log.FeedsRefused;
   }
--- a/Source/StandIns/RequestLog.h
+++ b/Source/StandIns/RequestLog.h
@@ -22,6 +22,7 @@
   /// A feed that ended although its caller had not closed it.
   struct BrokenFeed {
     common::TimePoint Time;
+    common::TimePoint LastReceived; ///< When it last received something.
     std::string Service;
     std::string Server; ///< Backend server; empty before its first message.
     std::string Reason;
--- a/Source/UnitTests/StandIns/CallerStandInTest.cpp
+++ b/Source/UnitTests/StandIns/CallerStandInTest.cpp
@@ -46,7 +46,7 @@
 class Loopback {
 public:
   explicit Loopback(const std::string &servedService = "counter",
-                    standins::CallerOptions options = fewCallers())
+                    const standins::CallerOptions &options = fewCallers())
       : Callers(settings(), options),
         Server(serviceNamed(servedService),
                serviceNamed(servedService).BackendServers[0], 9) {
@@ -179,6 +179,7 @@
   auto options = fewCallers();
   options.RequestsPerSecond = 0;
   Loopback net("counter", options);
+  const auto start = net.Clock.now();
   net.run(1s);
   net.Server.setBehaviour(net.Clock.now(), BackendServerBehaviour::Dead);
   net.run(25s);
@@ -187,6 +188,11 @@
   const auto &log = net.Callers.log();
   BOOST_TEST(log.BrokenFeeds.size() == 3);
   BOOST_TEST(log.FeedsOpened == 6);
+  for (const auto &it : log.BrokenFeeds) {
+    // The time-out comes long after the outage began.
+    BOOST_TEST((it.Time - it.LastReceived > 10s));
+    BOOST_TEST((it.LastReceived - start <= 1s));
+  }
 }
 
 // Guards against a misrouted flow that goes unnoticed: the payload names the
