--- a/Source/Coordination/PeerMessage.h
+++ b/Source/Coordination/PeerMessage.h
@@ -63,7 +63,7 @@
   bool operator==(const SettingsReply &) const = default;
 };
 
-/// Summaries of causes for safe-keeping at a peer.
+/// Summaries of causes, replicated to peers.
 struct CauseBatch {
   std::vector<state::CauseEntry> Entries; ///< Bounded.
 
--- a/Source/Transport/PeerLink.cpp
+++ b/Source/Transport/PeerLink.cpp
@@ -15,9 +15,10 @@
 constexpr int LingerMs = 0;
 constexpr int ReconnectMs = 100;
 constexpr int MaxReconnectMs = 2000;
-// A silent connection, as after a partition, is closed and set up anew.
-constexpr int KeepAliveMs = 2000;
-constexpr int KeepAliveTimeoutMs = 6000;
+// A connection whose data is not acknowledged, as in a partition, is closed and
+// set up anew. ZeroMQ's own heartbeats would cost bytes on every connection.
+constexpr int MaxRetransmitMs = 6000;
+constexpr int KeepAliveSeconds = 30;
 // ZeroMQ puts 2 bytes before a frame of up to 255 bytes, 9 before a longer one.
 constexpr std::size_t ShortFrame = 255;
 constexpr std::size_t ShortHeader = 2;
@@ -34,8 +35,9 @@
 void configure(zmq::socket_t &socket) {
   socket.set(zmq::sockopt::linger, LingerMs);
   socket.set(zmq::sockopt::maxmsgsize, PeerLink::MaxFrameBytes);
-  socket.set(zmq::sockopt::heartbeat_ivl, KeepAliveMs);
-  socket.set(zmq::sockopt::heartbeat_timeout, KeepAliveTimeoutMs);
+  socket.set(zmq::sockopt::tcp_maxrt, MaxRetransmitMs);
+  socket.set(zmq::sockopt::tcp_keepalive, 1);
+  socket.set(zmq::sockopt::tcp_keepalive_idle, KeepAliveSeconds);
 }
 
 } // namespace
--- a/Source/Transport/PeerLink.h
+++ b/Source/Transport/PeerLink.h
@@ -32,8 +32,9 @@
   /// Gets each frame; the bytes are valid during the call.
   using Handler = std::function<void(std::string_view)>;
 
-  /// Frames that wait for one receiver at most.
-  static constexpr int QueueFrames = 256;
+  /// Frames that wait for one receiver at most. Covers bursts of news; with
+  /// settings of 1 MB it bounds a receiver that is stuck to 32 MB.
+  static constexpr int QueueFrames = 32;
   /// Longest frame; a connection that sends a longer one is closed.
   static constexpr std::int64_t MaxFrameBytes = 1'250'000;
   /// Receivers at once. The one unused for longest is closed for a new one.
