--- a/Source/UnitTests/Coordination/HashAgreementTest.cpp
+++ b/Source/UnitTests/Coordination/HashAgreementTest.cpp
@@ -19,7 +19,8 @@
     for (int round = 0; round < 200; ++round) {
       std::vector<state::BackendServerEntry> servers;
       std::vector<state::RendezvousHash::Candidate> candidates;
-      for (std::uint16_t n = 1; n <= 1 + round % 20; ++n) {
+      const auto count = static_cast<std::uint16_t>(1 + round % 20);
+      for (std::uint16_t n = 1; n <= count; ++n) {
         state::BackendServerEntry entry;
         entry.Number = n;
         entry.Weight = static_cast<std::uint32_t>(1 + random() % 10);
