Read the shedding state of load reports

Cause: the decoder took every state but "draining" for "active", so a backend server that sheds got new work until its resets ejected it. Found when the decoder was compared with LoadReport. Counts above 32 bits were cut.

Change: shedding is told, unknown states and counts out of range are errors; load reports are polled at the interval of the host's own zone.

--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -180,7 +180,7 @@
 
 void Runtime::startLoadPoller() {
   Poller = std::make_unique<LoadPoller>(
-      Settings.Admission, Clock, Snapshots,
+      Settings.Admission, Settings.Zone, Clock, Snapshots,
       [this](const BackendServerPolled &it) { caf::anon_send(Admission, it); });
   System.spawn<caf::detached>(
       [this](caf::blocking_actor *) { Poller->run(Stop); });
--- a/Source/Daemon/LoadPoller.cpp
+++ b/Source/Daemon/LoadPoller.cpp
@@ -24,9 +24,10 @@
 
 } // namespace
 
-LoadPoller::LoadPoller(common::Endpoint self, const common::Clock &clock,
+LoadPoller::LoadPoller(common::Endpoint self, std::string zone,
+                       const common::Clock &clock,
                        const SnapshotPublisher &snapshots, Receiver receiver)
-    : Self(self), Clock(clock), Snapshots(snapshots),
+    : Self(self), Zone(std::move(zone)), Clock(clock), Snapshots(snapshots),
       Deliver(std::move(receiver)) {}
 
 void LoadPoller::run(const std::atomic<bool> &stop) {
@@ -47,7 +48,10 @@
   auto &next = NextPoll[settings.Name];
   if (Clock.now() < next)
     return;
-  next = Clock.now() + settings.PolicyByZone.front().ReportInterval;
+  const auto zone = snapshot.Settings->zoneIndex(Zone);
+  next = Clock.now() +
+         (zone ? settings.PolicyByZone[*zone] : state::ServicePolicy{})
+             .ReportInterval;
   for (const auto &entry : snapshot.Table->backendServersOf(service)) {
     const auto *server = findByNumber(settings, entry.Number);
     if (stop || server == nullptr)
--- a/Source/Daemon/LoadPoller.h
+++ b/Source/Daemon/LoadPoller.h
@@ -17,9 +17,10 @@
 public:
   using Receiver = std::function<void(const BackendServerPolled &)>;
 
-  /// \p self is the admission socket of this host.
-  LoadPoller(common::Endpoint self, const common::Clock &clock,
-             const SnapshotPublisher &snapshots, Receiver receiver);
+  /// \p self is the admission socket of this host, \p zone its zone.
+  LoadPoller(common::Endpoint self, std::string zone,
+             const common::Clock &clock, const SnapshotPublisher &snapshots,
+             Receiver receiver);
 
   /// Polls until \p stop is set.
   void run(const std::atomic<bool> &stop);
@@ -31,6 +32,7 @@
                            common::Endpoint endpoint);
 
   common::Endpoint Self;
+  std::string Zone;
   const common::Clock &Clock;
   const SnapshotPublisher &Snapshots;
   Receiver Deliver;
--- a/Source/Protocol/LoadReportCodec.cpp
+++ b/Source/Protocol/LoadReportCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace auburnroute::protocol {
@@ -24,9 +25,14 @@
     return fault("\"state\" is not a string");
   if (*mode == "draining")
     report.Mode = state::BackendServerMode::Draining;
+  else if (*mode == "shedding")
+    report.Shedding = true;
+  else if (*mode != "active")
+    return fault("\"state\" is none of active, draining, shedding");
   const auto number = [&](const char *key, std::uint32_t &to) {
     const auto it = root.find(key);
-    if (it == root.end() || !it->is_number_unsigned())
+    if (it == root.end() || !it->is_number_unsigned() ||
+        it->get<std::uint64_t>() > std::numeric_limits<std::uint32_t>::max())
       return false;
     to = it->get<std::uint32_t>();
     return true;
