Relay packets that the settings here do not know to a platform reader

Ruled out: placing nothing on a new server before the neighbours confirm the revision. A paused neighbour would delay every change.

Change: packets with an unknown tag, source or address go once to a reader of the platform, which has new settings first, within a bounded rate.

--- /dev/null
+++ b/Source/Coordination/RelayPolicy.cpp
@@ -0,0 +1,18 @@
+#include "Coordination/RelayPolicy.h"
+
+namespace auburnroute::coordination {
+
+using state::Cause;
+
+bool RelayPolicy::shouldRelay(common::TimePoint now, Cause why) {
+  if (why != Cause::UnknownTag && why != Cause::UnknownSource &&
+      why != Cause::UnknownAddress)
+    return false;
+  if (now >= IntervalEnd) {
+    IntervalEnd = now + Interval;
+    Used = 0;
+  }
+  return Used++ < PacketsPerInterval;
+}
+
+} // namespace auburnroute::coordination
--- a/Source/Daemon/AdmissionWorker.cpp
+++ b/Source/Daemon/AdmissionWorker.cpp
@@ -135,15 +135,28 @@
     Counters.add(Cause::NoSettings);
     return;
   }
-  const bool isSyn = handOver.Kind == protocol::HandOverKind::Syn;
+  switch (handOver.Kind) {
+  case protocol::HandOverKind::Syn:
+    onSyn(now, handOver, view);
+    return;
+  case protocol::HandOverKind::Finish:
+    finish(now, view);
+    return;
+  case protocol::HandOverKind::Relay:
+    relay(view);
+    return;
+  }
+}
+
+void AdmissionWorker::onSyn(common::TimePoint now,
+                            const protocol::HandOverView &handOver,
+                            protocol::PacketView &view) {
   const auto *listener = Snapshot->Table->findListener(view.destination());
-  if (isSyn && listener != nullptr && handOver.mayHandOver(Snapshot->Leaving) &&
+  if (listener != nullptr && handOver.mayHandOver(Snapshot->Leaving) &&
       Snapshot->AdmissionOwners[listener->Service] != Self)
     passOn(Snapshot->AdmissionOwners[listener->Service], view.bytes());
-  else if (isSyn)
-    admit(now, view);
   else
-    finish(now, view);
+    admit(now, view);
 }
 
 void AdmissionWorker::admit(common::TimePoint now, protocol::PacketView &view) {
@@ -195,18 +208,42 @@
     ++burn.Refused;
 }
 
+void AdmissionWorker::relay(protocol::PacketView &view) {
+  const auto packet = protocol::PacketRewriter::summarise(view);
+  const auto *listener = Snapshot->Table->findListener(packet.Destination);
+  const auto outcome = listener != nullptr
+                           ? Engine.onCallerPacket(packet)
+                           : Engine.onBackendServerPacket(packet);
+  if (const auto *server =
+          std::get_if<coordination::ForwardToBackendServer>(&outcome))
+    forward(*server, server->Tunnel, view);
+  else if (const auto *caller =
+               std::get_if<coordination::ForwardToCaller>(&outcome))
+    forward(*caller, Gateway, view);
+  else if (std::holds_alternative<coordination::HandOver>(outcome))
+    passOn(Snapshot->AdmissionOwners[listener->Service], view.bytes());
+  else if (const auto *drop = std::get_if<coordination::Drop>(&outcome))
+    Counters.add(drop->Why);
+}
+
+template <typename Forward>
+void AdmissionWorker::forward(const Forward &outcome, common::Endpoint to,
+                              protocol::PacketView &view) {
+  if (const auto why = protocol::PacketRewriter::apply(outcome, view);
+      why != Cause::None) {
+    Counters.add(why);
+    return;
+  }
+  Socket.queue(to, {}, view.bytes());
+}
+
 void AdmissionWorker::place(const coordination::Place &place,
                             protocol::PacketView &view) {
   const auto outcome = Engine.forwardSyn(
       place.Service, place.Number, protocol::PacketRewriter::summarise(view));
   if (const auto *to =
           std::get_if<coordination::ForwardToBackendServer>(&outcome)) {
-    if (const auto why = protocol::PacketRewriter::apply(*to, view);
-        why != Cause::None) {
-      Counters.add(why);
-      return;
-    }
-    Socket.queue(to->Tunnel, {}, view.bytes());
+    forward(*to, to->Tunnel, view);
     Counters.add(Counter::FlowsPlaced);
   } else {
     Counters.add(std::get<coordination::Drop>(outcome).Why);
--- a/Source/Daemon/AdmissionWorker.h
+++ b/Source/Daemon/AdmissionWorker.h
@@ -49,8 +49,15 @@
   void checkPause(common::TimePoint now);
   bool mayPlace() const;
   void handle(common::TimePoint now, std::span<std::byte> datagram);
+  void onSyn(common::TimePoint now, const protocol::HandOverView &handOver,
+             protocol::PacketView &view);
   void admit(common::TimePoint now, protocol::PacketView &view);
   void finish(common::TimePoint now, protocol::PacketView &view);
+  /// Forwards a packet that the sender's settings do not know.
+  void relay(protocol::PacketView &view);
+  template <typename Forward>
+  void forward(const Forward &outcome, common::Endpoint to,
+               protocol::PacketView &view);
   void place(const coordination::Place &place, protocol::PacketView &view);
   void refuse(const coordination::RefuseFlow &refusal,
               const protocol::PacketView &view);
--- a/Source/Daemon/ControlPlane.cpp
+++ b/Source/Daemon/ControlPlane.cpp
@@ -263,6 +263,7 @@
   snapshot->Settings = Follower.settings();
   snapshot->Table = Table;
   snapshot->AdmissionOwners = admissionOwners();
+  snapshot->Relay = relay();
   snapshot->LeavingBackendServers = leavingBackendServers();
   snapshot->Confirmed = isConfirmed();
   snapshot->Leaving = Leaving;
@@ -280,6 +281,16 @@
   return owners;
 }
 
+std::optional<common::Endpoint> ControlPlane::relay() const {
+  for (const auto &name : Members.settingsReaders()) {
+    const auto *host = Members.hosts().find(name);
+    if (name != Local.Host && host != nullptr &&
+        host->State == HostState::Live && host->Addresses.Admission.Port != 0)
+      return host->Addresses.Admission;
+  }
+  return std::nullopt;
+}
+
 std::vector<std::uint32_t> ControlPlane::leavingBackendServers() const {
   std::vector<std::uint32_t> ids;
   const auto &services = Follower.settings()->Services;
--- a/Source/Daemon/ControlPlane.h
+++ b/Source/Daemon/ControlPlane.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -83,6 +84,7 @@
   void replicateCauses();
   std::vector<common::Endpoint> causeReplicas() const;
   std::vector<common::Endpoint> admissionOwners() const;
+  std::optional<common::Endpoint> relay() const;
   std::vector<std::uint32_t> leavingBackendServers() const;
   void record(state::Cause why, const std::string &subject);
 
--- a/Source/Daemon/ControlSnapshot.h
+++ b/Source/Daemon/ControlSnapshot.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace auburnroute::daemon {
@@ -17,6 +18,9 @@
   std::shared_ptr<const state::ServiceTable> Table;
   /// Admission socket of the owner of each service, by service index.
   std::vector<common::Endpoint> AdmissionOwners;
+  /// Admission socket of the host that gets packets that the settings here do
+  /// not know: a reader of the platform, which has new settings first.
+  std::optional<common::Endpoint> Relay;
   /// Backend servers that the host list names as leaving, by table id.
   std::vector<std::uint32_t> LeavingBackendServers;
   bool Confirmed = false; ///< This host may place new flows.
--- a/Source/Daemon/TrafficWorker.cpp
+++ b/Source/Daemon/TrafficWorker.cpp
@@ -75,7 +75,7 @@
   }
   Counters.add(Counter::CallerPackets);
   if (outcome.EndsFlow)
-    handOver(outcome.Service, protocol::HandOverKind::Finish, view);
+    handOver(ownerOf(outcome.Service), protocol::HandOverKind::Finish, view);
   else
     Socket.queue(outcome.Tunnel, {}, view.bytes());
 }
@@ -89,14 +89,14 @@
   }
   Counters.add(Counter::BackendServerPackets);
   if (outcome.EndsFlow)
-    handOver(outcome.Service, protocol::HandOverKind::Finish, view);
+    handOver(ownerOf(outcome.Service), protocol::HandOverKind::Finish, view);
   else
     Socket.queue(Gateway, {}, view.bytes());
 }
 
 void TrafficWorker::apply(const coordination::HandOver &outcome,
                           protocol::PacketView &view) {
-  handOver(outcome.Service, protocol::HandOverKind::Syn, view);
+  handOver(ownerOf(outcome.Service), protocol::HandOverKind::Syn, view);
 }
 
 void TrafficWorker::apply(const coordination::Refuse &outcome,
@@ -110,15 +110,17 @@
 }
 
 void TrafficWorker::apply(const coordination::Drop &outcome,
-                          protocol::PacketView &) {
+                          protocol::PacketView &view) {
   Counters.add(outcome.Why);
+  if (Snapshot->Relay && Relays.shouldRelay(Clock.now(), outcome.Why))
+    handOver(*Snapshot->Relay, protocol::HandOverKind::Relay, view);
 }
 
-void TrafficWorker::handOver(std::uint32_t service, protocol::HandOverKind kind,
+void TrafficWorker::handOver(common::Endpoint to, protocol::HandOverKind kind,
                              const protocol::PacketView &view) {
   auto &header = Headers[HeadersUsed++];
   header = Codec.encode(kind, view.bytes());
-  Socket.queue(Snapshot->AdmissionOwners[service], header, view.bytes());
+  Socket.queue(to, header, view.bytes());
   Counters.add(Counter::HandOverPacketsSent);
 }
 
--- a/Source/Daemon/TrafficWorker.h
+++ b/Source/Daemon/TrafficWorker.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 #include "Coordination/ForwardingEngine.h"
+#include "Coordination/RelayPolicy.h"
 #include "Daemon/ControlSnapshot.h"
 #include "Protocol/HandOverCodec.h"
 #include "Protocol/PacketView.h"
@@ -41,8 +42,11 @@
   void apply(const coordination::HandOver &outcome, protocol::PacketView &view);
   void apply(const coordination::Refuse &outcome, protocol::PacketView &view);
   void apply(const coordination::Drop &outcome, protocol::PacketView &view);
-  void handOver(std::uint32_t service, protocol::HandOverKind kind,
+  void handOver(common::Endpoint to, protocol::HandOverKind kind,
                 const protocol::PacketView &view);
+  common::Endpoint ownerOf(std::uint32_t service) const {
+    return Snapshot->AdmissionOwners[service];
+  }
 
   const common::Clock &Clock;
   const SnapshotPublisher &Snapshots;
@@ -50,6 +54,7 @@
   transport::UdpSocket Socket;
   protocol::HandOverCodec Codec;
   coordination::ForwardingEngine Engine;
+  coordination::RelayPolicy Relays;
   std::shared_ptr<const ControlSnapshot> Snapshot;
   std::uint64_t SnapshotVersion = 0;
   state::CounterSet Counters;
--- a/Source/Protocol/HandOverCodec.cpp
+++ b/Source/Protocol/HandOverCodec.cpp
@@ -61,8 +61,8 @@
   if (!matches(datagram))
     return state::Cause::BadHandOver;
   const auto kind = std::to_integer<std::uint8_t>(datagram[KindOffset]);
-  if (kind != static_cast<std::uint8_t>(HandOverKind::Syn) &&
-      kind != static_cast<std::uint8_t>(HandOverKind::Finish))
+  if (kind < static_cast<std::uint8_t>(HandOverKind::Syn) ||
+      kind > static_cast<std::uint8_t>(HandOverKind::Relay))
     return state::Cause::BadHandOver;
   view.Hops = std::to_integer<std::uint8_t>(datagram[HopsOffset]);
   if (view.Hops == 0 || view.Hops > MaxHops ||
--- a/Source/Protocol/HandOverCodec.h
+++ b/Source/Protocol/HandOverCodec.h
@@ -17,6 +17,7 @@
 enum class HandOverKind : std::uint8_t {
   Syn = 1,    ///< Admit the flow of this SYN, as its caller sent it.
   Finish = 2, ///< The flow ended; forward this packet, already rewritten.
+  Relay = 3,  ///< Forward this packet; the sender's settings do not know it.
 };
 
 /// A hand-over datagram, decoded in place.
