Restore the timestamp echo exactly for server numbers up to 127

Cause: the tag took 12 bits and gave up the 4 low bits of the server's timestamp, so the restored echo was up to 15 ms too old. A stack that completes a handshake only if it echoes the timestamp of its SYN|ACK (RFC 7323 leaves the check open) then drops every attempt but those whose timestamp is a multiple of 16.

Ruled out: an echo of 0 in all packets passes such checks on some stacks only and costs the server its round-trip samples; a settings value for the width would break all flows of a service when it changes.

Change: the lowest bit of a timestamp names one of two layouts. Numbers up to 127 take 7 bits beside 24 bits of exact milliseconds; higher ones take 12 bits beside 19 bits of 32 ms, and keep the limit. Both hold 2^24 ms, as before, and a flow keeps its layout with its server. ServiceTable and settings do not change.

The other service has numbers of the wide layout. Echoes of ForwardingEngineTest that were multiples of 16 are odd now. A reset without timestamps got its test.

--- a/Source/Coordination/FlowTag.cpp
+++ b/Source/Coordination/FlowTag.cpp
@@ -2,27 +2,62 @@
 
 namespace auburnroute::coordination {
 
+namespace {
+
+constexpr std::uint32_t WideBit = 1;
+// Milliseconds of the backend server's clock that both layouts keep.
+constexpr unsigned TimeBits = 24;
+
+struct Layout {
+  unsigned NumberBits;
+  unsigned DroppedBits; ///< Low bits of the timestamp that are given up.
+
+  unsigned tagBits() const { return NumberBits + 1; }
+  std::uint32_t numberMask() const { return (1U << NumberBits) - 1; }
+};
+
+constexpr Layout Narrow{7, 0};
+constexpr Layout Wide{12, 5};
+static_assert(32 - (Narrow.NumberBits + 1) + Narrow.DroppedBits == TimeBits);
+static_assert(32 - (Wide.NumberBits + 1) + Wide.DroppedBits == TimeBits);
+
+/// The layout that the lowest bit of a tag or timestamp names.
+const Layout &layoutOf(std::uint32_t value) {
+  return (value & WideBit) != 0 ? Wide : Narrow;
+}
+
+} // namespace
+
 std::uint32_t FlowTag::encode(const FlowKey &key, std::uint16_t number,
                               std::uint64_t seed) {
-  return (number ^ static_cast<std::uint32_t>(key.hash(seed))) & Mask;
+  const auto marker = number > MaxNarrowNumber ? WideBit : 0;
+  const auto masked = number ^ static_cast<std::uint32_t>(key.hash(seed));
+  return ((masked & layoutOf(marker).numberMask()) << 1) | marker;
 }
 
 std::uint16_t FlowTag::decode(const FlowKey &key, std::uint32_t tag,
                               std::uint64_t seed) {
-  return static_cast<std::uint16_t>(
-      (tag ^ static_cast<std::uint32_t>(key.hash(seed))) & Mask);
+  const auto masked = (tag >> 1) ^ static_cast<std::uint32_t>(key.hash(seed));
+  const auto number =
+      static_cast<std::uint16_t>(masked & layoutOf(tag).numberMask());
+  const bool wide = (tag & WideBit) != 0;
+  return wide == (number > MaxNarrowNumber) ? number : std::uint16_t{0};
 }
 
 std::uint32_t FlowTag::tagValue(std::uint32_t value, std::uint32_t tag) {
-  return ((value >> DroppedBits) << Bits) | (tag & Mask);
+  const auto &layout = layoutOf(tag);
+  return ((value >> layout.DroppedBits) << layout.tagBits()) | tag;
+}
+
+std::uint32_t FlowTag::tagOf(std::uint32_t echo) {
+  return echo & ((1U << layoutOf(echo).tagBits()) - 1);
 }
 
 std::uint32_t FlowTag::restoreEcho(std::uint32_t echo,
                                    std::uint32_t lastValue) {
-  // The echo holds bits 4 to 23 of the server's timestamp.
-  constexpr unsigned KeptBits = 32 - Bits + DroppedBits;
-  constexpr std::uint32_t Span = 1U << KeptBits;
-  const std::uint32_t low = (echo >> Bits) << DroppedBits;
+  constexpr std::uint32_t Span = 1U << TimeBits;
+  const auto &layout = layoutOf(echo);
+  const std::uint32_t low = (echo >> layout.tagBits()) << layout.DroppedBits;
   std::uint32_t value = (lastValue & ~(Span - 1)) | low;
   // Signed distance decides between the neighbouring spans.
   const auto distance = static_cast<std::int32_t>(value - lastValue);
--- a/Source/UnitTests/Coordination/ForwardingEngineTest.cpp
+++ b/Source/UnitTests/Coordination/ForwardingEngineTest.cpp
@@ -35,7 +35,7 @@
   packet.Destination = {CallerAddress, port};
   packet.Ack = true;
   packet.HasTimestamps = true;
-  packet.TimestampValue = 1'000'000;
+  packet.TimestampValue = 1'000'003;
   return packet;
 }
 
@@ -64,12 +64,12 @@
     const auto forward = std::get<ForwardToBackendServer>(
         Engine.onCallerPacket(callerPacket(40000, reply.TimestampValue)));
     BOOST_TEST(forward.Destination.Address == ServerAddress + n);
-    BOOST_TEST(forward.TimestampEcho == 1'000'000U / 16 * 16);
+    BOOST_TEST(forward.TimestampEcho == 1'000'003U);
   }
 }
 
 // Guards against a tagged value of 0 that is taken for a missing tag, which
-// breaks the flow for the 16 ms in which the value stays 0.
+// breaks the flow while the value stays 0.
 BOOST_AUTO_TEST_CASE(TaggedValueOfZeroIsATag) {
   apply();
   std::uint16_t port = 1;
@@ -165,4 +165,25 @@
       (dropCause(Engine.onCallerPacket(syn(40000))) == Cause::UnknownAddress));
 }
 
+// Guards against a reset without a tag that reaches a server by chance. Stacks
+// send such resets for flows that they do not know.
+BOOST_AUTO_TEST_CASE(ResetWithoutTimestampsFollowsTheMode) {
+  apply();
+  auto reset = callerPacket(40000, 0);
+  reset.HasTimestamps = reset.Ack = false;
+  reset.Rst = true;
+  BOOST_TEST((dropCause(Engine.onCallerPacket(reset)) == Cause::MissingTag));
+  Settings.Services[0].PolicyByZone[0].Timestamps = state::TimestampMode::Hash;
+  apply();
+  const auto forward =
+      std::get<ForwardToBackendServer>(Engine.onCallerPacket(reset));
+  BOOST_TEST(forward.EndsFlow);
+  auto data = reset;
+  data.Rst = false;
+  data.Ack = true;
+  BOOST_TEST(forward.BackendServer ==
+             std::get<ForwardToBackendServer>(Engine.onCallerPacket(data))
+                 .BackendServer);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Coordination/ForwardingRandomTest.cpp
+++ b/Source/UnitTests/Coordination/ForwardingRandomTest.cpp
@@ -42,10 +42,15 @@
 class Simulation {
 public:
   explicit Simulation(std::uint32_t seed) : Random(seed) {
-    Settings = makeSettings(6);
+    Settings = makeSettings(0);
+    // The second service has numbers of the wide tag layout.
+    constexpr std::array<std::uint16_t, 2> FirstNumbers{1, 1025};
     for (std::uint32_t i = 0; i < 2; ++i)
-      for (std::uint16_t n = 1; n <= 6; ++n)
-        startServer(i, n);
+      for (std::uint16_t n = 0; n < 6; ++n) {
+        const auto number = static_cast<std::uint16_t>(FirstNumbers[i] + n);
+        startServer(i, number);
+        Settings.Services[i].BackendServers.push_back(makeServer(i, number));
+      }
     publish("start", Millis{0});
     for (int i = 0; i < 6; ++i)
       addHost();
@@ -311,7 +316,7 @@
     const auto address = makeServer(service, number).Address;
     Servers.try_emplace({address, BackendPort},
                         common::Endpoint{address, BackendPort}, service,
-                        Bases[below(Bases.size())]);
+                        service == 0, Bases[below(Bases.size())]);
   }
 
   void addHost() {
@@ -384,7 +389,7 @@
     auto &servers = Settings.Services[service].BackendServers;
     // Numbers are not reused.
     const auto number = static_cast<std::uint16_t>(servers.back().Number + 1);
-    if (servers.size() > 10 || number > 60)
+    if (servers.size() > 10 || number % 64 > 60)
       return;
     startServer(service, number);
     servers.push_back(makeServer(service, number));
--- a/Source/UnitTests/Coordination/ForwardingSettings.h
+++ b/Source/UnitTests/Coordination/ForwardingSettings.h
@@ -13,12 +13,13 @@
 constexpr std::uint32_t ServerAddress = 0xC0000200; // 192.0.2.0
 constexpr std::uint16_t BackendPort = 9001;
 
-/// A backend server of a service; its address follows from both numbers.
+/// A backend server of a service; its address follows from the service and the
+/// low 6 bits of its number.
 inline state::BackendServer makeServer(std::uint32_t service,
                                        std::uint16_t number) {
   state::BackendServer server;
   server.Number = number;
-  server.Address = ServerAddress + service * 64 + number;
+  server.Address = ServerAddress + service * 64 + number % 64;
   server.Tunnel = {0x7F000001,
                    static_cast<std::uint16_t>(31000 + service * 100 + number)};
   return server;
--- a/Source/UnitTests/Coordination/SimulatedTcp.h
+++ b/Source/UnitTests/Coordination/SimulatedTcp.h
@@ -227,10 +227,11 @@
 /// A backend server with its connections.
 class SimulatedServer {
 public:
-  /// \p clockBase is added to the time to make timestamps.
-  SimulatedServer(common::Endpoint own, std::uint32_t service,
+  /// \p clockBase is added to the time to make timestamps. A \p strict server
+  /// completes a handshake only if it echoes a timestamp of its SYN|ACKs, or 0.
+  SimulatedServer(common::Endpoint own, std::uint32_t service, bool strict,
                   std::uint32_t clockBase)
-      : Own(own), Service(service), ClockBase(clockBase) {}
+      : Own(own), Service(service), Strict(strict), ClockBase(clockBase) {}
 
   const common::Endpoint Own;
   const std::uint32_t Service;
@@ -251,8 +252,9 @@
       if (it != Connections.end()) {
         const bool open = it->second.Established && !it->second.Closing;
         if (open || !isBefore(it->second.Recent, headers.TimestampValue))
-          return emit(now, it->first, it->second, send,
-                      {.SynAck = !it->second.Established});
+          return it->second.Established
+                     ? emit(now, it->first, it->second, send, {})
+                     : sendSynAck(now, it->first, it->second, send);
       }
       Connection fresh;
       fresh.Iss = fresh.Unacknowledged = iss;
@@ -305,7 +307,9 @@
     std::uint32_t Iss = 0;
     std::uint32_t Unacknowledged = 0;
     std::uint32_t Expected = 0;
-    std::uint32_t Recent = 0; ///< Last timestamp of the caller.
+    std::uint32_t Recent = 0;                 ///< Last timestamp of the caller.
+    std::optional<std::uint32_t> FirstSynAck; ///< Timestamps that were sent.
+    std::uint32_t LastSynAck = 0;
     std::uint32_t Flow = 0;
     std::uint32_t Length = 0;   ///< Messages to send in all.
     std::uint32_t Produced = 0; ///< Messages ready so far.
@@ -342,6 +346,11 @@
     if (!connection.Established) {
       if (segment.Acknowledgement != connection.Iss + 1)
         return reset(segment, send);
+      const auto echo = segment.Headers.TimestampEcho;
+      if (Strict && echo != 0 &&
+          (isBefore(echo, *connection.FirstSynAck) ||
+           isBefore(connection.LastSynAck, echo)))
+        return emit(now, caller, connection, send, {});
       connection.Established = true;
       connection.Unacknowledged = connection.Iss + 1;
       connection.Produced = 0;
@@ -381,7 +390,7 @@
   void retransmit(Millis now, common::Endpoint caller, Connection &it,
                   const Send &send) const {
     if (!it.Established)
-      return emit(now, caller, it, send, {.SynAck = true});
+      return sendSynAck(now, caller, it, send);
     const auto sent = it.Unacknowledged - (it.Iss + 1);
     for (auto n = sent; n < it.Produced; ++n)
       emit(now, caller, it, send, {.Index = n});
@@ -391,6 +400,14 @@
     }
   }
 
+  void sendSynAck(Millis now, common::Endpoint caller, Connection &connection,
+                  const Send &send) const {
+    connection.LastSynAck = timestamp(now);
+    if (!connection.FirstSynAck)
+      connection.FirstSynAck = connection.LastSynAck;
+    emit(now, caller, connection, send, {.SynAck = true});
+  }
+
   void emit(Millis now, common::Endpoint caller, const Connection &connection,
             const Send &send, Kind kind) const {
     SimulatedSegment segment;
@@ -421,6 +438,7 @@
     send(segment);
   }
 
+  bool Strict;
   std::uint32_t ClockBase;
   std::map<common::Endpoint, Connection, ByKey> Connections;
 };
