Refuse the repeated SYN of a removed listener without ending the process

Cause: a flow that was placed keeps its record when a revision removes its listener but not its server. A repeated SYN of it was refused while the record existed, which broke an invariant and aborted the daemon.

Ruled out: to drop the invariant. It guards the only "not run" signal.

Change: the record is given up before the refusal. Servers in slow start get no request ahead, which would exceed their ramp.

Conclusion: a test that aborted before passes.

--- a/Source/Coordination/AdmissionController.cpp
+++ b/Source/Coordination/AdmissionController.cpp
@@ -135,8 +135,12 @@
   if (!Table)
     return refuse(now, key, std::nullopt, Cause::NoSettings);
   const auto *listener = Table->findListener(key.Service);
-  if (listener == nullptr)
+  if (listener == nullptr) {
+    // The listener may have been removed after the flow was placed.
+    if (Flows.find(key) != nullptr)
+      Flows.remove(key);
     return refuse(now, key, std::nullopt, Cause::UnknownAddress);
+  }
   refuseExpired(now, listener->Service);
   if (Services[listener->Service].Queue.contains(key) || decided(key))
     return Hold{};
@@ -363,7 +367,10 @@
     return;
   const auto since = now - service.UsualDuration.value();
   for (auto &it : Candidates)
-    it.Ahead = Flows.countSince(it.Id, ListenerKind::Request, since, it.Slots);
+    if (Servers[it.Id].Health.state(now, service.Policy) ==
+        HealthState::Healthy)
+      it.Ahead =
+          Flows.countSince(it.Id, ListenerKind::Request, since, it.Slots);
 }
 
 std::vector<ReleasedFlow> AdmissionController::poll(common::TimePoint now) {
--- a/Source/UnitTests/Coordination/AdmissionControllerTest.cpp
+++ b/Source/UnitTests/Coordination/AdmissionControllerTest.cpp
@@ -260,6 +260,19 @@
   BOOST_TEST((causeOf(released[0].Decision) == Cause::UnknownAddress));
 }
 
+// Guards against a process that ends because a caller repeats the SYN of a
+// placed flow after its listener was removed.
+BOOST_AUTO_TEST_CASE(RepeatedSynOfARemovedListenerIsRefused) {
+  addServers(1);
+  apply();
+  const auto key = newKey();
+  syn(key);
+  counter().Listeners.pop_back();
+  apply();
+  BOOST_TEST((causeOf(syn(key)) == Cause::UnknownAddress));
+  BOOST_TEST(requests(0) == 0);
+}
+
 // Guards against full load on a server that has just been added.
 BOOST_AUTO_TEST_CASE(AddedServerStartsSlowly) {
   addServers(2, 4);
