Send JSON patches when they are shorter than merge patches

A merge patch carries whole arrays, so that a new weight of one backend server resends all 15 of its service to each neighbour that asks.

Change: the shorter of a JSON patch (RFC 6902) and a merge patch is sent; the receiver tells them apart by their form. Both come from the JSON library or from what was there. Ruled out: compression, which needs another library and would still be larger.

--- /dev/null
+++ b/Source/Bench/ControlBench.cpp
@@ -0,0 +1,324 @@
+// Measures what control costs a host and how fast it works, over zones of
+// different sizes. Prints one JSON object a line. All times but processor time
+// are virtual. Arguments: sizes of the zones; 3 8 32 100 722 by default.
+
+#include "Bench/ZoneSimulation.h"
+#include "Protocol/PeerCodec.h"
+#include "Transport/PeerLink.h"
+
+#include <nlohmann/json.hpp>
+
+#include <ctime>
+#include <iostream>
+#include <optional>
+
+#include <malloc.h>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double MaxBytesPerSecond = 5000;
+constexpr double MaxCorePercent = 4.8;
+constexpr double MaxMegabytes = 256;
+constexpr double MaxInForceSeconds = 9;
+constexpr double MaxSuspectSeconds = 2;
+constexpr double MaxDeadSeconds = 4;
+
+constexpr double ChangesPerSecond = 0.3; ///< 26,000 a day.
+constexpr int Changes = 20;
+constexpr std::size_t ServersPerService = 15; ///< As of the first users.
+constexpr std::size_t ZoneServices = 10;
+constexpr std::size_t PlanServices = 290; ///< A document of almost 1 MB.
+constexpr std::uint64_t Seed = 7;
+
+// ZeroMQ puts 2 bytes before a frame of up to 255 bytes, 9 before a longer one.
+std::size_t bytesOnWire(std::size_t frame) {
+  return frame + (frame <= 255 ? 2 : 9);
+}
+
+double processorSeconds() {
+  timespec at{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &at);
+  return static_cast<double>(at.tv_sec) +
+         static_cast<double>(at.tv_nsec) * 1e-9;
+}
+
+double allocatedMegabytes() {
+  const auto info = mallinfo2();
+  return static_cast<double>(info.uordblks + info.hblkhd) / 1e6;
+}
+
+template <class Duration> double seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+void report(const std::string &name, std::optional<double> baseline,
+            double value, const char *unit, std::optional<double> bound) {
+  nlohmann::ordered_json line;
+  line["name"] = name;
+  line["baseline"] = baseline ? nlohmann::ordered_json(*baseline) : nullptr;
+  line["value"] = value;
+  line["unit"] = unit;
+  line["bound"] = bound ? nlohmann::ordered_json(*bound) : nullptr;
+  line["holds"] = bound ? nlohmann::ordered_json(value <= *bound) : nullptr;
+  std::cout << line.dump() << std::endl;
+}
+
+/// Bytes and frames that a zone sends, encoded and decoded for their cost.
+class Meter {
+public:
+  explicit Meter(bench::ZoneSimulation &zone) : Bytes(zone.Nodes.size()) {
+    zone.OnSend = [this](std::size_t from, const auto &message) {
+      count(from, message);
+    };
+  }
+
+  void reset() {
+    std::fill(Bytes.begin(), Bytes.end(), 0);
+    Heartbeats = HeartbeatBytes = Frames = 0;
+  }
+
+  std::vector<std::uint64_t> Bytes; ///< By sender.
+  std::uint64_t Frames = 0;
+  std::uint64_t Heartbeats = 0;
+  std::uint64_t HeartbeatBytes = 0;
+
+private:
+  void count(std::size_t from, const coordination::PeerMessage &message) {
+    const auto frame = Codec.encode(message).value();
+    // Copies of one sequence to several receivers are refused as old after
+    // everything else was checked, so the cost is that of a frame taken.
+    Codec.decode(frame);
+    const auto n = bytesOnWire(frame.size());
+    Bytes[from] += n;
+    ++Frames;
+    if (std::holds_alternative<coordination::Heartbeat>(message.Body)) {
+      ++Heartbeats;
+      HeartbeatBytes += n;
+    }
+  }
+
+  protocol::PeerCodec Codec{"bench-key"};
+};
+
+std::string document(std::uint64_t revision, std::size_t services) {
+  return bench::sampleDocument(revision, services, ServersPerService, revision);
+}
+
+/// Processor time that ZeroMQ takes to send and receive a heartbeat, both
+/// ends together, on loopback.
+double linkSecondsPerFrame() {
+  constexpr int Frames = 20000;
+  constexpr int Burst = 8;
+  auto from = transport::PeerLink::bind({0x7F000001, 29401});
+  auto to = transport::PeerLink::bind({0x7F000001, 29402});
+  if (!from.ok() || !to.ok())
+    return 0;
+  const std::string frame(90, 'x');
+  std::uint64_t received = 0;
+  // The sender's queue takes a moment to be free again, so each burst waits.
+  const auto burst = [&](int frames) {
+    for (int i = 0; i < frames; ++i)
+      from->send({0x7F000001, 29402}, frame);
+    to->poll(1ms, [&](std::string_view) { ++received; });
+  };
+  for (int i = 0; i < 100; ++i)
+    burst(1);
+  received = 0;
+  const auto begin = processorSeconds();
+  for (int sent = 0; sent < Frames; sent += Burst)
+    burst(Burst);
+  return received < Frames / 4
+             ? 0
+             : (processorSeconds() - begin) / static_cast<double>(received);
+}
+
+bench::ZoneSimulation settledZone(std::size_t hosts, std::uint64_t seed) {
+  bench::ZoneSimulation zone(hosts, seed);
+  for (std::size_t i = 0; i < ZoneServices; ++i)
+    zone.Services.push_back("service-" + std::to_string(i));
+  zone.startAll();
+  zone.publish(0, document(1, ZoneServices));
+  zone.runUntil([&] { return zone.allLive(); }, 120s);
+  zone.run(5s);
+  return zone;
+}
+
+std::size_t readerOf(const bench::ZoneSimulation &zone) {
+  const auto &name = zone.Nodes[0].Members->settingsReaders().front();
+  for (std::size_t i = 0; i < zone.Nodes.size(); ++i)
+    if (zone.Nodes[i].Name == name)
+      return i;
+  return 0;
+}
+
+/// Publishes settings at the rate of the plan; returns the longest time until
+/// one was in force everywhere.
+double publishChanges(bench::ZoneSimulation &zone) {
+  double longest = 0;
+  for (int i = 0; i < Changes; ++i) {
+    const auto reader = readerOf(zone);
+    zone.publish(reader,
+                 document(static_cast<std::uint64_t>(i) + 2, ZoneServices));
+    const auto stamp = zone.Nodes[reader].Follower->stamp();
+    const auto took = zone.runUntil([&] { return zone.allHave(stamp); }, 30s);
+    longest = std::max(longest, seconds(took));
+    const auto rest =
+        std::chrono::duration<double>(1 / ChangesPerSecond) - took;
+    if (rest > 0s)
+      zone.run(std::chrono::duration_cast<std::chrono::nanoseconds>(rest));
+  }
+  return longest;
+}
+
+void measureZone(std::size_t hosts, double linkSeconds) {
+  const auto suffix = "_" + std::to_string(hosts) + "_hosts";
+  const auto before = allocatedMegabytes();
+  auto zone = settledZone(hosts, Seed);
+  Meter meter(zone);
+  const auto began = zone.Now;
+  const auto processor = processorSeconds();
+  const auto inForce = publishChanges(zone);
+  const auto used = processorSeconds() - processor;
+  const auto length = seconds(zone.Now - began);
+  const auto perHost = length * static_cast<double>(hosts);
+  double total = 0;
+  for (const auto it : meter.Bytes)
+    total += static_cast<double>(it);
+  const auto most = static_cast<double>(
+      *std::max_element(meter.Bytes.begin(), meter.Bytes.end()));
+  // Baseline: each host sends two heartbeats a second to all others.
+  const auto fullMesh = 2 * static_cast<double>(hosts - 1) *
+                        static_cast<double>(meter.HeartbeatBytes) /
+                        static_cast<double>(meter.Heartbeats);
+  report("control_bytes_mean" + suffix, fullMesh, total / perHost,
+         "bytes sent per second and host", MaxBytesPerSecond);
+  report("control_bytes_most" + suffix, fullMesh, most / length,
+         "bytes sent per second by the busiest host", MaxBytesPerSecond);
+  report("heartbeat_bytes" + suffix, {},
+         static_cast<double>(meter.HeartbeatBytes) /
+             static_cast<double>(meter.Heartbeats),
+         "bytes per heartbeat", {});
+  const auto link = static_cast<double>(meter.Frames) * linkSeconds;
+  report("processor" + suffix, {}, (used + link) / perHost * 100,
+         "percent of a core per host", MaxCorePercent);
+  report("memory" + suffix, {},
+         (allocatedMegabytes() - before) / static_cast<double>(hosts),
+         "MB per host", MaxMegabytes);
+  report("in_force" + suffix, {}, inForce, "s, longest of 20 revisions",
+         MaxInForceSeconds);
+}
+
+/// A follower that takes deltas of a document of almost 1 MB.
+void measurePlanDocument() {
+  const auto before = allocatedMegabytes();
+  coordination::SettingsFollower source;
+  coordination::SettingsFollower follower;
+  const auto text = document(1, PlanServices);
+  source.onPlatformDocument(text);
+  follower.onPlatformDocument(text);
+  const common::TimePoint now{1h};
+  double taking = 0;
+  double serving = 0;
+  double deltaBytes = 0;
+  for (std::uint64_t revision = 2; revision < 2 + Changes; ++revision) {
+    source.onPlatformDocument(document(revision, PlanServices));
+    const auto want = follower.onPeerDigest(now, "peer", source.stamp());
+    const auto start = processorSeconds();
+    const auto reply = source.onSettingsRequest(want->Request);
+    const auto served = processorSeconds();
+    follower.onSettingsReply(now, "peer", *reply);
+    taking += processorSeconds() - served;
+    serving += served - start;
+    deltaBytes += static_cast<double>(reply->Text.size());
+  }
+  const bool same = follower.stamp() == source.stamp();
+  report("plan_document_bytes", {}, static_cast<double>(text.size()), "bytes",
+         1e6);
+  report("plan_delta_bytes", static_cast<double>(text.size()),
+         deltaBytes / Changes, "bytes per change", {});
+  report("plan_changes_missed", {}, same ? 0 : 1, "followers behind", 0);
+  report("plan_settings_processor", {},
+         (taking + serving) / Changes * ChangesPerSecond * 100,
+         "percent of a core per host", MaxCorePercent);
+  report("plan_settings_time", {}, (taking + serving) / Changes,
+         "s of processor per change", MaxInForceSeconds);
+  report("plan_settings_memory", {}, (allocatedMegabytes() - before) / 2,
+         "MB per host", MaxMegabytes);
+}
+
+void measureDetection(double loss) {
+  constexpr std::size_t Hosts = 32;
+  const auto suffix =
+      "_loss_" + std::to_string(static_cast<int>(loss * 100)) + "_percent";
+  double suspect = 0;
+  double dead = 0;
+  double suspicions = 0;
+  double deaths = 0;
+  constexpr int Runs = 10;
+  for (int run = 0; run < Runs; ++run) {
+    auto zone = settledZone(Hosts, Seed + static_cast<std::uint64_t>(run));
+    zone.Network.LossShare = loss;
+    for (auto &it : zone.Nodes)
+      it.Transitions.clear();
+    zone.run(60s + std::chrono::milliseconds(53 * run));
+    for (const auto &node : zone.Nodes) {
+      suspicions += static_cast<double>(node.Members->counters().Suspicions);
+      for (const auto &it : node.Transitions)
+        deaths += it.To == state::HostState::Dead ? 1 : 0;
+    }
+    zone.kill(3);
+    const auto &name = zone.Nodes[3].Name;
+    const auto all = [&](auto accepts) {
+      return [&zone, &name, accepts] {
+        return std::all_of(
+            zone.Nodes.begin(), zone.Nodes.end(), [&](const auto &node) {
+              return !node.Running ||
+                     accepts(node.Members->hosts().find(name)->State);
+            });
+      };
+    };
+    const auto first =
+        zone.runUntil(all([](state::HostState state) {
+                        return state == state::HostState::Suspect ||
+                               state == state::HostState::Dead;
+                      }),
+                      10s);
+    const auto second = zone.runUntil(all([](state::HostState state) {
+                                        return state == state::HostState::Dead;
+                                      }),
+                                      10s);
+    suspect = std::max(suspect, seconds(first));
+    dead = std::max(dead, seconds(first + second));
+  }
+  report("suspect_everywhere" + suffix, {}, suspect, "s, longest of 10 kills",
+         MaxSuspectSeconds);
+  report("dead_everywhere" + suffix, {}, dead, "s, longest of 10 kills",
+         MaxDeadSeconds);
+  report("false_suspicions" + suffix, {}, suspicions / Runs,
+         "per minute in a zone of 32", {});
+  report("false_deaths" + suffix, {}, deaths / Runs,
+         "per minute in a zone of 32", 0);
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  std::vector<std::size_t> sizes{3, 8, 32, 100, 722};
+  if (argc > 1) {
+    sizes.clear();
+    for (int i = 1; i < argc; ++i)
+      sizes.push_back(
+          std::max<std::size_t>(2, std::strtoul(argv[i], nullptr, 10)));
+  }
+  const auto link = linkSecondsPerFrame();
+  report("link_processor", {}, link * 1e6, "us per frame, both ends", {});
+  for (const auto hosts : sizes)
+    measureZone(hosts, link);
+  measurePlanDocument();
+  for (const auto loss : {0.0, 0.01, 0.05})
+    measureDetection(loss);
+  return 0;
+}
--- a/Source/Coordination/PeerMessage.h
+++ b/Source/Coordination/PeerMessage.h
@@ -58,7 +58,8 @@
 struct SettingsReply {
   SettingsStamp Stamp;
   SettingsStamp Base; ///< Zero if Text is a whole document.
-  std::string Text;   ///< JSON document or JSON merge patch (RFC 7386).
+  std::string Text;   ///< JSON document, merge patch (RFC 7386, an object) or
+                      ///< patch (RFC 6902, an array).
 
   bool operator==(const SettingsReply &) const = default;
 };
--- a/Source/Coordination/SettingsFollower.cpp
+++ b/Source/Coordination/SettingsFollower.cpp
@@ -37,6 +37,16 @@
   return false;
 }
 
+// Applies a JSON patch; false if it does not fit.
+bool applyPatch(Json &document, const Json &patch) {
+  try {
+    document = document.patch(patch);
+    return true;
+  } catch (const Json::exception &) {
+    return false;
+  }
+}
+
 // Identifies a document that has not passed the checker, as far as it can be
 // read.
 SettingsStamp stampOf(const Json &document, std::string_view text) {
@@ -199,10 +209,11 @@
   if (nestsTooDeep(reply.Text))
     return std::nullopt;
   const auto patch = parse(reply.Text);
-  if (!patch.is_object())
-    return std::nullopt;
   auto document = *History.last();
-  document.merge_patch(patch);
+  if (patch.is_object())
+    document.merge_patch(patch);
+  else if (patch.is_array() && !applyPatch(document, patch))
+    return std::nullopt;
   return document.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
--- a/Source/Coordination/SettingsHistory.cpp
+++ b/Source/Coordination/SettingsHistory.cpp
@@ -45,10 +45,15 @@
   if (it == Entries.end() || Last == nullptr)
     return std::nullopt;
   const auto from = nlohmann::json::parse(it->Canonical);
-  const auto patch = makeMergePatch(from, *Last);
-  if (!patch)
-    return std::nullopt;
-  return patch->dump();
+  // A JSON patch names single values but repeats what moves within arrays; a
+  // merge patch holds whole arrays.
+  auto text = nlohmann::json::diff(from, *Last).dump();
+  if (const auto merge = makeMergePatch(from, *Last)) {
+    auto other = merge->dump();
+    if (other.size() < text.size())
+      return other;
+  }
+  return text;
 }
 
 } // namespace auburnroute::coordination
--- a/Source/Coordination/SettingsHistory.h
+++ b/Source/Coordination/SettingsHistory.h
@@ -21,8 +21,9 @@
   /// Adds the document that is in force now.
   void add(SettingsStamp stamp, std::shared_ptr<const nlohmann::json> document,
            std::string canonical);
-  /// Merge patch from \p base to the last document, as text; nothing if the
-  /// base is gone or no patch can express the change.
+  /// What turns \p base into the last document, as text: a JSON patch (RFC
+  /// 6902) or a JSON merge patch (RFC 7386), whichever is shorter. Nothing if
+  /// the base is gone.
   std::optional<std::string> patchFrom(SettingsStamp base);
   /// The last document, or nullptr.
   const std::shared_ptr<const nlohmann::json> &last() const { return Last; }
--- a/Source/UnitTests/Coordination/SettingsFollowerTest.cpp
+++ b/Source/UnitTests/Coordination/SettingsFollowerTest.cpp
@@ -175,6 +175,12 @@
   const auto taken = receiver.onSettingsReply(Start, "peer", delta);
   BOOST_TEST((taken.Outcome == FollowOutcome::InForce));
   BOOST_TEST((receiver.stamp() == sender.stamp()));
+  // Fewer services: this delta is shorter as a merge patch.
+  sender.onPlatformDocument(sampleDocument(3, 3, 3, 0));
+  const auto merge = fetch(receiver, sender);
+  BOOST_TEST(merge.Text.front() == '{');
+  receiver.onSettingsReply(Start, "peer", merge);
+  BOOST_TEST((receiver.stamp() == sender.stamp()));
 
   using Json = nlohmann::json;
   const Json cases[][2] = {{{{"a", 1}, {"b", {1, 2}}}, {{"b", {2}}}},
@@ -198,6 +204,12 @@
   receiver.onPlatformDocument(sampleDocument(1, 2, 2, 0));
   sender.onPlatformDocument(sampleDocument(2, 2, 2, 1));
   auto delta = fetch(receiver, sender);
+  for (const auto *text :
+       {"", "7", R"([{"op": "remove", "path": "/none"}])", "[7]"}) {
+    delta.Text = text;
+    BOOST_TEST((receiver.onSettingsReply(Start, "peer", delta).Outcome ==
+                FollowOutcome::Mismatch));
+  }
   delta.Text = R"({"revision": 2})";
   const auto outcome = receiver.onSettingsReply(Start, "peer", delta);
   BOOST_TEST((outcome.Outcome == FollowOutcome::Mismatch));
