--- a/Source/Daemon/AdmissionWorker.cpp
+++ b/Source/Daemon/AdmissionWorker.cpp
@@ -1,7 +1,7 @@
 #include "Daemon/AdmissionWorker.h"
 
 #include "Coordination/FlowTag.h"
-#include "Daemon/PacketSummaries.h"
+#include "Protocol/PacketRewriter.h"
 #include "Protocol/ResetBuilder.h"
 
 namespace auburnroute::daemon {
@@ -93,6 +93,16 @@
     giveUpHeld();
 }
 
+void AdmissionWorker::passOn(common::Endpoint next,
+                             std::span<const std::byte> syn) {
+  constexpr std::uint8_t SecondHop = 2;
+  const auto header = Codec.encode(protocol::HandOverKind::Syn, syn, SecondHop);
+  Socket.queue(next, header, syn);
+  // The header lives in this scope only.
+  Socket.flush();
+  Counters.add(Counter::HandOverPacketsSent);
+}
+
 void AdmissionWorker::giveUpHeld() {
   for (const auto &it : Controller.takeHeld()) {
     const auto held = HeldSyns.find(it.Key);
@@ -103,11 +113,7 @@
     const auto next = Snapshot->AdmissionOwners[listener->Service];
     if (next == Self)
       continue;
-    const auto header =
-        Codec.encode(protocol::HandOverKind::Syn, held->second.Bytes);
-    Socket.queue(next, header, held->second.Bytes);
-    Socket.flush();
-    Counters.add(Counter::HandOverPacketsSent);
+    passOn(next, held->second.Bytes);
   }
   HeldSyns.clear();
 }
@@ -129,7 +135,12 @@
     Counters.add(Cause::NoSettings);
     return;
   }
-  if (handOver.Kind == protocol::HandOverKind::Syn)
+  const bool isSyn = handOver.Kind == protocol::HandOverKind::Syn;
+  const auto *listener = Snapshot->Table->findListener(view.destination());
+  if (isSyn && listener != nullptr && handOver.mayHandOver(Snapshot->Leaving) &&
+      Snapshot->AdmissionOwners[listener->Service] != Self)
+    passOn(Snapshot->AdmissionOwners[listener->Service], view.bytes());
+  else if (isSyn)
     admit(now, view);
   else
     finish(now, view);
@@ -186,16 +197,20 @@
 
 void AdmissionWorker::place(const coordination::Place &place,
                             protocol::PacketView &view) {
-  const auto outcome =
-      Engine.forwardSyn(place.Service, place.Number, summarise(view));
+  const auto outcome = Engine.forwardSyn(
+      place.Service, place.Number, protocol::PacketRewriter::summarise(view));
   if (const auto *to =
           std::get_if<coordination::ForwardToBackendServer>(&outcome)) {
-    view.setDestination(to->Destination);
+    if (const auto why = protocol::PacketRewriter::apply(*to, view);
+        why != Cause::None) {
+      Counters.add(why);
+      return;
+    }
     Socket.queue(to->Tunnel, {}, view.bytes());
     Counters.add(Counter::FlowsPlaced);
-    return;
+  } else {
+    Counters.add(std::get<coordination::Drop>(outcome).Why);
   }
-  Counters.add(Cause::UnknownAddress);
 }
 
 void AdmissionWorker::refuse(const coordination::RefuseFlow &refusal,
@@ -203,7 +218,7 @@
   Counters.add(refusal.Why);
   Counters.add(Counter::FlowsRefused);
   ++burnOf(refusal.Service).Refused;
-  const auto reset = protocol::buildReset(view);
+  const auto reset = protocol::ResetBuilder::build(view);
   Socket.queue(Gateway, {}, reset);
   // The reset lives in this scope only.
   Socket.flush();
--- a/Source/Programs/standin-platform.cpp
+++ b/Source/Programs/standin-platform.cpp
@@ -1,6 +1,6 @@
+#include "Common/Files.h"
 #include "StandIns/PlatformRoutes.h"
 #include "StandIns/StopSignal.h"
-#include "StandIns/TextFile.h"
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
@@ -21,14 +21,14 @@
 
 absl::Status loadDocuments(standins::PlatformStore &store) {
   if (const auto path = absl::GetFlag(FLAGS_settings); !path.empty()) {
-    const auto text = standins::readTextFile(path);
+    const auto text = common::readFile(path);
     if (!text.ok())
       return text.status();
-    if (const auto status = store.setSettings(*text); !status.ok())
+    if (auto status = store.setSettings(*text); !status.ok())
       return status;
   }
   if (const auto path = absl::GetFlag(FLAGS_hosts); !path.empty()) {
-    const auto text = standins::readTextFile(path);
+    const auto text = common::readFile(path);
     if (!text.ok())
       return text.status();
     return store.setHosts(*text);
@@ -41,11 +41,11 @@
   if (!listen.ok())
     return listen.status();
   standins::PlatformStore store;
-  if (const auto status = loadDocuments(store); !status.ok())
+  if (auto status = loadDocuments(store); !status.ok())
     return status;
   standins::HttpService service(Workers);
   standins::addPlatformRoutes(service, store);
-  if (const auto status = service.start(*listen); !status.ok())
+  if (auto status = service.start(*listen); !status.ok())
     return status;
   standins::StopSignal::wait();
   store.shutDown();
@@ -60,7 +60,7 @@
                                "the host list over HTTP. For tests only.");
   absl::ParseCommandLine(argc, argv);
   standins::StopSignal::install();
-  if (const auto status = serve(); !status.ok()) {
+  if (auto status = serve(); !status.ok()) {
     std::cerr << "standin-platform: " << status.message() << "\n";
     return 1;
   }
--- a/Source/Protocol/ResetBuilder.cpp
+++ b/Source/Protocol/ResetBuilder.cpp
@@ -4,14 +4,14 @@
 
 namespace auburnroute::protocol {
 
-std::vector<std::byte> buildReset(const PacketView &syn) {
-  Segment segment;
-  segment.Source = syn.destination();
-  segment.Destination = syn.source();
-  segment.Flags = PacketView::RstFlag | PacketView::AckFlag;
-  segment.Acknowledgement =
-      syn.sequence() + static_cast<std::uint32_t>(syn.payloadSize()) + 1;
-  return buildPacket(segment);
+std::vector<std::byte> ResetBuilder::build(const PacketView &syn) {
+  Segment reset;
+  reset.Source = syn.destination();
+  reset.Destination = syn.source();
+  reset.Flags = PacketView::RstFlag | PacketView::AckFlag;
+  // The SYN takes one sequence number; PacketView refuses a SYN with payload.
+  reset.Acknowledgement = syn.sequence() + 1;
+  return buildPacket(reset);
 }
 
 } // namespace auburnroute::protocol
