Make the test of a lone busy report see a held SYN

Cause: LoneBusyReportIsNotBelieved counted three distinct server numbers, and a held SYN counts as number 0. With the median over the service replaced by each report as it is, the test passed.

Change: the test names the three servers.

Conclusion: it fails with that fault and passes without it. Faults planted in the floor, the repeated SYN after its deadline, the drain by the host list, the order of the queue, the pause after a refused SYN and the comparison with lagging reports were all found by the tests as they were.

--- a/Source/UnitTests/Coordination/AdmissionControllerTest.cpp
+++ b/Source/UnitTests/Coordination/AdmissionControllerTest.cpp
@@ -424,7 +424,7 @@
   std::set<int> used;
   for (int i = 0; i < 3; ++i)
     used.insert(numberOf(syn()));
-  BOOST_TEST(used.size() == 3);
+  BOOST_TEST((used == std::set<int>{1, 2, 3}));
 }
 
 // Guards against reports older than reportTtl that still decide.
