--- a/Source/Common/Invariant.h
+++ b/Source/Common/Invariant.h
@@ -16,6 +16,3 @@
 }
 
 } // namespace auburnroute::common
-
-#define AUBURN_INVARIANT(condition, text)                                      \
-  ::auburnroute::common::invariant((condition), (text))
--- a/Source/Coordination/AdmissionController.cpp
+++ b/Source/Coordination/AdmissionController.cpp
@@ -259,7 +259,7 @@
                                        const FlowKey &key,
                                        std::optional<std::uint32_t> service,
                                        Cause why) {
-  AUBURN_INVARIANT(Flows.find(key) == nullptr, "a refused flow is not placed");
+  common::invariant(Flows.find(key) == nullptr, "a refused flow is not placed");
   Events.add(now, why, service ? Services[*service].Settings->Name : "", "");
   return RefuseFlow{service.value_or(0), why};
 }
@@ -415,7 +415,7 @@
   const auto choice = choose(now, service, kind);
   if (!choice.Server)
     return false;
-  AUBURN_INVARIANT(syn.Deadline > now, "an expired SYN is not placed");
+  common::invariant(syn.Deadline > now, "an expired SYN is not placed");
   queue.popFront();
   --Held;
   Released.push_back({syn.Key, place(now, syn.Key, *choice.Server, kind)});
--- a/Source/Coordination/FlowRecords.cpp
+++ b/Source/Coordination/FlowRecords.cpp
@@ -30,7 +30,7 @@
 }
 
 void FlowRecords::add(const PlacedFlow &flow) {
-  AUBURN_INVARIANT(!full(), "the table of placed flows is within its bound");
+  common::invariant(!full(), "the table of placed flows is within its bound");
   auto n = FirstFree;
   if (n == None) {
     n = static_cast<std::uint32_t>(Nodes.size());
@@ -39,14 +39,14 @@
     FirstFree = Nodes[n].Next;
   }
   Nodes[n].Flow = flow;
-  AUBURN_INVARIANT(Index.emplace(flow.Key, n).second,
-                   "a flow is placed on one backend server");
+  common::invariant(Index.emplace(flow.Key, n).second,
+                    "a flow is placed on one backend server");
   append(n);
 }
 
 void FlowRecords::remove(const FlowKey &key) {
   const auto it = Index.find(key);
-  AUBURN_INVARIANT(it != Index.end(), "only a placed flow ends");
+  common::invariant(it != Index.end(), "only a placed flow ends");
   unlink(it->second);
   Nodes[it->second].Next = FirstFree;
   FirstFree = it->second;
@@ -121,7 +121,7 @@
   const auto next = Nodes[node].Next;
   (previous == None ? list.First : Nodes[previous].Next) = next;
   (next == None ? list.Last : Nodes[next].Previous) = previous;
-  AUBURN_INVARIANT(list.Count > 0, "outstanding flows are never below zero");
+  common::invariant(list.Count > 0, "outstanding flows are never below zero");
   --list.Count;
 }
 
--- a/Source/Coordination/HeldQueue.cpp
+++ b/Source/Coordination/HeldQueue.cpp
@@ -7,7 +7,7 @@
 bool HeldQueue::push(const HeldSyn &syn, std::size_t limit) {
   if (Keys.size() >= limit)
     return false;
-  AUBURN_INVARIANT(Keys.insert(syn.Key).second, "a SYN is held once");
+  common::invariant(Keys.insert(syn.Key).second, "a SYN is held once");
   Order.emplace(std::pair(syn.Deadline, Arrivals++), syn.Key);
   return true;
 }
--- a/Source/Coordination/ServerChooser.cpp
+++ b/Source/Coordination/ServerChooser.cpp
@@ -86,8 +86,8 @@
   }
   if (best == nullptr)
     return choice;
-  AUBURN_INVARIANT(!best->Barred && (!best->Ejected || scope.Floor),
-                   "a draining, moved or ejected server is not chosen");
+  common::invariant(!best->Barred && (!best->Ejected || scope.Floor),
+                    "a draining, moved or ejected server is not chosen");
   choice.Server = best->Id;
   return choice;
 }
