Parse and write each settings document once

Cause: taking a delta of a document of almost 1 MB cost 84 ms of processor, most of it for parsing and writing the same document again.

The parsed form is passed along, the last two documents are kept parsed, and JSON patches are applied in place. Steps other than add, remove and replace are refused: a chain of copies could grow without bound.

--- a/Source/Coordination/SettingsFollower.cpp
+++ b/Source/Coordination/SettingsFollower.cpp
@@ -37,10 +37,25 @@
   return false;
 }
 
-// Applies a JSON patch; false if it does not fit.
+// Whether each step of a JSON patch is one that SettingsHistory writes. Others,
+// such as copies, could make a short patch grow into a document without bound.
+bool isPlainPatch(const Json &patch) {
+  return patch.is_array() &&
+         std::all_of(patch.begin(), patch.end(), [](const Json &step) {
+           if (!step.is_object())
+             return false;
+           const auto it = step.find("op");
+           return it != step.end() &&
+                  (*it == "add" || *it == "remove" || *it == "replace");
+         });
+}
+
+// Applies a JSON patch; false if it does not fit, with the document undefined.
 bool applyPatch(Json &document, const Json &patch) {
+  if (!isPlainPatch(patch))
+    return false;
   try {
-    document = document.patch(patch);
+    document.patch_inplace(patch);
     return true;
   } catch (const Json::exception &) {
     return false;
@@ -73,7 +88,7 @@
   const auto hash = XXH3_64bits(text.data(), text.size());
   if (hash == LastRefusedText)
     return FollowOutcome::Refused;
-  const auto outcome = accept(text, std::nullopt);
+  const auto outcome = accept(text, std::nullopt, nullptr);
   if (outcome == FollowOutcome::Refused)
     LastRefusedText = hash;
   return outcome;
@@ -121,9 +136,7 @@
     ++Counters.Old;
     return {FollowOutcome::Old, requestNext(now)};
   }
-  const auto text = expand(reply);
-  const auto outcome =
-      text ? accept(*text, reply.Stamp) : FollowOutcome::Mismatch;
+  const auto outcome = acceptReply(reply);
   if (outcome != FollowOutcome::Mismatch)
     return {outcome, requestNext(now)};
   ++Counters.Mismatches;
@@ -149,8 +162,10 @@
   return requestNext(now);
 }
 
-FollowOutcome SettingsFollower::accept(std::string_view text,
-                                       std::optional<SettingsStamp> announced) {
+FollowOutcome
+SettingsFollower::accept(std::string_view text,
+                         std::optional<SettingsStamp> announced,
+                         std::shared_ptr<const nlohmann::json> document) {
   if (text.size() > Options.MaxDocumentBytes)
     return refuse(announced.value_or(SettingsStamp{}),
                   std::string(DocumentName) + ":1: document exceeds " +
@@ -172,9 +187,9 @@
     ++Counters.Old;
     return FollowOutcome::Old;
   }
-  auto document = std::make_shared<const Json>(parse(text));
-  auto canonical = document->dump();
-  History.add(stamp, std::move(document), std::move(canonical));
+  if (document == nullptr)
+    document = std::make_shared<const Json>(parse(text));
+  History.add(stamp, std::move(document));
   InForce = std::make_shared<const state::Settings>(*std::move(settings));
   Stamp = stamp;
   Text = text;
@@ -200,21 +215,22 @@
       [&](const SettingsRefusal &it) { return it.Stamp == stamp; });
 }
 
-std::optional<std::string>
-SettingsFollower::expand(const SettingsReply &reply) const {
+FollowOutcome SettingsFollower::acceptReply(const SettingsReply &reply) {
   if (reply.Base == SettingsStamp{})
-    return reply.Text;
-  if (reply.Base != Stamp || History.last() == nullptr)
-    return std::nullopt;
-  if (nestsTooDeep(reply.Text))
-    return std::nullopt;
+    return accept(reply.Text, reply.Stamp, nullptr);
+  if (reply.Base != Stamp || History.last() == nullptr ||
+      nestsTooDeep(reply.Text))
+    return FollowOutcome::Mismatch;
   const auto patch = parse(reply.Text);
   auto document = *History.last();
   if (patch.is_object())
     document.merge_patch(patch);
-  else if (patch.is_array() && !applyPatch(document, patch))
-    return std::nullopt;
-  return document.dump(-1, ' ', false, Json::error_handler_t::replace);
+  else if (!applyPatch(document, patch))
+    return FollowOutcome::Mismatch;
+  const auto text =
+      document.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return accept(text, reply.Stamp,
+                std::make_shared<const Json>(std::move(document)));
 }
 
 std::optional<AddressedRequest>
--- a/Source/Coordination/SettingsFollower.h
+++ b/Source/Coordination/SettingsFollower.h
@@ -109,10 +109,11 @@
   };
 
   FollowOutcome accept(std::string_view text,
-                       std::optional<SettingsStamp> announced);
+                       std::optional<SettingsStamp> announced,
+                       std::shared_ptr<const nlohmann::json> document);
+  FollowOutcome acceptReply(const SettingsReply &reply);
   FollowOutcome refuse(SettingsStamp stamp, std::string errors);
   bool isRefused(SettingsStamp stamp) const;
-  std::optional<std::string> expand(const SettingsReply &reply) const;
   std::optional<AddressedRequest> requestNext(common::TimePoint now);
   AddressedRequest request(common::TimePoint now, std::string_view peer,
                            SettingsStamp have);
--- a/Source/Coordination/SettingsHistory.cpp
+++ b/Source/Coordination/SettingsHistory.cpp
@@ -12,19 +12,38 @@
 
 constexpr std::size_t MaxPatches = 8;
 
+// A JSON patch names single values but repeats what moves within arrays; a
+// merge patch holds whole arrays.
+std::string deltaOf(const nlohmann::json &from, const nlohmann::json &to) {
+  auto text = nlohmann::json::diff(from, to).dump();
+  if (const auto merge = makeMergePatch(from, to)) {
+    auto other = merge->dump();
+    if (other.size() < text.size())
+      return other;
+  }
+  return text;
+}
+
 } // namespace
 
 void SettingsHistory::add(SettingsStamp stamp,
-                          std::shared_ptr<const nlohmann::json> document,
-                          std::string canonical) {
-  Bytes += canonical.size();
-  Entries.push_back({stamp, std::move(canonical)});
-  while (Entries.size() > 1 && Bytes > MaxBytes) {
+                          std::shared_ptr<const nlohmann::json> document) {
+  if (Previous != nullptr)
+    keepText();
+  Previous = std::move(Last);
+  PreviousStamp = LastStamp;
+  Last = std::move(document);
+  LastStamp = stamp;
+  Patches.clear();
+}
+
+void SettingsHistory::keepText() {
+  Entries.push_back({PreviousStamp, Previous->dump()});
+  Bytes += Entries.back().Canonical.size();
+  while (!Entries.empty() && Bytes > MaxBytes) {
     Bytes -= Entries.front().Canonical.size();
     Entries.pop_front();
   }
-  Last = std::move(document);
-  Patches.clear();
 }
 
 std::optional<std::string> SettingsHistory::patchFrom(SettingsStamp base) {
@@ -39,21 +58,16 @@
 }
 
 std::optional<std::string> SettingsHistory::build(SettingsStamp base) const {
+  if (Last == nullptr)
+    return std::nullopt;
+  if (Previous != nullptr && base == PreviousStamp)
+    return deltaOf(*Previous, *Last);
   const auto it =
       std::find_if(Entries.begin(), Entries.end(),
                    [&](const Entry &entry) { return entry.Stamp == base; });
-  if (it == Entries.end() || Last == nullptr)
+  if (it == Entries.end())
     return std::nullopt;
-  const auto from = nlohmann::json::parse(it->Canonical);
-  // A JSON patch names single values but repeats what moves within arrays; a
-  // merge patch holds whole arrays.
-  auto text = nlohmann::json::diff(from, *Last).dump();
-  if (const auto merge = makeMergePatch(from, *Last)) {
-    auto other = merge->dump();
-    if (other.size() < text.size())
-      return other;
-  }
-  return text;
+  return deltaOf(nlohmann::json::parse(it->Canonical), *Last);
 }
 
 } // namespace auburnroute::coordination
--- a/Source/Coordination/SettingsHistory.h
+++ b/Source/Coordination/SettingsHistory.h
@@ -12,15 +12,15 @@
 
 namespace auburnroute::coordination {
 
-/// Recent settings documents, kept to build deltas for peers. Bounded in bytes.
+/// Recent settings documents, kept to build deltas for peers: the last two
+/// parsed, earlier ones as text and bounded in bytes.
 class SettingsHistory {
 public:
-  /// \p maxBytes bounds the documents together; the last one always stays.
+  /// \p maxBytes bounds the texts together.
   explicit SettingsHistory(std::size_t maxBytes) : MaxBytes(maxBytes) {}
 
   /// Adds the document that is in force now.
-  void add(SettingsStamp stamp, std::shared_ptr<const nlohmann::json> document,
-           std::string canonical);
+  void add(SettingsStamp stamp, std::shared_ptr<const nlohmann::json> document);
   /// What turns \p base into the last document, as text: a JSON patch (RFC
   /// 6902) or a JSON merge patch (RFC 7386), whichever is shorter. Nothing if
   /// the base is gone.
@@ -40,11 +40,16 @@
   };
 
   std::optional<std::string> build(SettingsStamp base) const;
+  void keepText();
 
   std::size_t MaxBytes;
   std::size_t Bytes = 0;
-  std::deque<Entry> Entries; ///< Oldest first.
+  std::deque<Entry> Entries; ///< Older than Previous, oldest first.
+  // The last two are kept as parsed, since nearly all peers are one behind.
+  std::shared_ptr<const nlohmann::json> Previous;
+  SettingsStamp PreviousStamp;
   std::shared_ptr<const nlohmann::json> Last;
+  SettingsStamp LastStamp;
   std::deque<Patch> Patches; ///< To the last document; most peers share a base.
 };
 
--- a/Source/UnitTests/Coordination/SettingsFollowerTest.cpp
+++ b/Source/UnitTests/Coordination/SettingsFollowerTest.cpp
@@ -205,7 +205,8 @@
   sender.onPlatformDocument(sampleDocument(2, 2, 2, 1));
   auto delta = fetch(receiver, sender);
   for (const auto *text :
-       {"", "7", R"([{"op": "remove", "path": "/none"}])", "[7]"}) {
+       {"", "7", R"([{"op": "remove", "path": "/none"}])", "[7]",
+        R"([{"op": "copy", "from": "", "path": "/a"}])"}) {
     delta.Text = text;
     BOOST_TEST((receiver.onSettingsReply(Start, "peer", delta).Outcome ==
                 FollowOutcome::Mismatch));
