--- a/Source/UnitTests/Coordination/MembershipTest.cpp
+++ b/Source/UnitTests/Coordination/MembershipTest.cpp
@@ -61,8 +61,18 @@
   return n;
 }
 
-// One owner per service, the same for all, and a live host.
+// One owner per service, the same for all, and a live host; the same two
+// readers of the platform.
 void checkOwners(const ZoneSimulation &zone) {
+  const std::vector<std::string> *readers = nullptr;
+  for (const auto &node : zone.Nodes) {
+    if (!node.Running)
+      continue;
+    BOOST_TEST(node.Members->settingsReaders().size() == 2);
+    BOOST_TEST(
+        (readers == nullptr || *readers == node.Members->settingsReaders()));
+    readers = &node.Members->settingsReaders();
+  }
   for (const auto &service : zone.Services) {
     std::optional<std::string> first;
     for (const auto &node : zone.Nodes) {
