Settle requests after a stop signal and count SYNs of a dead stand-in

A caller stand-in that was ended by SIGTERM reported requests under way as unknown, so a test could not end a run when a condition held without masking real losses. A fixed run time instead of the signal was ruled out: the verdict would depend on the machine's speed.

A backend server stand-in in mode dead dropped packets uncounted. It now counts SYNs as syns_while_dead in GET /results, the only direct evidence that new flows avoid a dead server.

--- a/Source/Programs/standin-caller.cpp
+++ b/Source/Programs/standin-caller.cpp
@@ -112,8 +112,9 @@
   callers.start(start);
   runner.runUntil(start + length, stopped);
   callers.stopSending();
+  // Also after a stop signal, so that requests under way get their outcome.
   runner.runUntil(std::chrono::steady_clock::now() + SettleTimeout,
-                  [&] { return stopped() || callers.pending() == 0; });
+                  [&] { return callers.pending() == 0; });
   const auto end = std::chrono::steady_clock::now();
   callers.finish(end);
   runner.runUntil(end + CloseTime, [] { return false; });
--- a/Source/StandIns/BackendServerGroup.cpp
+++ b/Source/StandIns/BackendServerGroup.cpp
@@ -26,6 +26,7 @@
           {"wrong_service_packets", results.WrongServicePackets},
           {"new_while_draining", results.NewWhileDraining},
           {"new_work_on_leaving_after_limit", results.NewAfterDrainLimit},
+          {"syns_while_dead", results.SynsWhileDead},
           {"checksum_errors", tcp.ChecksumErrors},
           {"late_segments", tcp.LateSegments},
           {"retransmissions", tcp.Retransmissions}};
--- a/Source/StandIns/BackendServerStandIn.cpp
+++ b/Source/StandIns/BackendServerStandIn.cpp
@@ -43,11 +43,14 @@
 
 void BackendServerStandIn::onDatagram(common::TimePoint now,
                                       std::span<std::byte> datagram) {
-  if (Behaviour == BackendServerBehaviour::Dead)
-    return;
   protocol::PacketView view;
-  if (view.parse(datagram) == state::Cause::None &&
-      !Endpoints.contains(view.destination())) {
+  const bool valid = view.parse(datagram) == state::Cause::None;
+  if (Behaviour == BackendServerBehaviour::Dead) {
+    if (valid && view.isSyn())
+      ++Counted.SynsWhileDead;
+    return;
+  }
+  if (valid && !Endpoints.contains(view.destination())) {
     ++Counted.WrongServicePackets;
     return;
   }
--- a/Source/StandIns/BackendServerStandIn.h
+++ b/Source/StandIns/BackendServerStandIn.h
@@ -37,6 +37,7 @@
     std::uint64_t NewWhileDraining = 0;
     /// New connections over 3 s after draining began.
     std::uint64_t NewAfterDrainLimit = 0;
+    std::uint64_t SynsWhileDead = 0; ///< Dropped unanswered.
     std::uint64_t FeedsAccepted = 0;
     std::uint64_t RequestsAccepted = 0;
   };
