--- a/Source/UnitTests/Process/cluster.py
+++ b/Source/UnitTests/Process/cluster.py
@@ -66,6 +66,12 @@
     raise Failure(f"no metric {name}")
 
 
+def metric_sum(text, name):
+    """Sum of a metric over its labels."""
+    return sum(int(line.rpartition(" ")[2]) for line in text.splitlines()
+               if line.startswith(name + "{"))
+
+
 class Watch(threading.Thread):
     """Polls the status of all daemons and notes revisions that go down."""
 
