Ignore the status of a replaced process in the process tests

The watch could ask the new process of a host and note its revision, 0 at first, for the old one, and report a revert that was none. Not seen in a run; found by reading the code. An answer now counts only if the process is still the one of the host.

--- a/Source/UnitTests/Process/cluster.py
+++ b/Source/UnitTests/Process/cluster.py
@@ -88,20 +88,21 @@
         self.stopped = threading.Event()
         self.by_process = {}
         self.ready_by_host = {}
-        self.polls = {}
         self.reverts = []
 
     def run(self):
         while not self.stopped.wait(WATCH_SECONDS):
             for host, process in list(self.cluster.daemons.items()):
                 try:
-                    self.note(host, process.pid, self.cluster.status(host, timeout=0.5))
+                    status = self.cluster.status(host, timeout=0.5)
                 except (OSError, ValueError):
                     continue
+                # A process that was replaced meanwhile may not be the one that answered.
+                if self.cluster.daemons.get(host) is process:
+                    self.note(host, process.pid, status)
 
     def note(self, host, pid, status):
         revision = status["settings"]["revision"]
-        self.polls[pid] = self.polls.get(pid, 0) + 1
         if revision < self.by_process.get(pid, 0):
             self.reverts.append(f"{host} from {self.by_process[pid]} to {revision}")
         self.by_process[pid] = revision
@@ -492,7 +493,8 @@
             scenario(cluster)
         except Exception as ex:  # Whatever fails, the processes are ended.
             failed = True
-            print_failure(cluster, ex if isinstance(ex, Failure) else traceback.format_exc(chain=False))
+            print_failure(cluster, ex if isinstance(ex, Failure)
+                          else traceback.format_exc(chain=False))
         finally:
             signal.alarm(0)
             cluster.close()
