Notice from the packets that an admission owner places nothing

Cause: SYNs that are handed over to a killed owner are lost until its heartbeats have been missing for 1 s. Shorter heartbeat intervals would cost control bytes in every zone at all times.

Ruled out: a count of SYNs alone (at 33 SYNs per second and 2^-8 per SYN, a false alarm every few seconds), a fixed time alone (a false alarm at each pause of a rarely used service).

Change: OwnerWatch counts, per service, the SYNs handed over since the last SYN-ACK of the service's backend servers, and reports a doubt after at least 8 SYNs and 8 mean gaps between signs, within 100 ms to 1 s. Doubts about a service are at least 1 s apart, and 2 to 32 s if no sign follows.

Below some 10 SYNs per second and host the heartbeats are as quick, and the watch leaves it to them.

--- /dev/null
+++ b/Source/UnitTests/Coordination/OwnerWatchTest.cpp
@@ -0,0 +1,127 @@
+#include "Coordination/OwnerWatch.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <iterator>
+#include <random>
+#include <sstream>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+using coordination::OwnerWatch;
+
+namespace {
+
+std::vector<std::uint64_t> seeds() {
+  const char *text = std::getenv("AUBURN_TEST_SEEDS");
+  std::istringstream words(text != nullptr ? text : "1 2 3");
+  return {std::istream_iterator<std::uint64_t>(words), {}};
+}
+
+/// One host that sees SYNs and signs of service 0 at random times.
+struct WatchedService {
+  explicit WatchedService(std::uint64_t seed) : Random(seed) { Watch.reset(1); }
+
+  /// Both rates are per second. Stops at the first doubt if \p untilDoubt.
+  /// Returns the number of doubts.
+  int run(double syns, double signs, std::chrono::nanoseconds length,
+          bool untilDoubt = false) {
+    const auto end = Now + length;
+    auto nextSyn = Now + draw(syns);
+    auto nextSign = Now + draw(signs);
+    int doubts = 0;
+    while (std::min(nextSyn, nextSign) < end) {
+      Now = std::min(nextSyn, nextSign);
+      if (Now == nextSign) {
+        Watch.onSign(Now, 0);
+        nextSign = Now + draw(signs);
+        continue;
+      }
+      doubts += Watch.onSyn(Now, 0) ? 1 : 0;
+      if (untilDoubt && doubts > 0)
+        return doubts;
+      nextSyn = Now + draw(syns);
+    }
+    Now = end;
+    return doubts;
+  }
+
+  std::chrono::nanoseconds draw(double rate) {
+    if (rate == 0)
+      return 24h;
+    return std::chrono::nanoseconds(static_cast<std::int64_t>(
+        std::exponential_distribution<double>(rate)(Random) * 1e9));
+  }
+
+  OwnerWatch Watch;
+  common::TimePoint Now{1h};
+  std::mt19937_64 Random;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(OwnerWatchTest)
+
+// Guards against probes of healthy owners: none at rates where the heartbeats
+// are as quick, and none at high rates, where signs never pause.
+BOOST_AUTO_TEST_CASE(NoDoubtAboutAHealthyOwner) {
+  for (const auto seed : seeds()) {
+    BOOST_TEST(WatchedService(seed).run(1, 1, 1h) == 0);
+    BOOST_TEST(WatchedService(seed).run(5000, 5000, 30s) == 0);
+  }
+}
+
+// Guards against frequent probes at the rates between, where a row of SYNs
+// without a sign arises by chance.
+BOOST_AUTO_TEST_CASE(DoubtAboutAHealthyOwnerIsRare) {
+  for (const auto seed : seeds())
+    for (const auto rate : {10, 30, 100, 300})
+      BOOST_TEST_CONTEXT("seed " << seed << ", " << rate << " SYNs a second") {
+        BOOST_TEST(WatchedService(seed).run(rate, rate, 1h) <= 60);
+      }
+}
+
+// Guards against doubt while all slots are busy: SYNs are held then, and signs
+// come only as slots free up.
+BOOST_AUTO_TEST_CASE(SlowSignsOfBusySlotsAreNoSilence) {
+  for (const auto seed : seeds())
+    for (const auto signs : {2, 5, 10, 30, 100})
+      BOOST_TEST_CONTEXT("seed " << seed << ", " << signs
+                                 << " signs a second") {
+        BOOST_TEST(WatchedService(seed).run(500, signs, 10min) <= 40);
+      }
+}
+
+// Guards against late detection of a lost owner.
+BOOST_AUTO_TEST_CASE(LostOwnerIsDoubted) {
+  struct Case {
+    double Rate;
+    std::chrono::milliseconds Limit;
+  };
+  for (const auto seed : seeds())
+    for (const auto [rate, limit] :
+         {Case{30, 800ms}, Case{100, 300ms}, Case{5000, 110ms}}) {
+      WatchedService service(seed);
+      service.run(rate, rate, 20s);
+      const auto lost = service.Now;
+      BOOST_TEST(service.run(rate, 0, 5s, true) == 1);
+      BOOST_TEST((service.Now - lost <= limit));
+    }
+}
+
+// Guards against a probe per SYN while no owner can place anything, as when
+// all backend servers of a service are down.
+BOOST_AUTO_TEST_CASE(DoubtIsRateLimited) {
+  WatchedService service(1);
+  service.run(1000, 1000, 10s);
+  // 1 + 2 + 4 + 8 + 16 s apart, then 32 s.
+  BOOST_TEST(service.run(1000, 0, 60s) <= 7);
+  service.run(1000, 1000, 10s);
+  BOOST_TEST(service.run(1000, 0, 1s) == 1);
+  // A new owner may be lost as well.
+  service.Watch.onNewOwner(0);
+  BOOST_TEST(service.run(1000, 0, 500ms) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
