Probe a host that is doubted, and suspect it if it is silent

Cause: a doubt raised by packets needs a check before services move, since all slots may be busy or all backend servers of a service down.

Ruled out: suspicion without a probe (moves services at each false alarm); probes by all hosts of the zone (the answers of a host in a zone of 722 would exceed its byte budget).

Change: Membership::onDoubt returns a heartbeat with Probe set for a live neighbour and marks it suspect if nothing was heard of it within 200 ms. A live host answers within 150 ms: at a tick, 50 ms apart, but not within 100 ms of its last round. One probe per host and second. A tick here that comes more than 100 ms late restarts the wait, since the answer may be queued behind it. Refutation is unchanged.

Figures (virtual time, DoubtTest): suspect within 260 ms of the doubt, known to the others of a zone of 3 within 160 ms more, in a zone of 100 within 700 ms for all; no transition in 1,000 doubts in 10 s about a host that answers.

--- a/Source/Bench/ZoneSimulation.h
+++ b/Source/Bench/ZoneSimulation.h
@@ -95,6 +95,12 @@
     Nodes[i].PausedUntil = Now + length;
   }
 
+  /// The packets of host \p i suggest that host \p about admits nothing.
+  void doubt(std::size_t i, std::size_t about) {
+    for (auto &it : Nodes[i].Members->onDoubt(Now, Nodes[about].Name))
+      send(i, it.To, std::move(it.Message));
+  }
+
   /// The platform's list with these hosts reaches host \p to.
   void list(std::size_t to, const std::vector<std::size_t> &hosts) {
     coordination::HostList list;
--- a/Source/Coordination/Membership.cpp
+++ b/Source/Coordination/Membership.cpp
@@ -135,6 +135,7 @@
     markLeaving(now, *host);
   if (!stands) {
     host->LastHeard = now;
+    peer.Doubted = false;
     setState(now, *host, host->Leaving ? HostState::Leaving : body->State);
   }
   if (isNew)
@@ -206,6 +207,25 @@
     announceLeaving(now);
 }
 
+std::vector<OutgoingMessage> Membership::onDoubt(TimePoint now,
+                                                 std::string_view name) {
+  std::vector<OutgoingMessage> out;
+  auto *host = Hosts.find(name);
+  const auto it = Peers.find(name);
+  if (host == nullptr || it == Peers.end() || !it->second.Watched ||
+      host->State != HostState::Live ||
+      now - it->second.DoubtedAt < Options.DoubtInterval)
+    return out;
+  auto &peer = it->second;
+  sendTo(*host, ++Sequence, {}, true, out);
+  peer.DoubtedAt = peer.LastProbe = now;
+  peer.Doubted = !out.empty();
+  Counters.Probes += out.size();
+  Counters.DoubtProbes += out.size();
+  Counters.HeartbeatsSent += out.size();
+  return out;
+}
+
 void Membership::onSettings(TimePoint now, SettingsStamp stamp) {
   if (stamp == Settings)
     return;
@@ -294,7 +314,7 @@
   host.Incarnation = incarnation;
   host.Sequence = 0;
   auto &peer = Peers[host.Name];
-  peer.KnowsMe = false;
+  peer.KnowsMe = peer.Doubted = false;
   peer.HeardSequence = 0;
   Changed = true;
   return true;
@@ -331,6 +351,9 @@
 std::vector<OutgoingMessage> Membership::onTick(TimePoint now) {
   if (now - LastTick > Options.PauseLimit)
     onWake(now);
+  // Answers may be waiting behind a late tick.
+  if (now - LastTick > Options.EarlyInterval)
+    restartDoubts(now);
   LastTick = now;
   expire(now);
   forgetDead(now);
@@ -361,12 +384,23 @@
   }
 }
 
+void Membership::restartDoubts(TimePoint now) {
+  for (const auto &name : Neighbours)
+    if (auto &peer = Peers[name]; peer.Doubted)
+      peer.DoubtedAt = now;
+}
+
 void Membership::expire(TimePoint now) {
   for (const auto &name : Neighbours) {
     auto &host = *Hosts.find(name);
-    const auto since = std::max(host.LastHeard, Peers[name].WatchedSince);
-    if (isDown(host.State) || now - since < Options.SuspectAfter)
+    auto &peer = Peers[name];
+    const auto since = std::max(host.LastHeard, peer.WatchedSince);
+    const bool unanswered =
+        peer.Doubted && now - peer.DoubtedAt >= Options.DoubtTimeout;
+    if (isDown(host.State) ||
+        (!unanswered && now - since < Options.SuspectAfter))
       continue;
+    peer.Doubted = false;
     ++Counters.Suspicions;
     setState(now, host, HostState::Suspect);
   }
@@ -421,7 +455,7 @@
     if (!std::binary_search(next.begin(), next.end(), name)) {
       const auto it = Peers.find(name);
       if (it != Peers.end())
-        it->second.Watched = false;
+        it->second.Watched = it->second.Doubted = false;
     }
   for (const auto &name : next) {
     auto &peer = Peers[name];
--- a/Source/Coordination/Membership.h
+++ b/Source/Coordination/Membership.h
@@ -38,6 +38,13 @@
   std::chrono::milliseconds ProbeAfter{700};
   /// Least time between two rounds when there is news to spread.
   std::chrono::milliseconds EarlyInterval{100};
+  /// From a doubt to the suspicion if the host does not answer. A live host
+  /// answers within 150 ms: at a tick, they are 50 ms apart, but not within
+  /// EarlyInterval of its last round. One that is silent for as long as the
+  /// pause limit places nothing by itself when it resumes.
+  std::chrono::milliseconds DoubtTimeout{200};
+  /// Least time between two probes of a host for doubts.
+  std::chrono::milliseconds DoubtInterval{1000};
   /// Dead hosts that the platform does not list are kept this long, so that
   /// late reports cannot bring them back.
   std::chrono::minutes ForgetAfter{10};
@@ -61,6 +68,7 @@
   std::uint64_t HeartbeatsTaken = 0;
   std::uint64_t HeartbeatsIgnored = 0; ///< Other zone, own name, old, no room.
   std::uint64_t Probes = 0;
+  std::uint64_t DoubtProbes = 0; ///< Those of them that followed a doubt.
   std::uint64_t Suspicions = 0;  ///< Raised here, not those reported.
   std::uint64_t Refutations = 0; ///< Suspicions of this host that it refuted.
   std::uint64_t Pauses = 0;      ///< Gaps longer than the pause limit.
@@ -80,6 +88,13 @@
   void onHostList(common::TimePoint now, const HostList &list);
   /// A heartbeat that PeerCodec has accepted. Other bodies are ignored.
   void onHeartbeat(common::TimePoint now, const PeerMessage &message);
+  /// Packets suggest that \p host does not admit new flows. Returns a probe of
+  /// the host, which becomes suspect if it does not answer within DoubtTimeout.
+  /// Only neighbours are probed, since a probe by each host of a large zone
+  /// would exceed the byte budget of the answering one; the suspicion spreads
+  /// from them.
+  std::vector<OutgoingMessage> onDoubt(common::TimePoint now,
+                                       std::string_view host);
   /// Call at least every 100 ms; a gap longer than the pause limit makes this
   /// host unconfirmed. Returns the heartbeats to send.
   std::vector<OutgoingMessage> onTick(common::TimePoint now);
@@ -126,10 +141,12 @@
     std::uint64_t HeardSequence = 0; ///< Last one heard directly, for echoes.
     common::TimePoint WatchedSince;  ///< Since when it is a neighbour.
     common::TimePoint LastProbe;
+    common::TimePoint DoubtedAt;
     std::string ViewCursor;     ///< Last host told to it.
     bool Watched = false;       ///< Is a neighbour.
     bool KnowsMe = false;       ///< Has echoed this incarnation.
     bool AnswerDue = false;     ///< Asked for a heartbeat.
+    bool Doubted = false;       ///< Has not answered the probe of a doubt.
     bool ViewDiffers = false;   ///< Its host table differs from this one.
     bool ListedLeaving = false; ///< Leaving on the last host list.
   };
@@ -145,6 +162,7 @@
   void publish(const state::Host &host);
 
   void onWake(common::TimePoint now);
+  void restartDoubts(common::TimePoint now);
   void expire(common::TimePoint now);
   void forgetDead(common::TimePoint now);
   void refresh(common::TimePoint now);
--- /dev/null
+++ b/Source/UnitTests/Coordination/DoubtTest.cpp
@@ -0,0 +1,139 @@
+#include "Coordination/Membership.h"
+
+#include "Bench/ZoneSimulation.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <iterator>
+#include <sstream>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+using bench::ZoneSimulation;
+using state::HostState;
+
+namespace {
+
+std::vector<std::uint64_t> seeds() {
+  const char *text = std::getenv("AUBURN_TEST_SEEDS");
+  std::istringstream words(text != nullptr ? text : "1 2 3");
+  return {std::istream_iterator<std::uint64_t>(words), {}};
+}
+
+ZoneSimulation settledZone(std::size_t hosts, std::uint64_t seed) {
+  ZoneSimulation zone(hosts, seed);
+  zone.startAll();
+  zone.publish(0, bench::sampleDocument(1, 2, 2, 0));
+  zone.runUntil([&] { return zone.allLive(); }, 20s);
+  BOOST_REQUIRE(zone.allLive());
+  zone.run(5s);
+  for (auto &node : zone.Nodes)
+    node.Transitions.clear();
+  return zone;
+}
+
+/// Whether host \p i is live in the view of host \p from.
+bool seenLive(const ZoneSimulation &zone, std::size_t from, std::size_t i) {
+  const auto *host = zone.Nodes[from].Members->hosts().find(zone.Nodes[i].Name);
+  return host != nullptr && host->State == HostState::Live;
+}
+
+std::uint64_t probesOf(const ZoneSimulation &zone, std::size_t i) {
+  return zone.Nodes[i].Members->counters().DoubtProbes;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DoubtTest)
+
+// Guards against moving the services of a host that answers, however often it
+// is doubted, and against more than one probe per interval.
+BOOST_AUTO_TEST_CASE(AnsweringHostStaysLive) {
+  for (const auto seed : seeds()) {
+    auto zone = settledZone(3, seed);
+    const auto probes = probesOf(zone, 0);
+    for (int i = 0; i < 1000; ++i) {
+      zone.doubt(0, 1);
+      zone.run(10ms);
+    }
+    for (const auto &node : zone.Nodes)
+      BOOST_TEST(node.Transitions.empty());
+    BOOST_TEST(probesOf(zone, 0) - probes <= 10U);
+  }
+}
+
+// Guards against waiting for the heartbeats to miss: a killed and a paused host
+// are suspect soon after a doubt, for all hosts of a small zone.
+BOOST_AUTO_TEST_CASE(SilentHostIsSuspectSooner) {
+  for (const auto seed : seeds())
+    for (const bool paused : {false, true}) {
+      auto zone = settledZone(3, seed);
+      if (paused)
+        zone.pause(1, 5s);
+      else
+        zone.kill(1);
+      zone.run(20ms);
+      zone.doubt(0, 1);
+      const auto suspected = [&] { return !seenLive(zone, 0, 1); };
+      BOOST_TEST((zone.runUntil(suspected, 5s) <= 260ms));
+      const auto spread = [&] { return !seenLive(zone, 2, 1); };
+      BOOST_TEST((zone.runUntil(spread, 5s) <= 160ms));
+      if (!paused)
+        continue;
+      zone.run(8s);
+      BOOST_TEST(zone.allLive());
+    }
+}
+
+// Guards against a suspicion that stems from a late tick of the doubting host.
+BOOST_AUTO_TEST_CASE(LateTickIsNoSilence) {
+  for (const auto seed : seeds())
+    for (const auto pause : {150ms, 190ms, 300ms, 1500ms}) {
+      auto zone = settledZone(3, seed);
+      zone.doubt(0, 1);
+      zone.pause(0, pause);
+      zone.run(pause + 2s);
+      BOOST_TEST(zone.Nodes[0].Members->counters().Suspicions == 0U);
+    }
+}
+
+// Guards against a host of a large zone that all others probe at once, and
+// against a suspicion that does not reach the others.
+BOOST_AUTO_TEST_CASE(OnlyNeighboursProbe) {
+  for (const auto seed : seeds()) {
+    auto zone = settledZone(100, seed);
+    const auto neighbours = zone.Nodes[1].Members->neighbours().size();
+    BOOST_REQUIRE(neighbours < 20U);
+    zone.kill(1);
+    std::uint64_t probes = 0;
+    for (std::size_t i = 0; i < zone.Nodes.size(); ++i) {
+      const auto before = probesOf(zone, i);
+      if (i != 1)
+        zone.doubt(i, 1);
+      probes += probesOf(zone, i) - before;
+    }
+    BOOST_TEST(probes == neighbours);
+    const auto known = [&] {
+      for (std::size_t i = 0; i < zone.Nodes.size(); ++i)
+        if (i != 1 && seenLive(zone, i, 1))
+          return false;
+      return true;
+    };
+    BOOST_TEST((zone.runUntil(known, 5s) <= 700ms));
+  }
+}
+
+// Guards against a doubt that outlives the process that it was about.
+BOOST_AUTO_TEST_CASE(RestartedHostIsNotSuspect) {
+  auto zone = settledZone(3, 1);
+  zone.kill(1);
+  zone.doubt(0, 1);
+  zone.start(1);
+  zone.list(1, {0, 1, 2});
+  zone.run(3s);
+  BOOST_TEST(zone.Nodes[0].Members->counters().Suspicions == 0U);
+  BOOST_TEST(zone.allLive());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
