Keep the SYNs that were handed over in the last second

Cause: SYNs that a lost owner took are repeated by the callers' TCP only after 1 s.

Ruled out: repeating all SYNs of the last second. Most of them were placed before the owner was lost, and each second placement occupies a slot at the new owner until the flow ends or load reports correct it.

Change: SynRing keeps up to 2,048 SYNs in 400 KB that are allocated once. As an owner places the SYNs of a listener in the order of arrival, those from before the last one whose SYN-ACK was seen are left out. Each is taken once.

--- /dev/null
+++ b/Source/Coordination/SynRing.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Coordination/FlowKey.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace auburnroute::coordination {
+
+/// The SYNs that a traffic thread handed over lately, so that they can be
+/// handed over again if the admission owner was lost.
+///
+/// Memory is allocated once: Capacity entries of 192 bytes and an index, 400
+/// KB. The oldest entries are overwritten.
+class SynRing {
+public:
+  static constexpr std::size_t Capacity = 2048;
+  /// The longest IPv4 and TCP headers. A SYN that carries data is not kept; the
+  /// caller's TCP repeats it.
+  static constexpr std::size_t MaxSyn = 120;
+  /// After this time the caller's TCP has repeated the SYN (RFC 6298, 2.1).
+  static constexpr std::chrono::seconds KeepFor{1};
+
+  SynRing();
+
+  /// Keeps \p syn, the packet of flow \p key that was handed over to \p owner.
+  /// Replaces an earlier SYN of the flow.
+  void add(common::TimePoint now, common::Endpoint owner, const FlowKey &key,
+           std::span<const std::byte> syn);
+  /// The flow was placed: a backend server's SYN-ACK was seen.
+  void onPlaced(const FlowKey &key);
+  /// Takes the SYNs that were handed over to \p owner for \p service, the
+  /// address of a listener, within KeepFor, and calls \p repeat with each,
+  /// oldest first. An owner places the SYNs of a listener in the order of their
+  /// arrival, so those from before the last one that is known to be placed
+  /// are left out.
+  template <typename Repeat>
+  void take(common::TimePoint now, common::Endpoint owner,
+            common::Endpoint service, Repeat repeat) {
+    const auto matches = [&](const Entry &it) {
+      return it.Owner == owner && it.Key.Service == service &&
+             now - it.At < KeepFor;
+    };
+    for (auto n = firstUnplaced(matches); n != Next; ++n) {
+      auto &it = Entries[n % Capacity];
+      if (it.State != EntryState::Pending || !matches(it))
+        continue;
+      it.State = EntryState::Free;
+      repeat(std::span<const std::byte>(it.Bytes.data(), it.Size));
+    }
+  }
+  void clear();
+
+private:
+  enum class EntryState : std::uint8_t { Free, Pending, Placed };
+  struct Entry {
+    common::TimePoint At;
+    FlowKey Key;
+    common::Endpoint Owner;
+    std::uint16_t Size = 0;
+    EntryState State = EntryState::Free;
+    std::array<std::byte, MaxSyn> Bytes{};
+  };
+  static_assert(sizeof(Entry) <= 192);
+  static_assert(Capacity < UINT16_MAX);
+
+  std::uint64_t oldest() const { return Next < Capacity ? 0 : Next - Capacity; }
+  /// Position after the last placed entry that \p matches.
+  template <typename Matches>
+  std::uint64_t firstUnplaced(Matches matches) const {
+    for (auto n = Next; n != oldest(); --n)
+      if (const auto &it = Entries[(n - 1) % Capacity];
+          it.State == EntryState::Placed && matches(it))
+        return n;
+    return oldest();
+  }
+  Entry *find(const FlowKey &key);
+  std::uint16_t &slotOf(const FlowKey &key);
+
+  std::vector<Entry> Entries;
+  /// By hash of the flow: position of its entry. A collision loses one entry
+  /// from the index, not from the ring.
+  std::vector<std::uint16_t> Index;
+  std::uint64_t Next = 0; ///< Entries that were ever added.
+};
+
+} // namespace auburnroute::coordination
