Hand SYNs of a lost owner over again, and doubt owners from the packet path

Change: each traffic thread feeds an OwnerWatch and a SynRing. A doubt goes to the control thread as a message and from there to Membership::onDoubt.

Traffic threads start after the control actor, since they send to it. Counters: doubt_probes_total, syns_repeated_total.

--- a/Source/Daemon/ControlActor.cpp
+++ b/Source/Daemon/ControlActor.cpp
@@ -48,6 +48,10 @@
         settle();
       },
       [this](const AdmissionSummary &it) { Plane.onAdmission(it); },
+      [this](const OwnerDoubted &it) {
+        Plane.onOwnerDoubted(it.Admission);
+        settle();
+      },
       [this](const BeginStop &) {
         Plane.beginStop();
         settle();
--- a/Source/Daemon/ControlPlane.cpp
+++ b/Source/Daemon/ControlPlane.cpp
@@ -194,6 +194,20 @@
   Waits = summary.Waits;
 }
 
+void ControlPlane::onOwnerDoubted(common::Endpoint admission) {
+  const auto &hosts = Members.hosts();
+  const auto it =
+      std::find_if(hosts.begin(), hosts.end(), [&](const auto &entry) {
+        const auto &host = entry.second;
+        return host.State == HostState::Live && host.Name != Local.Host &&
+               host.Addresses.Admission == admission;
+      });
+  if (it == hosts.end())
+    return;
+  for (const auto &probe : Members.onDoubt(Clock.now(), it->first))
+    send(probe.To, probe.Message);
+}
+
 void ControlPlane::onTick() {
   const auto now = Clock.now();
   for (const auto &it : Members.onTick(now))
@@ -263,6 +277,7 @@
   snapshot->Settings = Follower.settings();
   snapshot->Table = Table;
   snapshot->AdmissionOwners = admissionOwners();
+  snapshot->LostAdmission = lostAdmission();
   snapshot->LeavingBackendServers = leavingBackendServers();
   snapshot->Confirmed = isConfirmed();
   snapshot->Leaving = Leaving;
@@ -280,6 +295,15 @@
   return owners;
 }
 
+std::vector<common::Endpoint> ControlPlane::lostAdmission() const {
+  std::vector<common::Endpoint> lost;
+  for (const auto &[name, host] : Members.hosts())
+    if (!host.Leaving &&
+        (host.State == HostState::Suspect || host.State == HostState::Dead))
+      lost.push_back(host.Addresses.Admission);
+  return lost;
+}
+
 std::vector<std::uint32_t> ControlPlane::leavingBackendServers() const {
   std::vector<std::uint32_t> ids;
   const auto &services = Follower.settings()->Services;
@@ -441,6 +465,7 @@
   add("hosts_known", "gauge", Members.hosts().size());
   add("confirmed", "gauge", isConfirmed() ? 1 : 0);
   add("suspicions_total", "counter", Members.counters().Suspicions);
+  add("doubt_probes_total", "counter", Members.counters().DoubtProbes);
   add("pauses_total", "counter", Members.counters().Pauses);
   add("cause_entries", "gauge", Causes.size());
   add("cause_entries_evicted_total", "counter", Causes.evicted());
--- a/Source/Daemon/ControlPlane.h
+++ b/Source/Daemon/ControlPlane.h
@@ -41,6 +41,8 @@
   void onPlatformReachable(bool reachable, const std::string &why);
   void onPeerFrame(std::string_view frame);
   void onAdmission(const AdmissionSummary &summary);
+  /// A traffic thread doubts that the host with this admission socket works.
+  void onOwnerDoubted(common::Endpoint admission);
   /// Call at least every 100 ms.
   void onTick();
   void beginStop();
@@ -83,6 +85,7 @@
   void replicateCauses();
   std::vector<common::Endpoint> causeReplicas() const;
   std::vector<common::Endpoint> admissionOwners() const;
+  std::vector<common::Endpoint> lostAdmission() const;
   std::vector<std::uint32_t> leavingBackendServers() const;
   void record(state::Cause why, const std::string &subject);
 
--- a/Source/Daemon/ControlSnapshot.h
+++ b/Source/Daemon/ControlSnapshot.h
@@ -17,6 +17,9 @@
   std::shared_ptr<const state::ServiceTable> Table;
   /// Admission socket of the owner of each service, by service index.
   std::vector<common::Endpoint> AdmissionOwners;
+  /// Admission sockets of hosts that are suspect or dead and did not leave
+  /// gracefully; what was handed over to them may be lost.
+  std::vector<common::Endpoint> LostAdmission;
   /// Backend servers that the host list names as leaving, by table id.
   std::vector<std::uint32_t> LeavingBackendServers;
   bool Confirmed = false; ///< This host may place new flows.
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -52,7 +52,8 @@
   void shutdown();
 
 private:
-  absl::Status startTraffic();
+  absl::Status createTraffic();
+  void startTraffic();
   absl::Status startOperatorServer();
   void startControl();
   void startLink(transport::PeerLink link);
@@ -90,10 +91,11 @@
   auto link = transport::PeerLink::bind(Settings.Peer);
   if (!link.ok())
     return link.status();
-  if (auto status = startTraffic(); !status.ok())
+  if (auto status = createTraffic(); !status.ok())
     return status;
   createPlatformReaders();
   startControl();
+  startTraffic();
   startLink(*std::move(link));
   startAdmission(*std::move(admission));
   startLoadPoller();
@@ -101,21 +103,27 @@
   return startOperatorServer();
 }
 
-absl::Status Runtime::startTraffic() {
+absl::Status Runtime::createTraffic() {
   for (std::uint32_t i = 0; i < Settings.TrafficThreads; ++i) {
     auto socket = transport::UdpSocket::bind(Settings.Packets,
                                              Settings.TrafficThreads > 1);
     if (!socket.ok())
       return socket.status();
     Workers.push_back(std::make_unique<TrafficWorker>(
-        Settings, Clock, Snapshots, *std::move(socket)));
+        Settings, Clock, Snapshots, *std::move(socket),
+        [this](common::Endpoint owner) {
+          caf::anon_send(Control, OwnerDoubted{owner});
+        }));
   }
+  return absl::OkStatus();
+}
+
+void Runtime::startTraffic() {
   for (auto &it : Workers)
     System.spawn<caf::detached>(
         [this, worker = it.get()](caf::blocking_actor *) {
           worker->run(Stop);
         });
-  return absl::OkStatus();
 }
 
 void Runtime::startControl() {
--- a/Source/Daemon/Messages.h
+++ b/Source/Daemon/Messages.h
@@ -36,6 +36,11 @@
   std::optional<coordination::LoadReport> Report; ///< None if it failed.
 };
 
+/// A traffic thread doubts that the admission owner with this socket works.
+struct OwnerDoubted {
+  common::Endpoint Admission;
+};
+
 /// A frame that arrived from a peer.
 struct PeerFrameReceived {
   std::string Bytes;
@@ -72,6 +77,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::PlatformHosts)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::PlatformReachability)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::BackendServerPolled)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::OwnerDoubted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::PeerFrameReceived)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::PeerFrameToSend)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(auburnroute::daemon::AdmissionSummary)
--- a/Source/Daemon/TrafficWorker.cpp
+++ b/Source/Daemon/TrafficWorker.cpp
@@ -3,6 +3,9 @@
 #include "Protocol/PacketRewriter.h"
 #include "Protocol/ResetBuilder.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace auburnroute::daemon {
 
 namespace {
@@ -19,13 +22,15 @@
 TrafficWorker::TrafficWorker(const state::DaemonSettings &settings,
                              const common::Clock &clock,
                              const SnapshotPublisher &snapshots,
-                             transport::UdpSocket socket)
+                             transport::UdpSocket socket, DoubtFunction onDoubt)
     : Clock(clock), Snapshots(snapshots), Gateway(settings.Gateway),
-      Socket(std::move(socket)), Codec(settings.SharedKey) {}
+      Self(settings.Admission), Socket(std::move(socket)),
+      Codec(settings.SharedKey), OnDoubt(std::move(onDoubt)) {}
 
 void TrafficWorker::run(const std::atomic<bool> &stop) {
   while (!stop.load(std::memory_order_relaxed)) {
     const auto batch = Socket.receive(ReceiveTimeout);
+    Now = Clock.now();
     refreshSnapshot();
     HeadersUsed = 0;
     for (const auto &it : batch)
@@ -33,7 +38,7 @@
     Socket.flush();
     if (!batch.empty())
       LastPacket.store(std::chrono::duration_cast<std::chrono::nanoseconds>(
-                           Clock.now().time_since_epoch())
+                           Now.time_since_epoch())
                            .count(),
                        std::memory_order_relaxed);
   }
@@ -44,9 +49,35 @@
   if (version == SnapshotVersion)
     return;
   SnapshotVersion = version;
-  Snapshot = Snapshots.load();
-  if (Snapshot->Table.get() != Engine.table())
+  const auto before = std::exchange(Snapshot, Snapshots.load());
+  if (Snapshot->Table.get() != Engine.table()) {
     Engine.setTable(Snapshot->Table);
+    // The indexes of services are those of the new table from here on.
+    Watch.reset(Snapshot->AdmissionOwners.size());
+    return;
+  }
+  for (std::uint32_t i = 0; i < Snapshot->AdmissionOwners.size(); ++i)
+    if (before->AdmissionOwners[i] != Snapshot->AdmissionOwners[i])
+      onNewOwner(i, before->AdmissionOwners[i]);
+}
+
+void TrafficWorker::onNewOwner(std::uint32_t service, common::Endpoint before) {
+  Watch.onNewOwner(service);
+  // An owner that leaves gracefully passes on the SYNs that it holds.
+  const auto &lost = Snapshot->LostAdmission;
+  if (std::find(lost.begin(), lost.end(), before) == lost.end())
+    return;
+  const auto owner = Snapshot->AdmissionOwners[service];
+  const auto repeat = [&](std::span<const std::byte> syn) {
+    const auto header = Codec.encode(protocol::HandOverKind::Syn, syn);
+    Socket.queue(owner, header, syn);
+    // The header lives in this scope only.
+    Socket.flush();
+    Counters.add(Counter::HandOverPacketsSent);
+    Counters.add(Counter::SynsRepeated);
+  };
+  for (const auto &it : Snapshot->Settings->Services[service].Listeners)
+    RecentSyns.take(Now, before, it.Address, repeat);
 }
 
 void TrafficWorker::handle(std::span<std::byte> datagram) {
@@ -88,6 +119,10 @@
     return;
   }
   Counters.add(Counter::BackendServerPackets);
+  if (view.isSynAck()) {
+    Watch.onSign(Now, outcome.Service);
+    RecentSyns.onPlaced({view.destination(), outcome.Source});
+  }
   if (outcome.EndsFlow)
     handOver(outcome.Service, protocol::HandOverKind::Finish, view);
   else
@@ -97,6 +132,12 @@
 void TrafficWorker::apply(const coordination::HandOver &outcome,
                           protocol::PacketView &view) {
   handOver(outcome.Service, protocol::HandOverKind::Syn, view);
+  const auto owner = Snapshot->AdmissionOwners[outcome.Service];
+  if (owner == Self)
+    return;
+  RecentSyns.add(Now, owner, {view.source(), view.destination()}, view.bytes());
+  if (Watch.onSyn(Now, outcome.Service))
+    OnDoubt(owner);
 }
 
 void TrafficWorker::apply(const coordination::Refuse &outcome,
--- a/Source/Daemon/TrafficWorker.h
+++ b/Source/Daemon/TrafficWorker.h
@@ -2,6 +2,8 @@
 
 #include "Common/Clock.h"
 #include "Coordination/ForwardingEngine.h"
+#include "Coordination/OwnerWatch.h"
+#include "Coordination/SynRing.h"
 #include "Daemon/ControlSnapshot.h"
 #include "Protocol/HandOverCodec.h"
 #include "Protocol/PacketView.h"
@@ -11,16 +13,22 @@
 
 #include <array>
 #include <atomic>
+#include <functional>
 
 namespace auburnroute::daemon {
 
 /// Receives packets of the fabric, decides and forwards. One per traffic
-/// thread; holds no state per flow.
+/// thread; holds no state per flow but the SYNs of the last second.
 class TrafficWorker {
 public:
+  /// Takes the admission socket of an owner that seems to place nothing.
+  using DoubtFunction = std::function<void(common::Endpoint)>;
+
+  /// \p onDoubt is called on the traffic thread, at most once per second and
+  /// service; it may allocate.
   TrafficWorker(const state::DaemonSettings &settings,
                 const common::Clock &clock, const SnapshotPublisher &snapshots,
-                transport::UdpSocket socket);
+                transport::UdpSocket socket, DoubtFunction onDoubt);
 
   /// Handles packets until \p stop is set.
   void run(const std::atomic<bool> &stop);
@@ -33,6 +41,7 @@
 
 private:
   void refreshSnapshot();
+  void onNewOwner(std::uint32_t service, common::Endpoint before);
   void handle(std::span<std::byte> datagram);
   void apply(const coordination::ForwardToBackendServer &outcome,
              protocol::PacketView &view);
@@ -47,9 +56,14 @@
   const common::Clock &Clock;
   const SnapshotPublisher &Snapshots;
   common::Endpoint Gateway;
+  common::Endpoint Self; ///< Admission socket of this host.
   transport::UdpSocket Socket;
   protocol::HandOverCodec Codec;
+  DoubtFunction OnDoubt;
   coordination::ForwardingEngine Engine;
+  coordination::OwnerWatch Watch;
+  coordination::SynRing RecentSyns;
+  common::TimePoint Now; ///< Start of the batch.
   std::shared_ptr<const ControlSnapshot> Snapshot;
   std::uint64_t SnapshotVersion = 0;
   state::CounterSet Counters;
--- a/Source/State/Counters.cpp
+++ b/Source/State/Counters.cpp
@@ -20,6 +20,8 @@
     return "flows_refused_total";
   case Counter::FlowsFinished:
     return "flows_finished_total";
+  case Counter::SynsRepeated:
+    return "syns_repeated_total";
   case Counter::FallbackSyns:
     return "fallback_syns_total";
   case Counter::PausesDetected:
--- a/Source/State/Counters.h
+++ b/Source/State/Counters.h
@@ -20,6 +20,7 @@
   FlowsHeld,     ///< SYNs that had to wait for a slot.
   FlowsRefused,  ///< SYNs answered by a reset.
   FlowsFinished, ///< Flows ended by FIN or RST.
+  SynsRepeated,  ///< SYNs handed over again after the owner was lost.
   FallbackSyns,  ///< SYNs admitted locally for want of an owner.
   PausesDetected,
   LoadReportsReceived,
