Test that a SYN placed a second time leaves the flow alone

Cause: SYNs that are repeated to a new admission owner may have been placed by the lost one.

Change: SecondPlacementTest runs the stand-ins' TCP, the forwarding engine and two admission controllers. The second server's SYN-ACKs are answered by the established client with acknowledgements that echo the first server's tag, so they go to the first server; the second server sees the SYN and nothing else. The slot that the second placement holds is freed by the end of the flow, which passes the new owner, or by load reports if the flow had ended before.

Conclusion: the engine and the controller need no change for this.

--- /dev/null
+++ b/Source/UnitTests/StandIns/SecondPlacementTest.cpp
@@ -0,0 +1,245 @@
+#include "Common/ManualClock.h"
+#include "Coordination/AdmissionController.h"
+#include "Coordination/ForwardingEngine.h"
+#include "Protocol/PacketRewriter.h"
+#include "StandIns/TcpEndpoint.h"
+#include "UnitTests/Coordination/ForwardingSettings.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <cstdlib>
+#include <iterator>
+#include <sstream>
+
+using namespace auburnroute;
+using namespace auburnroute::coordination;
+using namespace std::chrono_literals;
+using protocol::PacketRewriter;
+using protocol::PacketView;
+using standins::ConnectionId;
+using standins::TcpEndpoint;
+
+namespace {
+
+constexpr common::Endpoint Caller{CallerAddress, 40000};
+constexpr common::Endpoint Service{CounterAddress, 7001};
+const FlowKey Key{Caller, Service};
+
+std::vector<std::uint64_t> seeds() {
+  const char *text = std::getenv("AUBURN_TEST_SEEDS");
+  std::istringstream words(text != nullptr ? text : "1 2 3 4 5");
+  return {std::istream_iterator<std::uint64_t>(words), {}};
+}
+
+/// One flow that the lost owner placed on server 0, whose SYN a host then
+/// repeats to the new owner, which places it on server 1.
+class RepeatedSyn {
+public:
+  explicit RepeatedSyn(std::uint64_t seed)
+      : Client(seed), Servers{TcpEndpoint(seed + 1), TcpEndpoint(seed + 2)} {
+    auto settings = makeSettings(2);
+    settings.Services[0].Listeners[0].Kind = state::ListenerKind::Request;
+    const auto table = makeTable(settings);
+    Engine.setTable(table);
+    const auto shared = std::make_shared<const state::Settings>(settings);
+    Lost.onSettings(Clock.now(), shared, table);
+    New.onSettings(Clock.now(), shared, table);
+    for (std::uint32_t i = 0; i < 2; ++i)
+      Servers[i].listen({ServerAddress + i + 1, BackendPort});
+    Flow = Client.connect(Clock.now(), Caller, Service);
+    Syn = Client.takePackets().at(0);
+    admit(Lost, Syn);
+    run(10ms);
+  }
+
+  void repeatSyn() {
+    // Takes the first turn of the new owner, which is server 0.
+    New.onSyn(Clock.now(), {{CallerAddress, 50000}, Service});
+    admit(New, Syn);
+  }
+
+  void run(std::chrono::milliseconds length) {
+    for (const auto end = Clock.now() + length; Clock.now() < end;) {
+      carry();
+      Clock.advance(1ms);
+      Client.onTimer(Clock.now());
+      for (auto &it : Servers)
+        it.onTimer(Clock.now());
+    }
+  }
+
+  /// Sends bytes both ways and checks that they arrive.
+  void exchange() {
+    Client.send(Clock.now(), Flow, "ask");
+    Servers[0].send(Clock.now(), Accepted.at(0), "answer");
+    const auto before = std::pair(ReceivedByClient, ReceivedByServer);
+    run(50ms);
+    BOOST_TEST(ReceivedByClient == before.first + "answer");
+    BOOST_TEST(ReceivedByServer == before.second + "ask");
+  }
+
+  /// The server ends the flow in order.
+  void close() {
+    Servers[0].close(Clock.now(), Accepted.at(0));
+    run(5ms);
+    Client.close(Clock.now(), Flow);
+    run(50ms);
+  }
+
+  void reportIdle(std::uint32_t server) {
+    LoadReport report;
+    report.Service = "counter";
+    New.onLoadReport(Clock.now(), server, report);
+  }
+
+  std::uint32_t outstanding(std::uint32_t server) const {
+    return New.outstanding(server, state::ListenerKind::Request);
+  }
+
+  common::ManualClock Clock;
+  TcpEndpoint Client;
+  std::array<TcpEndpoint, 2> Servers;
+  std::array<int, 2> PacketsTo{};
+  std::vector<ConnectionId> Accepted; ///< On server 0.
+  int AcceptedBySecond = 0;
+  int Broken = 0; ///< Resets and time-outs that the client saw.
+  int Closed = 0;
+
+private:
+  void admit(AdmissionController &owner, std::vector<std::byte> syn) {
+    PacketView view;
+    BOOST_REQUIRE((view.parse(syn) == state::Cause::None));
+    const auto place = std::get<Place>(owner.onSyn(Clock.now(), Key));
+    toServer(Engine.forwardSyn(place.Service, place.Number,
+                               PacketRewriter::summarise(view)),
+             view);
+  }
+
+  void toServer(const Outcome &outcome, PacketView &view) {
+    const auto *to = std::get_if<ForwardToBackendServer>(&outcome);
+    if (to == nullptr)
+      return;
+    BOOST_REQUIRE((PacketRewriter::apply(*to, view) == state::Cause::None));
+    ++PacketsTo.at(to->BackendServer);
+    if (to->EndsFlow)
+      New.onFinish(Clock.now(), Key, FinishKind::CallerReset,
+                   static_cast<std::uint16_t>(to->BackendServer + 1));
+    Servers.at(to->BackendServer).onDatagram(Clock.now(), view.bytes());
+  }
+
+  void toClient(std::vector<std::byte> packet) {
+    PacketView view;
+    BOOST_REQUIRE((view.parse(packet) == state::Cause::None));
+    const auto to = std::get<ForwardToCaller>(
+        Engine.onBackendServerPacket(PacketRewriter::summarise(view)));
+    BOOST_REQUIRE((PacketRewriter::apply(to, view) == state::Cause::None));
+    if (to.EndsFlow)
+      New.onFinish(Clock.now(), Key,
+                   view.isRst() ? FinishKind::Reset : FinishKind::Ended,
+                   to.Number);
+    Client.onDatagram(Clock.now(), view.bytes());
+  }
+
+  void carry() {
+    for (int i = 0; i < 10; ++i) {
+      for (auto &packet : Client.takePackets()) {
+        PacketView view;
+        BOOST_REQUIRE((view.parse(packet) == state::Cause::None));
+        toServer(Engine.onCallerPacket(PacketRewriter::summarise(view)), view);
+      }
+      for (auto &server : Servers)
+        for (auto &packet : server.takePackets())
+          toClient(std::move(packet));
+    }
+    note();
+  }
+
+  void note() {
+    for (const auto &it : Client.takeEvents()) {
+      if (const auto *bytes = std::get_if<standins::Received>(&it))
+        ReceivedByClient += bytes->Bytes;
+      Broken += std::holds_alternative<standins::Reset>(it) ||
+                std::holds_alternative<standins::TimedOut>(it) ||
+                std::holds_alternative<standins::Refused>(it);
+      Closed += std::holds_alternative<standins::Closed>(it);
+    }
+    for (const auto &it : Servers[0].takeEvents()) {
+      if (const auto *bytes = std::get_if<standins::Received>(&it))
+        ReceivedByServer += bytes->Bytes;
+      if (const auto *accepted = std::get_if<standins::Accepted>(&it))
+        Accepted.push_back(accepted->Id);
+    }
+    for (const auto &it : Servers[1].takeEvents())
+      AcceptedBySecond += std::holds_alternative<standins::Accepted>(it);
+  }
+
+  ForwardingEngine Engine;
+  AdmissionController Lost{"sando"};
+  AdmissionController New{"sando"};
+  ConnectionId Flow = 0;
+  std::vector<std::byte> Syn;
+  std::string ReceivedByClient;
+  std::string ReceivedByServer;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SecondPlacementTest)
+
+// Guards against a second placement that disturbs the established flow: the
+// second server's SYN-ACKs, repeated by its TCP, must reach neither the
+// client's application nor lead the flow's packets to the second server.
+BOOST_AUTO_TEST_CASE(EstablishedFlowGoesOn) {
+  for (const auto seed : seeds()) {
+    RepeatedSyn it(seed);
+    BOOST_REQUIRE(it.Accepted.size() == 1U);
+    it.exchange();
+    it.repeatSyn();
+    for (int i = 0; i < 200; ++i)
+      it.exchange();
+    it.run(60s);
+    it.exchange();
+    BOOST_TEST(it.Broken == 0);
+    BOOST_TEST(it.AcceptedBySecond == 0);
+    // The repeated SYN only; the challenge acknowledgements that answer its
+    // SYN-ACKs carry the tag of the first server.
+    BOOST_TEST(it.PacketsTo[1] == 1);
+    it.close();
+    BOOST_TEST(it.Closed == 1);
+    BOOST_TEST(it.Broken == 0);
+  }
+}
+
+// Guards against a slot that a half-open second placement holds: the end of
+// the flow frees it, though it ends on another server.
+BOOST_AUTO_TEST_CASE(EndOfTheFlowFreesTheSlot) {
+  for (const auto seed : seeds()) {
+    RepeatedSyn it(seed);
+    it.repeatSyn();
+    it.run(100ms);
+    BOOST_TEST(it.outstanding(1) == 1U);
+    it.close();
+    BOOST_TEST(it.outstanding(1) == 0U);
+  }
+}
+
+// Guards against the same slot being lost for good if the flow had ended before
+// its SYN was repeated: the load reports free it.
+BOOST_AUTO_TEST_CASE(LoadReportsFreeTheSlotOfAnEndedFlow) {
+  for (const auto seed : seeds()) {
+    RepeatedSyn it(seed);
+    it.close();
+    it.repeatSyn();
+    for (int second = 0; second < 5; ++second) {
+      it.run(1s);
+      it.reportIdle(1);
+    }
+    BOOST_TEST(it.outstanding(1) == 0U);
+    BOOST_TEST(it.AcceptedBySecond == 0);
+    BOOST_TEST(it.Closed == 1);
+    BOOST_TEST(it.Broken == 0);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
