--- a/Source/Daemon/ControlPlane.h
+++ b/Source/Daemon/ControlPlane.h
@@ -42,6 +42,8 @@
   void onPlatformReachable(bool reachable, const std::string &why);
   void onPeerFrame(std::string_view frame);
   void onAdmission(const AdmissionSummary &summary);
+  /// A traffic thread doubts that the host with this admission socket works.
+  void onOwnerDoubted(common::Endpoint admission);
   /// Call at least every 100 ms.
   void onTick();
   void beginStop();
@@ -85,6 +87,7 @@
   std::vector<common::Endpoint> causeReplicas() const;
   std::vector<common::Endpoint> admissionOwners() const;
   std::optional<common::Endpoint> relay() const;
+  std::vector<common::Endpoint> lostAdmission() const;
   std::vector<std::uint32_t> leavingBackendServers() const;
   void record(state::Cause why, const std::string &subject);
 
--- a/Source/Daemon/ControlSnapshot.h
+++ b/Source/Daemon/ControlSnapshot.h
@@ -21,6 +21,9 @@
   /// Admission socket of the host that gets packets that the settings here do
   /// not know: a reader of the platform, which has new settings first.
   std::optional<common::Endpoint> Relay;
+  /// Admission sockets of hosts that are suspect or dead and did not leave
+  /// gracefully; what was handed over to them may be lost.
+  std::vector<common::Endpoint> LostAdmission;
   /// Backend servers that the host list names as leaving, by table id.
   std::vector<std::uint32_t> LeavingBackendServers;
   bool Confirmed = false; ///< This host may place new flows.
