Pass on all causes at a graceful stop

Cause: a host replicates the causes that it records itself, once, to two peers.

The new test failed first: after the replacement of three hosts, auburnctl cause told the stops of sando-2 and sando-3, not that of sando-1 ("left": ["sando-2", "sando-3"]).

Ruled out: replicating copies again on receipt, which makes traffic out of every cause and ends only with a hop count.

--- a/Source/Daemon/ControlPlane.cpp
+++ b/Source/Daemon/ControlPlane.cpp
@@ -203,7 +203,8 @@
   for (const auto &it : Members.takeForgotten())
     Codec.forget(it);
   noteTransitions();
-  if (now >= NextReplication) {
+  // A stopping host may end before the interval is over.
+  if (now >= NextReplication || Leaving) {
     NextReplication = now + ReplicationInterval;
     Causes.expire(Clock.wallTime());
     replicateCauses();
@@ -247,6 +248,7 @@
 void ControlPlane::beginStop() {
   Leaving = true;
   Members.announceLeaving(Clock.now());
+  passOnCauses();
   SnapshotDue = true;
 }
 
@@ -323,6 +325,23 @@
     send(it, Members.stamp(batch));
 }
 
+// Also the copies of other hosts' causes: when a zone is replaced host by host,
+// the origin of a cause and both its replicas end one after another.
+void ControlPlane::passOnCauses() {
+  const auto entries =
+      Causes.since(Clock.wallTime() - state::CauseLedger::Retention);
+  const auto replicas = causeReplicas();
+  constexpr std::size_t Limit = protocol::PeerCodec::MaxCauseEntries;
+  for (std::size_t i = 0; i < entries.size(); i += Limit) {
+    const auto first = entries.begin() + static_cast<std::ptrdiff_t>(i);
+    const auto n = std::min(Limit, entries.size() - i);
+    const coordination::CauseBatch batch{
+        {first, first + static_cast<std::ptrdiff_t>(n)}};
+    for (const auto &it : replicas)
+      send(it, Members.stamp(batch));
+  }
+}
+
 std::vector<common::Endpoint> ControlPlane::causeReplicas() const {
   std::vector<common::Endpoint> replicas;
   const auto &hosts = Members.hosts();
--- a/Source/Daemon/ControlPlane.h
+++ b/Source/Daemon/ControlPlane.h
@@ -82,6 +82,7 @@
   void noteRefusals();
   void noteTransitions();
   void replicateCauses();
+  void passOnCauses();
   std::vector<common::Endpoint> causeReplicas() const;
   std::vector<common::Endpoint> admissionOwners() const;
   std::optional<common::Endpoint> relay() const;
