Pass finishing packets on from a stopping host

Cause: a stopping admission owner passes SYNs on to the next owner, but kept the finishing packets that other hosts still sent to it. The next owner placed the first flows and saw none of them end, counted their slots as busy for over a second and refused requests with QueueTimeout while servers were idle.

Ruled out: counting the slots free after a time, which would overload servers with long requests.

Change: a stopping host passes finishing packets on as it does SYNs, once.

--- a/Source/Daemon/AdmissionWorker.cpp
+++ b/Source/Daemon/AdmissionWorker.cpp
@@ -93,11 +93,11 @@
     giveUpHeld();
 }
 
-void AdmissionWorker::passOn(common::Endpoint next,
-                             std::span<const std::byte> syn) {
+void AdmissionWorker::passOn(common::Endpoint next, protocol::HandOverKind kind,
+                             std::span<const std::byte> packet) {
   constexpr std::uint8_t SecondHop = 2;
-  const auto header = Codec.encode(protocol::HandOverKind::Syn, syn, SecondHop);
-  Socket.queue(next, header, syn);
+  const auto header = Codec.encode(kind, packet, SecondHop);
+  Socket.queue(next, header, packet);
   // The header lives in this scope only.
   Socket.flush();
   Counters.add(Counter::HandOverPacketsSent);
@@ -113,7 +113,7 @@
     const auto next = Snapshot->AdmissionOwners[listener->Service];
     if (next == Self)
       continue;
-    passOn(next, held->second.Bytes);
+    passOn(next, protocol::HandOverKind::Syn, held->second.Bytes);
   }
   HeldSyns.clear();
 }
@@ -140,7 +140,7 @@
     onSyn(now, handOver, view);
     return;
   case protocol::HandOverKind::Finish:
-    finish(now, view);
+    onFinish(now, handOver, view);
     return;
   case protocol::HandOverKind::Relay:
     relay(view);
@@ -154,7 +154,8 @@
   const auto *listener = Snapshot->Table->findListener(view.destination());
   if (listener != nullptr && handOver.mayHandOver(Snapshot->Leaving) &&
       Snapshot->AdmissionOwners[listener->Service] != Self)
-    passOn(Snapshot->AdmissionOwners[listener->Service], view.bytes());
+    passOn(Snapshot->AdmissionOwners[listener->Service],
+           protocol::HandOverKind::Syn, view.bytes());
   else
     admit(now, view);
 }
@@ -181,6 +182,24 @@
   }
 }
 
+void AdmissionWorker::onFinish(common::TimePoint now,
+                               const protocol::HandOverView &handOver,
+                               protocol::PacketView &view) {
+  const auto &table = *Snapshot->Table;
+  const auto *listener = table.findSource(view.destination()).Listener;
+  if (listener == nullptr)
+    listener = table.findListener(view.source());
+  // The next owner places the SYNs that a stopping host passes on, and must see
+  // their flows end, or it counts their slots as busy until the load reports
+  // correct it.
+  if (listener != nullptr && handOver.mayHandOver(Snapshot->Leaving) &&
+      Snapshot->AdmissionOwners[listener->Service] != Self)
+    passOn(Snapshot->AdmissionOwners[listener->Service],
+           protocol::HandOverKind::Finish, view.bytes());
+  else
+    finish(now, view);
+}
+
 void AdmissionWorker::finish(common::TimePoint now,
                              protocol::PacketView &view) {
   Counters.add(Counter::FlowsFinished);
@@ -221,7 +240,8 @@
                std::get_if<coordination::ForwardToCaller>(&outcome))
     forward(*caller, Gateway, view);
   else if (std::holds_alternative<coordination::HandOver>(outcome))
-    passOn(Snapshot->AdmissionOwners[listener->Service], view.bytes());
+    passOn(Snapshot->AdmissionOwners[listener->Service],
+           protocol::HandOverKind::Syn, view.bytes());
   else if (const auto *drop = std::get_if<coordination::Drop>(&outcome))
     Counters.add(drop->Why);
 }
--- a/Source/Daemon/AdmissionWorker.h
+++ b/Source/Daemon/AdmissionWorker.h
@@ -52,6 +52,8 @@
   void onSyn(common::TimePoint now, const protocol::HandOverView &handOver,
              protocol::PacketView &view);
   void admit(common::TimePoint now, protocol::PacketView &view);
+  void onFinish(common::TimePoint now, const protocol::HandOverView &handOver,
+                protocol::PacketView &view);
   void finish(common::TimePoint now, protocol::PacketView &view);
   /// Forwards a packet that the sender's settings do not know.
   void relay(protocol::PacketView &view);
@@ -63,8 +65,9 @@
               const protocol::PacketView &view);
   void release(common::TimePoint now);
   void applySnapshot(common::TimePoint now);
-  /// Gives a SYN to another host, which then does not give it on.
-  void passOn(common::Endpoint next, std::span<const std::byte> syn);
+  /// Gives a packet to another host, which then does not give it on.
+  void passOn(common::Endpoint next, protocol::HandOverKind kind,
+              std::span<const std::byte> packet);
   /// Gives the held SYNs to the next admission owners, on a graceful stop.
   void giveUpHeld();
   void noteWait(std::uint32_t service, std::chrono::nanoseconds wait);
--- a/Source/UnitTests/Process/cluster.py
+++ b/Source/UnitTests/Process/cluster.py
@@ -419,6 +419,17 @@
         check(status == 0, f"auburnctl {command}: status {status}: {err}")
         return json.loads(out)
 
+    def replace_hosts(self, zone, requests):
+        """Replaces all hosts of a zone in turn; waits for requests between the steps."""
+        for host in [it for it in self.daemons if self.hosts[it]["zone"] == zone]:
+            status = self.end_daemon(host)
+            self.observed[f"status of {host}"] = status
+            check(status == 0, f"{host} ended with status {status}")
+            self.until_executed(requests)
+            self.start_daemon(host)
+            self.until(f"{host} is ready again", self.all_ready)
+            self.until_executed(requests)
+
     # --- End of a scenario ---
 
     def finish(self, may_break=(), may_be_unknown=False):
