Test the traffic worker over loopback sockets

The worker's own part, from datagram to datagram, was covered by the tests that run whole processes only; a fault there shows late and far from its cause. The parts that it joins have unit tests.

The test runs the worker on a thread between loopback sockets: a tagged packet reaches the tunnel of its backend server with the echo restored, a SYN is handed over to the admission owner, a packet with an unknown tag is relayed once, garbage is dropped and counted. A tagged packet behind the one under test tells that the worker is through, so nothing depends on timing.

--- /dev/null
+++ b/Source/UnitTests/Daemon/TrafficWorkerTest.cpp
@@ -0,0 +1,194 @@
+#include "Daemon/TrafficWorker.h"
+
+#include "Common/SystemClock.h"
+#include "Coordination/FlowTag.h"
+#include "Protocol/PacketBuilder.h"
+#include "UnitTests/Coordination/ForwardingSettings.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+using protocol::HandOverKind;
+using protocol::PacketView;
+using state::Cause;
+using state::Counter;
+using transport::UdpSocket;
+
+namespace {
+
+constexpr common::Endpoint Caller{coordination::CallerAddress, 40000};
+constexpr common::Endpoint Service{coordination::CounterAddress, 7001};
+constexpr std::uint32_t ServerTime = 6'000'000;
+const std::string Key = "key-of-this-test";
+using Packet = std::vector<std::byte>;
+
+/// A socket on the first free port of a range.
+struct Peer {
+  common::Endpoint Address{0x7F000001, 24600};
+  UdpSocket Socket = bind();
+
+  UdpSocket bind() {
+    constexpr std::uint16_t LastPort = 24699;
+    for (; Address.Port <= LastPort; ++Address.Port)
+      if (auto socket = UdpSocket::bind(Address, false); socket.ok())
+        return *std::move(socket);
+    throw std::runtime_error("no free port");
+  }
+
+  /// The next datagram; empty if none comes within a bounded number of waits.
+  Packet next() {
+    for (int tries = 0; tries < 200; ++tries) {
+      const auto batch = Socket.receive(50ms);
+      if (batch.size() > 1)
+        throw std::runtime_error("more than one datagram");
+      if (!batch.empty())
+        return {batch[0].Bytes.begin(), batch[0].Bytes.end()};
+    }
+    return {};
+  }
+  bool isEmpty() { return Socket.receive(0ms).empty(); }
+};
+
+/// A worker on a thread, with the endpoints that it sends to.
+struct Fixture {
+  Fixture() {
+    auto settings = coordination::makeSettings(2);
+    auto &servers = settings.Services[0].BackendServers;
+    servers[0].Tunnel = OtherServer.Address;
+    servers[1].Tunnel = Server.Address;
+    auto snapshot = std::make_shared<daemon::ControlSnapshot>();
+    snapshot->Table = coordination::makeTable(settings);
+    snapshot->Settings =
+        std::make_shared<const state::Settings>(std::move(settings));
+    snapshot->AdmissionOwners = {Owner.Address, Gateway.Address};
+    snapshot->Relay = Relay.Address;
+    Snapshots.publish(snapshot);
+    Local.Gateway = Gateway.Address;
+    Local.SharedKey = Key;
+    Worker = std::make_unique<daemon::TrafficWorker>(Local, Clock, Snapshots,
+                                                     std::move(Packets.Socket),
+                                                     [](common::Endpoint) {});
+    Thread = std::thread([this] { Worker->run(Stop); });
+  }
+  ~Fixture() { stop(); }
+
+  void stop() {
+    Stop = true;
+    if (Thread.joinable())
+      Thread.join();
+  }
+
+  void send(const Packet &packet) {
+    Gateway.Socket.queue(Packets.Address, {}, packet);
+    Gateway.Socket.flush();
+  }
+
+  /// Sends a tagged packet and waits for it, by when the worker has handled all
+  /// that was sent before.
+  Packet sendTagged(std::uint32_t echo) {
+    send(callerPacket(PacketView::AckFlag, echo));
+    return Server.next();
+  }
+
+  static Packet callerPacket(std::uint8_t flags, std::uint32_t echo) {
+    return protocol::buildPacket(
+        {Caller, Service, flags, 1, 2, protocol::Timestamps{7, echo}, {}});
+  }
+  static std::uint32_t echoOf(std::uint16_t number) {
+    constexpr std::uint64_t FlowSeed = 7321; // That of makeSettings().
+    return coordination::FlowTag::tagValue(
+        ServerTime,
+        coordination::FlowTag::encode({Caller, Service}, number, FlowSeed));
+  }
+
+  Peer Gateway, Server, OtherServer, Owner, Relay, Packets;
+  const common::SystemClock Clock;
+  daemon::SnapshotPublisher Snapshots;
+  state::DaemonSettings Local;
+  std::unique_ptr<daemon::TrafficWorker> Worker;
+  std::atomic<bool> Stop{false};
+  std::thread Thread;
+};
+
+/// Whether \p datagram hands \p packet over, unchanged and authenticated.
+bool handsOver(Packet datagram, HandOverKind kind, const Packet &packet) {
+  protocol::HandOverView view;
+  const protocol::HandOverCodec codec(Key);
+  return codec.decode(datagram, view) == Cause::None && view.Kind == kind &&
+         Packet(view.Packet.begin(), view.Packet.end()) == packet;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TrafficWorkerTest, Fixture)
+
+// Guards against packets that reach another backend server than the one whose
+// reply the caller echoes, and against damage in the rewrite.
+BOOST_AUTO_TEST_CASE(TaggedPacketReachesItsServer) {
+  const common::Endpoint server{coordination::ServerAddress + 2,
+                                coordination::BackendPort};
+  const protocol::Timestamps times{ServerTime, 7};
+  send(protocol::buildPacket(
+      {server, Caller, PacketView::AckFlag, 1, 2, times, {}}));
+  auto reply = Gateway.next();
+  PacketView view;
+  BOOST_REQUIRE((view.parse(reply) == Cause::None));
+  BOOST_TEST((view.source() == Service));
+  BOOST_TEST(view.timestampValue() == echoOf(2));
+
+  auto packet = sendTagged(view.timestampValue());
+  BOOST_REQUIRE((view.parse(packet) == Cause::None));
+  BOOST_TEST((view.source() == Caller));
+  BOOST_TEST((view.destination() == server));
+  BOOST_TEST(view.timestampEcho() == ServerTime);
+  BOOST_TEST(view.checksumsValid());
+  BOOST_TEST(OtherServer.isEmpty());
+  stop();
+  BOOST_TEST(Worker->counters().value(Counter::CallerPackets) == 1U);
+  BOOST_TEST(Worker->counters().value(Counter::BackendServerPackets) == 1U);
+}
+
+// Guards against traffic threads that place flows themselves, and against SYNs
+// that the owner cannot authenticate or gets twice.
+BOOST_AUTO_TEST_CASE(SynGoesToTheOwner) {
+  const auto syn = callerPacket(PacketView::SynFlag, 0);
+  send(syn);
+  BOOST_TEST(handsOver(Owner.next(), HandOverKind::Syn, syn));
+  BOOST_TEST(!sendTagged(echoOf(2)).empty());
+  BOOST_TEST((Owner.isEmpty() && Gateway.isEmpty() && Server.isEmpty()));
+  stop();
+  BOOST_TEST(Worker->counters().value(Counter::HandOverPacketsSent) == 1U);
+}
+
+// Guards against flows that stall on a host whose settings lack a new backend
+// server, and against packets that run twice.
+BOOST_AUTO_TEST_CASE(UnknownTagIsRelayedOnce) {
+  const auto packet = callerPacket(PacketView::AckFlag, echoOf(3));
+  send(packet);
+  BOOST_TEST(handsOver(Relay.next(), HandOverKind::Relay, packet));
+  BOOST_TEST(!sendTagged(echoOf(2)).empty());
+  BOOST_TEST((Relay.isEmpty() && Server.isEmpty() && OtherServer.isEmpty()));
+  stop();
+  BOOST_TEST(Worker->counters().value(Cause::UnknownTag) == 1U);
+  BOOST_TEST(Worker->counters().value(Counter::CallerPackets) == 1U);
+}
+
+// Guards against garbage that is forwarded, or that ends the thread.
+BOOST_AUTO_TEST_CASE(GarbageIsDroppedAndCounted) {
+  send(Packet(3, std::byte{0xFF}));
+  send(Packet(60, std::byte{0x60})); // IPv6.
+  BOOST_TEST(!sendTagged(echoOf(2)).empty());
+  for (auto *it : {&Gateway, &Server, &OtherServer, &Owner, &Relay})
+    BOOST_TEST(it->isEmpty());
+  stop();
+  BOOST_TEST(Worker->counters().value(Cause::Truncated) == 1U);
+  BOOST_TEST(Worker->counters().value(Cause::NotIpv4) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
