--- a/Source/Bench/PacketPathCounters.h
+++ b/Source/Bench/PacketPathCounters.h
@@ -54,24 +54,24 @@
 
 extern "C" {
 int pthread_mutex_lock(pthread_mutex_t *mutex) noexcept {
-  static const auto Next =
+  static const auto next =
       auburnroute::bench::nextFunction<int (*)(pthread_mutex_t *)>(
           "pthread_mutex_lock");
   ++auburnroute::bench::Counters.Locks;
-  return Next(mutex);
+  return next(mutex);
 }
 int pthread_rwlock_rdlock(pthread_rwlock_t *lock) noexcept {
-  static const auto Next =
+  static const auto next =
       auburnroute::bench::nextFunction<int (*)(pthread_rwlock_t *)>(
           "pthread_rwlock_rdlock");
   ++auburnroute::bench::Counters.Locks;
-  return Next(lock);
+  return next(lock);
 }
 int pthread_rwlock_wrlock(pthread_rwlock_t *lock) noexcept {
-  static const auto Next =
+  static const auto next =
       auburnroute::bench::nextFunction<int (*)(pthread_rwlock_t *)>(
           "pthread_rwlock_wrlock");
   ++auburnroute::bench::Counters.Locks;
-  return Next(lock);
+  return next(lock);
 }
 }
--- a/Source/Bench/QueueingModel.h
+++ b/Source/Bench/QueueingModel.h
@@ -112,7 +112,7 @@
     for (std::uint32_t i = 0; i < Requests.size(); ++i)
       at(Requests[i].First, [this, i] { trySyn(i); });
     for (unsigned i = 0; i < Pool.size(); ++i)
-      report(i, milliseconds(1000 * (i + 1) / Pool.size()));
+      report(i, milliseconds(std::size_t{1000} * (i + 1) / Pool.size()));
     if (Setup.Cold)
       at(CrestBegin, [this] { Policy->onJoin(*this); });
     while (!Events.empty()) {
--- a/Source/Tool/BurnCommand.cpp
+++ b/Source/Tool/BurnCommand.cpp
@@ -138,7 +138,9 @@
     return ExitFailure;
   }
   if (arguments.Json) {
-    output.Out << toJson(*burn).dump(2) << "\n";
+    auto root = toJson(*burn);
+    root["not_answered"] = unansweredHosts(answers);
+    output.Out << root.dump(2) << "\n";
     return ExitSuccess;
   }
   writeText(*burn, output.Out);
--- a/Source/Tool/CauseCommand.cpp
+++ b/Source/Tool/CauseCommand.cpp
@@ -49,14 +49,11 @@
                const std::vector<HostAnswer> &answers, std::ostream &out) {
   Json root{{"findings", Json::array()},
             {"changes_and_failures", Json::array()},
-            {"not_answered", Json::array()}};
+            {"not_answered", unansweredHosts(answers)}};
   for (const auto &it : triggers)
     root["changes_and_failures"].push_back(toJson(it));
   for (const auto &it : findings)
     root["findings"].push_back(toJson(it));
-  for (const auto &it : answers)
-    if (!it.Body.ok())
-      root["not_answered"].push_back(it.Host);
   out << root.dump(2) << "\n";
 }
 
--- a/Source/Tool/Fleet.cpp
+++ b/Source/Tool/Fleet.cpp
@@ -32,6 +32,7 @@
 absl::StatusOr<Fleet> Fleet::discover(const Arguments &arguments) {
   std::map<common::Endpoint, std::string> found;
   std::string fault = "no host is named, see --hosts";
+  bool answered = false;
   for (const auto &it : arguments.Hosts) {
     const auto endpoint = common::parseEndpoint(it);
     if (!endpoint.ok())
@@ -43,7 +44,7 @@
       fault = std::string(status.status().message());
       continue;
     }
-    fault.clear();
+    answered = true;
     const auto root = nlohmann::json::parse(*status, nullptr, false);
     if (!root.is_object() || !root.contains("hosts"))
       continue;
@@ -54,7 +55,7 @@
         found[*other] = host.value("name", "");
     }
   }
-  if (!fault.empty() && found.size() <= arguments.Hosts.size())
+  if (!answered)
     return absl::UnavailableError(fault);
   Fleet fleet;
   for (const auto &[endpoint, name] : found)
@@ -69,6 +70,15 @@
   return answers;
 }
 
+std::vector<std::string>
+unansweredHosts(const std::vector<HostAnswer> &answers) {
+  std::vector<std::string> names;
+  for (const auto &it : answers)
+    if (!it.Body.ok())
+      names.push_back(it.Host);
+  return names;
+}
+
 std::size_t reportUnanswered(const std::vector<HostAnswer> &answers,
                              std::ostream &out) {
   std::size_t n = 0;
--- a/Source/Tool/Fleet.h
+++ b/Source/Tool/Fleet.h
@@ -35,7 +35,11 @@
   std::vector<Member> Members;
 };
 
-/// Writes "not asked: ..." for hosts without an answer; returns their number.
+/// Names of the hosts without an answer.
+std::vector<std::string>
+unansweredHosts(const std::vector<HostAnswer> &answers);
+
+/// Writes a line for each host without an answer; returns their number.
 std::size_t reportUnanswered(const std::vector<HostAnswer> &answers,
                              std::ostream &out);
 
--- a/Source/Tool/StatusCommand.cpp
+++ b/Source/Tool/StatusCommand.cpp
@@ -49,12 +49,11 @@
     return ExitFailure;
   }
   const auto answers = fleet->ask("/status");
-  Json all{{"hosts", Json::array()}, {"not_answered", Json::array()}};
+  Json all{{"hosts", Json::array()},
+           {"not_answered", unansweredHosts(answers)}};
   for (const auto &it : answers) {
-    if (!it.Body.ok()) {
-      all["not_answered"].push_back(it.Host);
+    if (!it.Body.ok())
       continue;
-    }
     const auto status = Json::parse(*it.Body);
     if (arguments.Json)
       all["hosts"].push_back(status);
