--- a/Source/Bench/AdmissionCostBench.cpp
+++ b/Source/Bench/AdmissionCostBench.cpp
@@ -3,6 +3,7 @@
 // of hand-over datagrams, and one load poll on loopback. One JSON object per
 // line. There is no bound; docs/CAPACITY.md derives its figures from these.
 
+#include "Bench/Figure.h"
 #include "Common/ManualClock.h"
 #include "Coordination/AdmissionController.h"
 #include "Protocol/HandOverCodec.h"
@@ -50,9 +51,7 @@
 }
 
 void print(const std::string &name, double value, const char *unit) {
-  std::printf("{\"name\":\"%s\",\"baseline\":null,\"value\":%.2f,"
-              "\"unit\":\"%s\",\"bound\":null,\"holds\":true}\n",
-              name.c_str(), value, unit);
+  bench::printFigure(name, std::nullopt, value, unit, std::nullopt);
 }
 
 /// One service whose backend servers have room for all flows, so that each SYN
--- a/Source/Bench/ControlBench.cpp
+++ b/Source/Bench/ControlBench.cpp
@@ -2,6 +2,7 @@
 // different sizes. Prints one JSON object a line. All times but processor time
 // are virtual. Arguments: sizes of the zones; 3 8 32 100 722 by default.
 
+#include "Bench/Figure.h"
 #include "Bench/ZoneSimulation.h"
 #include "Protocol/PeerCodec.h"
 #include "State/SettingsLoader.h"
@@ -55,16 +56,11 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+bool AllBoundsHold = true;
+
 void report(const std::string &name, std::optional<double> baseline,
             double value, const char *unit, std::optional<double> bound) {
-  nlohmann::ordered_json line;
-  line["name"] = name;
-  line["baseline"] = baseline ? nlohmann::ordered_json(*baseline) : nullptr;
-  line["value"] = value;
-  line["unit"] = unit;
-  line["bound"] = bound ? nlohmann::ordered_json(*bound) : nullptr;
-  line["holds"] = bound ? nlohmann::ordered_json(value <= *bound) : nullptr;
-  std::cout << line.dump() << std::endl;
+  AllBoundsHold &= bench::printFigure(name, baseline, value, unit, bound);
 }
 
 /// Bytes and frames that a zone sends, encoded and decoded for their cost.
@@ -337,5 +333,5 @@
   measurePlanDocument();
   for (const auto loss : {0.0, 0.01, 0.05})
     measureDetection(loss);
-  return 0;
+  return AllBoundsHold ? 0 : 1;
 }
--- a/Source/Bench/ForwardingBench.cpp
+++ b/Source/Bench/ForwardingBench.cpp
@@ -2,6 +2,7 @@
 // JSON object per line; exit status 1 if a bound does not hold. The baseline is
 // the same path with a table of all flows in place of the tag.
 
+#include "Bench/Figure.h"
 #include "Bench/PacketPathCounters.h"
 #include "Coordination/FlowTag.h"
 #include "Coordination/ForwardingEngine.h"
@@ -186,23 +187,6 @@
   std::mt19937_64 Random{42};
 };
 
-/// Prints one figure; an empty bound always holds.
-bool print(const std::string &name, std::optional<double> baseline,
-           double value, const char *unit, std::optional<double> bound) {
-  const auto number = [](std::optional<double> n) {
-    char buf[32] = "null";
-    if (n)
-      std::snprintf(buf, sizeof(buf), "%.2f", *n);
-    return std::string(buf);
-  };
-  const bool holds = !bound || value <= *bound;
-  std::printf("{\"name\":\"%s\",\"baseline\":%s,\"value\":%.2f,"
-              "\"unit\":\"%s\",\"bound\":%s,\"holds\":%s}\n",
-              name.c_str(), number(baseline).c_str(), value, unit,
-              number(bound).c_str(), holds ? "true" : "false");
-  return holds;
-}
-
 } // namespace
 
 int main() {
@@ -211,27 +195,29 @@
   for (const std::size_t flows : {10'000, 100'000, 1'000'000}) {
     const auto result = Measurement(flows).run();
     const auto prefix = "forward." + std::to_string(flows);
-    holds &= print(prefix + ".time", result.FullTableNanoseconds,
-                   result.Nanoseconds, "ns/packet", std::nullopt);
-    holds &= print(prefix + ".allocations", std::nullopt,
-                   static_cast<double>(result.Allocations), "allocations", 0);
-    holds &= print(prefix + ".locks", std::nullopt,
-                   static_cast<double>(result.Locks), "locks", 0);
-    holds &= print(prefix + ".lost", std::nullopt,
-                   static_cast<double>(Batch * Batches - result.Forwarded),
-                   "packets", 0);
+    holds &= bench::printFigure(prefix + ".time", result.FullTableNanoseconds,
+                                result.Nanoseconds, "ns/packet", std::nullopt);
+    holds &= bench::printFigure(prefix + ".allocations", std::nullopt,
+                                static_cast<double>(result.Allocations),
+                                "allocations", 0);
+    holds &= bench::printFigure(prefix + ".locks", std::nullopt,
+                                static_cast<double>(result.Locks), "locks", 0);
+    holds &= bench::printFigure(
+        prefix + ".lost", std::nullopt,
+        static_cast<double>(Batch * Batches - result.Forwarded), "packets", 0);
     constexpr double FlowBytesBound = 100;
-    holds &= print(prefix + ".bytesPerFlow", std::nullopt,
-                   static_cast<double>(result.AllocatedBytes) /
-                       static_cast<double>(flows),
-                   "bytes", FlowBytesBound);
+    holds &= bench::printFigure(prefix + ".bytesPerFlow", std::nullopt,
+                                static_cast<double>(result.AllocatedBytes) /
+                                    static_cast<double>(flows),
+                                "bytes", FlowBytesBound);
     results.push_back(result);
   }
   constexpr double GrowthBound = 2;
-  holds &= print("forward.growth",
-                 results.back().FullTableNanoseconds /
-                     results.front().FullTableNanoseconds,
-                 results.back().Nanoseconds / results.front().Nanoseconds,
-                 "ratio", GrowthBound);
+  holds &= bench::printFigure("forward.growth",
+                              results.back().FullTableNanoseconds /
+                                  results.front().FullTableNanoseconds,
+                              results.back().Nanoseconds /
+                                  results.front().Nanoseconds,
+                              "ratio", GrowthBound);
   return holds ? 0 : 1;
 }
--- a/Source/Bench/RelayBench.cpp
+++ b/Source/Bench/RelayBench.cpp
@@ -3,6 +3,7 @@
 // exit status 1 if a bound does not hold. The baseline is a thread that sends
 // the same datagrams on unchanged, with the same socket class.
 
+#include "Bench/Figure.h"
 #include "Common/SystemClock.h"
 #include "Coordination/FlowTag.h"
 #include "Daemon/TrafficWorker.h"
@@ -340,23 +341,6 @@
   return static_cast<double>(sum);
 }
 
-/// Prints one figure; an empty bound always holds.
-bool print(const char *name, std::optional<double> baseline, double value,
-           const char *unit, std::optional<double> bound) {
-  const auto number = [](std::optional<double> n) {
-    char buf[32] = "null";
-    if (n)
-      std::snprintf(buf, sizeof(buf), "%.2f", *n);
-    return std::string(buf);
-  };
-  const bool holds = !bound || value <= *bound;
-  std::printf("{\"name\":\"%s\",\"baseline\":%s,\"value\":%.2f,"
-              "\"unit\":\"%s\",\"bound\":%s,\"holds\":%s}\n",
-              name, number(baseline).c_str(), value, unit,
-              number(bound).c_str(), holds ? "true" : "false");
-  return holds;
-}
-
 } // namespace
 
 int main() {
@@ -369,11 +353,12 @@
   }
   const auto figure = [&](const char *name, double Result::*member,
                           const char *unit) {
-    print(name, median(plain, member), median(full, member), unit,
-          std::nullopt);
+    bench::printFigure(name, median(plain, member), median(full, member), unit,
+                       std::nullopt);
   };
   const auto count = [&](const char *name, std::uint64_t Result::*member) {
-    return print(name, total(plain, member), total(full, member), "packets", 0);
+    return bench::printFigure(name, total(plain, member), total(full, member),
+                              "packets", 0);
   };
   figure("relay.rate", &Result::PacketsPerSecond, "packets/s");
   figure("relay.busy", &Result::Busy, "percent");
@@ -385,6 +370,7 @@
   constexpr double RatioBound = 2;
   const double ratio =
       median(full, &Result::Nanoseconds) / median(plain, &Result::Nanoseconds);
-  holds &= print("relay.processorRatio", 1, ratio, "ratio", RatioBound);
+  holds &=
+      bench::printFigure("relay.processorRatio", 1, ratio, "ratio", RatioBound);
   return holds ? 0 : 1;
 }
