--- a/Source/Coordination/Confirmation.cpp
+++ b/Source/Coordination/Confirmation.cpp
@@ -4,6 +4,18 @@
 
 namespace auburnroute::coordination {
 
+std::string_view toString(ConfirmationState state) {
+  switch (state) {
+  case ConfirmationState::Unconfirmed:
+    return "unconfirmed";
+  case ConfirmationState::ByPeer:
+    return "confirmed by a peer";
+  case ConfirmationState::Alone:
+    return "alone: no peer answered";
+  }
+  return "invalid";
+}
+
 void Confirmation::restart(common::TimePoint now, std::uint64_t firstSequence) {
   State = ConfirmationState::Unconfirmed;
   Since = now;
--- a/Source/Coordination/Confirmation.h
+++ b/Source/Coordination/Confirmation.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string_view>
 
 namespace auburnroute::coordination {
 
@@ -15,6 +16,9 @@
   Alone,       ///< No peer answered within the join timeout.
 };
 
+/// Words for a state, as in reports and logs.
+std::string_view toString(ConfirmationState state);
+
 /// Decides when a host that started or resumed after a pause is up to date.
 ///
 /// It is when a peer has echoed a sequence sent after the start or wake-up and
--- a/Source/Daemon/ControlActor.cpp
+++ b/Source/Daemon/ControlActor.cpp
@@ -81,19 +81,21 @@
 }
 
 Report ControlActor::report(const ReportQuery &query) const {
+  const auto view = Plane.view();
+  const ControlReports reports(view);
   switch (query.What) {
   case ReportQuery::Kind::Ready:
     return {Plane.isReady(), Plane.isReady() ? "ready\n" : "not ready\n"};
   case ReportQuery::Kind::Status: {
     const auto [sent, received] = Environment.LinkBytes();
-    return {true, Plane.statusJson(sent, received)};
+    return {true, reports.statusJson(sent, received)};
   }
   case ReportQuery::Kind::Metrics:
-    return {true, Plane.metricsText()};
+    return {true, reports.metricsText()};
   case ReportQuery::Kind::Cause:
-    return {true, Plane.causesJson(query.Since)};
+    return {true, reports.causesJson(query.Since)};
   case ReportQuery::Kind::Burn:
-    return {true, Plane.burnJson()};
+    return {true, reports.burnJson()};
   }
   return {false, "unknown report\n"};
 }
--- a/Source/Daemon/ControlPlane.cpp
+++ b/Source/Daemon/ControlPlane.cpp
@@ -2,21 +2,17 @@
 
 #include "Common/Log.h"
 #include "Common/Text.h"
-#include "Protocol/BurnCodec.h"
-#include "Protocol/CauseCodec.h"
 #include "Protocol/PlatformCodec.h"
 
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace auburnroute::daemon {
 
 namespace {
 
 using common::LogLevel;
-using coordination::ConfirmationState;
 using coordination::FollowOutcome;
 using state::Cause;
 using state::HostState;
@@ -52,18 +48,6 @@
   return options;
 }
 
-std::string_view toString(ConfirmationState confirmation) {
-  switch (confirmation) {
-  case ConfirmationState::Unconfirmed:
-    return "unconfirmed";
-  case ConfirmationState::ByPeer:
-    return "confirmed by a peer";
-  case ConfirmationState::Alone:
-    return "alone: no peer answered";
-  }
-  return "invalid";
-}
-
 } // namespace
 
 ControlPlane::ControlPlane(const state::DaemonSettings &settings,
@@ -260,9 +244,10 @@
   if (confirmed != WasConfirmed) {
     WasConfirmed = confirmed;
     SnapshotDue = true;
-    common::logLine(LogLevel::Info,
-                    absl::StrCat("up to date: ", common::toAbsl(toString(
-                                                     Members.confirmation()))));
+    common::logLine(
+        LogLevel::Info,
+        absl::StrCat("up to date: ", common::toAbsl(coordination::toString(
+                                         Members.confirmation()))));
   }
   if (Members.ownershipVersion() != PublishedOwnership)
     SnapshotDue = true;
@@ -432,105 +417,11 @@
   return !Table || Members.isSettingsReader();
 }
 
-std::string ControlPlane::statusJson(std::uint64_t bytesSent,
-                                     std::uint64_t bytesReceived) const {
-  nlohmann::json root;
-  root["host"] = Local.Host;
-  root["zone"] = Local.Zone;
-  root["state"] = state::toString(Members.selfState());
-  root["confirmation"] = toString(Members.confirmation());
-  root["ready"] = isReady();
-  root["uptime_seconds"] =
-      std::chrono::duration_cast<std::chrono::seconds>(Clock.now() - Started)
-          .count();
-  auto &settings = root["settings"];
-  settings["revision"] = Follower.stamp().Revision;
-  settings["digest"] = Follower.stamp().Digest;
-  settings["refusals"] = nlohmann::json::array();
-  for (const auto &it : Follower.refusals())
-    settings["refusals"].push_back(
-        {{"revision", it.Stamp.Revision}, {"errors", it.Errors}});
-  root["platform"] = {{"reachable", PlatformReachable},
-                      {"reader", Members.isSettingsReader()},
-                      {"host_list_version", HostListVersion}};
-  root["control"] = {{"bytes_sent", bytesSent},
-                     {"bytes_received", bytesReceived}};
-  root["hosts"] = nlohmann::json::array();
-  for (const auto &[name, host] : Members.hosts())
-    root["hosts"].push_back(
-        {{"name", name},
-         {"state", state::toString(host.State)},
-         {"operator", common::toString(host.Addresses.Operator)}});
-  root["services"] = nlohmann::json::array();
-  if (Table)
-    for (const auto &it : Follower.settings()->Services)
-      root["services"].push_back(
-          {{"name", it.Name},
-           {"admission_owner", Members.admissionOwner(it.Name).value_or("")},
-           {"backend_servers", it.BackendServers.size()}});
-  root["waits"] = {{"count", Waits.Count},
-                   {"mean_us", Waits.Mean.count()},
-                   {"p50_us", Waits.Median.count()},
-                   {"p99_us", Waits.Percentile99.count()},
-                   {"max_us", Waits.Longest.count()}};
-  return root.dump(2) + "\n";
-}
-
-std::string ControlPlane::causesJson(std::chrono::seconds since) const {
-  return protocol::encodeCauses(Local.Host,
-                                Causes.since(Clock.wallTime() - since));
-}
-
-std::string ControlPlane::burnJson() const {
-  protocol::HostBurn burn;
-  burn.Host = Local.Host;
-  burn.Uptime =
-      std::chrono::duration_cast<std::chrono::minutes>(Clock.now() - Started);
-  const auto wall = Clock.wallTime();
-  const auto &settings = Follower.settings();
-  for (const auto &name : Burn.services()) {
-    auto &service = burn.Services[name];
-    const auto *found = settings ? settings->findService(name) : nullptr;
-    const auto zone = settings ? settings->zoneIndex(Local.Zone) : std::nullopt;
-    if (found != nullptr && zone)
-      service.Policy = found->PolicyByZone[*zone];
-    for (const auto &pair : state::BurnWindowPairs)
-      for (const auto window : {pair.Long, pair.Short})
-        service.Windows[window] = Burn.sum(wall, name, window);
-    service.Minutes = Burn.minutes(wall, name, protocol::PlottedMinutes);
-  }
-  return protocol::encodeBurn(burn);
-}
-
-std::string ControlPlane::metricsText() const {
-  std::string text;
-  const auto add = [&](absl::string_view name, absl::string_view type,
-                       std::uint64_t value) {
-    absl::StrAppend(&text, "# TYPE auburnroute_", name, " ", type,
-                    "\nauburnroute_", name, " ", value, "\n");
-  };
-  add("settings_revision", "gauge", Follower.stamp().Revision);
-  add("settings_refused_total", "counter", Follower.counters().Refused);
-  add("hosts_known", "gauge", Members.hosts().size());
-  add("confirmed", "gauge", isConfirmed() ? 1 : 0);
-  add("suspicions_total", "counter", Members.counters().Suspicions);
-  add("doubt_probes_total", "counter", Members.counters().DoubtProbes);
-  add("pauses_total", "counter", Members.counters().Pauses);
-  add("cause_entries", "gauge", Causes.size());
-  add("cause_entries_evicted_total", "counter", Causes.evicted());
-  for (int i = 0; i < static_cast<int>(protocol::PeerRefusal::Count); ++i) {
-    const auto reason = static_cast<protocol::PeerRefusal>(i);
-    absl::StrAppend(&text, "auburnroute_peer_frames_refused_total{reason=\"",
-                    common::toAbsl(protocol::toString(reason)), "\"} ",
-                    Codec.refused(reason), "\n");
-  }
-  absl::StrAppend(
-      &text, "auburnroute_flow_wait_microseconds{quantile=\"0.5\"} ",
-      Waits.Median.count(),
-      "\nauburnroute_flow_wait_microseconds{quantile=\"0.99\"} ",
-      Waits.Percentile99.count(), "\nauburnroute_flow_wait_microseconds_count ",
-      Waits.Count, "\n");
-  return text;
+ControlView ControlPlane::view() const {
+  return {Local,          Clock,         Started,   Members,
+          Follower,       Codec,         Causes,    Burn,
+          Waits,          isConfirmed(), isReady(), PlatformReachable,
+          HostListVersion};
 }
 
 } // namespace auburnroute::daemon
--- a/Source/Daemon/ControlPlane.h
+++ b/Source/Daemon/ControlPlane.h
@@ -5,6 +5,7 @@
 #include "Coordination/Membership.h"
 #include "Coordination/SettingsFollower.h"
 #include "Daemon/AdmissionSummary.h"
+#include "Daemon/ControlReports.h"
 #include "Daemon/ControlSnapshot.h"
 #include "Protocol/PeerCodec.h"
 #include "State/BurnLedger.h"
@@ -68,13 +69,8 @@
   /// Version to wait beyond, for GET /hosts.
   std::uint64_t hostListVersion() const { return HostListVersion; }
 
-  /// Status as JSON; \p bytesSent and \p bytesReceived are those of the link.
-  std::string statusJson(std::uint64_t bytesSent,
-                         std::uint64_t bytesReceived) const;
-  std::string causesJson(std::chrono::seconds since) const;
-  std::string burnJson() const;
-  /// Gauges and counters of the control state, as Prometheus text.
-  std::string metricsText() const;
+  /// What reports are made of; valid until the next event.
+  ControlView view() const;
 
 private:
   void send(const common::Endpoint &to,
--- /dev/null
+++ b/Source/Daemon/ControlReports.cpp
@@ -0,0 +1,116 @@
+#include "Daemon/ControlReports.h"
+
+#include "Common/Text.h"
+#include "Protocol/BurnCodec.h"
+#include "Protocol/CauseCodec.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <nlohmann/json.hpp>
+
+namespace auburnroute::daemon {
+
+std::string ControlReports::statusJson(std::uint64_t bytesSent,
+                                       std::uint64_t bytesReceived) const {
+  nlohmann::json root;
+  root["host"] = View.Local.Host;
+  root["zone"] = View.Local.Zone;
+  root["state"] = state::toString(View.Members.selfState());
+  root["confirmation"] = coordination::toString(View.Members.confirmation());
+  root["ready"] = View.Ready;
+  root["uptime_seconds"] = std::chrono::duration_cast<std::chrono::seconds>(
+                               View.Clock.now() - View.Started)
+                               .count();
+  auto &settings = root["settings"];
+  settings["revision"] = View.Follower.stamp().Revision;
+  settings["digest"] = View.Follower.stamp().Digest;
+  settings["refusals"] = nlohmann::json::array();
+  for (const auto &it : View.Follower.refusals())
+    settings["refusals"].push_back(
+        {{"revision", it.Stamp.Revision}, {"errors", it.Errors}});
+  root["platform"] = {{"reachable", View.PlatformReachable},
+                      {"reader", View.Members.isSettingsReader()},
+                      {"host_list_version", View.HostListVersion}};
+  root["control"] = {{"bytes_sent", bytesSent},
+                     {"bytes_received", bytesReceived}};
+  root["hosts"] = nlohmann::json::array();
+  for (const auto &[name, host] : View.Members.hosts())
+    root["hosts"].push_back(
+        {{"name", name},
+         {"state", state::toString(host.State)},
+         {"operator", common::toString(host.Addresses.Operator)}});
+  root["services"] = nlohmann::json::array();
+  if (View.Follower.settings())
+    for (const auto &it : View.Follower.settings()->Services)
+      root["services"].push_back(
+          {{"name", it.Name},
+           {"admission_owner",
+            View.Members.admissionOwner(it.Name).value_or("")},
+           {"backend_servers", it.BackendServers.size()}});
+  root["waits"] = {{"count", View.Waits.Count},
+                   {"mean_us", View.Waits.Mean.count()},
+                   {"p50_us", View.Waits.Median.count()},
+                   {"p99_us", View.Waits.Percentile99.count()},
+                   {"max_us", View.Waits.Longest.count()}};
+  return root.dump(2) + "\n";
+}
+
+std::string ControlReports::causesJson(std::chrono::seconds since) const {
+  return protocol::encodeCauses(
+      View.Local.Host, View.Causes.since(View.Clock.wallTime() - since));
+}
+
+std::string ControlReports::burnJson() const {
+  protocol::HostBurn burn;
+  burn.Host = View.Local.Host;
+  burn.Uptime = std::chrono::duration_cast<std::chrono::minutes>(
+      View.Clock.now() - View.Started);
+  const auto wall = View.Clock.wallTime();
+  const auto &settings = View.Follower.settings();
+  for (const auto &name : View.Burn.services()) {
+    auto &service = burn.Services[name];
+    const auto *found = settings ? settings->findService(name) : nullptr;
+    const auto zone =
+        settings ? settings->zoneIndex(View.Local.Zone) : std::nullopt;
+    if (found != nullptr && zone)
+      service.Policy = found->PolicyByZone[*zone];
+    for (const auto &pair : state::BurnWindowPairs)
+      for (const auto window : {pair.Long, pair.Short})
+        service.Windows[window] = View.Burn.sum(wall, name, window);
+    service.Minutes = View.Burn.minutes(wall, name, protocol::PlottedMinutes);
+  }
+  return protocol::encodeBurn(burn);
+}
+
+std::string ControlReports::metricsText() const {
+  std::string text;
+  const auto add = [&](absl::string_view name, absl::string_view type,
+                       std::uint64_t value) {
+    absl::StrAppend(&text, "# TYPE auburnroute_", name, " ", type,
+                    "\nauburnroute_", name, " ", value, "\n");
+  };
+  add("settings_revision", "gauge", View.Follower.stamp().Revision);
+  add("settings_refused_total", "counter", View.Follower.counters().Refused);
+  add("hosts_known", "gauge", View.Members.hosts().size());
+  add("confirmed", "gauge", View.Confirmed ? 1 : 0);
+  add("suspicions_total", "counter", View.Members.counters().Suspicions);
+  add("doubt_probes_total", "counter", View.Members.counters().DoubtProbes);
+  add("pauses_total", "counter", View.Members.counters().Pauses);
+  add("cause_entries", "gauge", View.Causes.size());
+  add("cause_entries_evicted_total", "counter", View.Causes.evicted());
+  for (int i = 0; i < static_cast<int>(protocol::PeerRefusal::Count); ++i) {
+    const auto reason = static_cast<protocol::PeerRefusal>(i);
+    absl::StrAppend(&text, "auburnroute_peer_frames_refused_total{reason=\"",
+                    common::toAbsl(protocol::toString(reason)), "\"} ",
+                    View.Codec.refused(reason), "\n");
+  }
+  absl::StrAppend(
+      &text, "auburnroute_flow_wait_microseconds{quantile=\"0.5\"} ",
+      View.Waits.Median.count(),
+      "\nauburnroute_flow_wait_microseconds{quantile=\"0.99\"} ",
+      View.Waits.Percentile99.count(),
+      "\nauburnroute_flow_wait_microseconds_count ", View.Waits.Count, "\n");
+  return text;
+}
+
+} // namespace auburnroute::daemon
