Count each end of a flow once

A backend server answers a segment that arrives after its flow has ended with a reset, as TCP asks, and the admission owner counted that as a broken flow. Segments arrive late because the FIN takes a second hop.

Ruled out: counting only flows on record. A new admission owner has no record of the flows that the last one placed, and would count none of their ends.

Conclusion: repeated FINs are no longer counted twice either.

--- /dev/null
+++ b/Source/Coordination/EndedFlows.cpp
@@ -0,0 +1,25 @@
+#include "Coordination/EndedFlows.h"
+
+namespace auburnroute::coordination {
+
+bool EndedFlows::noteEnd(common::TimePoint now, const FlowKey &key) {
+  forgetOld(now);
+  if (!Ends.try_emplace(key, now).second)
+    return false;
+  Order.push_back({key, now});
+  return true;
+}
+
+void EndedFlows::forgetOld(common::TimePoint now) {
+  while (!Order.empty() &&
+         (Order.front().Time + Memory < now || Order.size() >= MaxFlows)) {
+    const auto &oldest = Order.front();
+    // The key may stand for a later flow that ended since.
+    if (const auto it = Ends.find(oldest.Key);
+        it != Ends.end() && it->second == oldest.Time)
+      Ends.erase(it);
+    Order.pop_front();
+  }
+}
+
+} // namespace auburnroute::coordination
--- a/Source/Daemon/AdmissionWorker.cpp
+++ b/Source/Daemon/AdmissionWorker.cpp
@@ -166,6 +166,7 @@
     return;
   }
   const FlowKey key{view.source(), view.destination()};
+  Ended.onNewFlow(key);
   const auto decision = Controller.onSyn(now, key);
   if (const auto *it = std::get_if<coordination::Place>(&decision)) {
     noteWait(it->Service, std::chrono::nanoseconds(0));
@@ -206,8 +207,10 @@
   const auto &table = *Snapshot->Table;
   if (const auto to = table.findSource(view.destination());
       to.BackendServer != nullptr) {
-    Controller.onFinish(now, {view.source(), to.Listener->Address},
-                        FinishKind::CallerReset, to.BackendServer->Number);
+    const FlowKey key{view.source(), to.Listener->Address};
+    Controller.onFinish(now, key, FinishKind::CallerReset,
+                        to.BackendServer->Number);
+    Ended.noteEnd(now, key);
     Socket.queue(to.BackendServer->Tunnel, {}, view.bytes());
     return;
   }
@@ -218,6 +221,8 @@
   const FlowKey key{view.destination(), view.source()};
   const auto kind = finishKindOf(view);
   Controller.onFinish(now, key, kind, numberOf(key, view, table.flowSeed()));
+  if (!Ended.noteEnd(now, key))
+    return;
   auto &burn = burnOf(listener->Service);
   if (kind == FinishKind::Ended)
     ++burn.Good;
--- a/Source/Daemon/AdmissionWorker.h
+++ b/Source/Daemon/AdmissionWorker.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 #include "Coordination/AdmissionController.h"
+#include "Coordination/EndedFlows.h"
 #include "Coordination/ForwardingEngine.h"
 #include "Daemon/AdmissionSummary.h"
 #include "Daemon/ControlSnapshot.h"
@@ -91,6 +92,7 @@
     common::TimePoint Since;
   };
   absl::flat_hash_map<coordination::FlowKey, HeldSyn> HeldSyns;
+  coordination::EndedFlows Ended;
   state::WaitStatistics Waits;
   std::map<std::string, state::BurnCounts> Burn;
   common::Endpoint Self;
--- /dev/null
+++ b/Source/UnitTests/Coordination/EndedFlowsTest.cpp
@@ -0,0 +1,58 @@
+#include "Coordination/EndedFlows.h"
+#include "Common/ManualClock.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace auburnroute;
+using coordination::EndedFlows;
+using coordination::FlowKey;
+using namespace std::chrono_literals;
+
+namespace {
+
+FlowKey flow(std::uint16_t port) {
+  return {{0xCB007101, port}, {0xC6336401, 7002}};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EndedFlowsTest)
+
+// Guards against a reset that answers a late segment of an ended flow being
+// counted as a broken flow, and against a repeated FIN counting twice.
+BOOST_AUTO_TEST_CASE(EachEndCountsOnce) {
+  common::ManualClock clock;
+  EndedFlows ended;
+  BOOST_TEST(ended.noteEnd(clock.now(), flow(1)));
+  clock.advance(1s);
+  BOOST_TEST(!ended.noteEnd(clock.now(), flow(1)));
+  BOOST_TEST(ended.noteEnd(clock.now(), flow(2)));
+}
+
+// Guards against the end of a flow on a reused port that is not counted.
+BOOST_AUTO_TEST_CASE(ReusedPortIsANewFlow) {
+  common::ManualClock clock;
+  EndedFlows ended;
+  ended.noteEnd(clock.now(), flow(1));
+  clock.advance(1s);
+  ended.onNewFlow(flow(1));
+  BOOST_TEST(ended.noteEnd(clock.now(), flow(1)));
+  clock.advance(EndedFlows::Memory);
+  BOOST_TEST(!ended.noteEnd(clock.now(), flow(1)));
+}
+
+// Guards against memory that grows with time or with the rate of flows.
+BOOST_AUTO_TEST_CASE(MemoryIsBounded) {
+  common::ManualClock clock;
+  EndedFlows ended;
+  for (std::uint32_t i = 0; i < EndedFlows::MaxFlows + 1000; ++i)
+    ended.noteEnd(clock.now(),
+                  {{0xCB007101 + (i >> 16), static_cast<std::uint16_t>(i)},
+                   {0xC6336401, 7002}});
+  BOOST_TEST(ended.size() <= EndedFlows::MaxFlows);
+  clock.advance(EndedFlows::Memory + 1s);
+  ended.noteEnd(clock.now(), flow(1));
+  BOOST_TEST(ended.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
