--- a/Source/Coordination/AdmissionController.h
+++ b/Source/Coordination/AdmissionController.h
@@ -60,7 +60,7 @@
 };
 
 /// Chooses the backend server of each new flow. Runs on the host that is the
-/// admission owner of a service, or on any host in fallback.
+/// admission owner of a service.
 ///
 /// Pure decisions over (time, event); no socket, clock or thread. Tables are
 /// bounded by queueLimit and MaxHeld (held SYNs), FlowRecords::MaxRecords
