Choose the direction of a packet, and convert wall times, in one place

Their fields are unsigned; that is left for a change of its own.

Change: ForwardingEngine::onPacket, Common/Epoch.h; the relay limit takes the time of the batch. Behaviour is the same.

--- a/Source/Coordination/ForwardingEngine.cpp
+++ b/Source/Coordination/ForwardingEngine.cpp
@@ -28,6 +28,14 @@
   Table = std::move(table);
 }
 
+Outcome ForwardingEngine::onPacket(const PacketSummary &packet) {
+  if (!Table)
+    return Drop{Cause::NoSettings};
+  return Table->findListener(packet.Destination) != nullptr
+             ? onCallerPacket(packet)
+             : onBackendServerPacket(packet);
+}
+
 Outcome ForwardingEngine::onCallerPacket(const PacketSummary &packet) {
   if (!Table)
     return Drop{Cause::NoSettings};
--- a/Source/Coordination/ForwardingEngine.h
+++ b/Source/Coordination/ForwardingEngine.h
@@ -30,6 +30,9 @@
   /// traffic thread.
   void setTable(std::shared_ptr<const state::ServiceTable> table);
 
+  /// A packet of either direction: one to the address of a service is from a
+  /// caller, any other from a backend server.
+  Outcome onPacket(const PacketSummary &packet);
   /// A packet that a caller sent to a service.
   Outcome onCallerPacket(const PacketSummary &packet);
   /// A packet that a backend server sent. The source address is all that shows
--- a/Source/Daemon/AdmissionWorker.cpp
+++ b/Source/Daemon/AdmissionWorker.cpp
@@ -233,20 +233,17 @@
 }
 
 void AdmissionWorker::relay(protocol::PacketView &view) {
-  const auto packet = protocol::PacketRewriter::summarise(view);
-  const auto *listener = Snapshot->Table->findListener(packet.Destination);
-  const auto outcome = listener != nullptr
-                           ? Engine.onCallerPacket(packet)
-                           : Engine.onBackendServerPacket(packet);
+  const auto outcome =
+      Engine.onPacket(protocol::PacketRewriter::summarise(view));
   if (const auto *server =
           std::get_if<coordination::ForwardToBackendServer>(&outcome))
     forward(*server, server->Tunnel, view);
   else if (const auto *caller =
                std::get_if<coordination::ForwardToCaller>(&outcome))
     forward(*caller, Gateway, view);
-  else if (std::holds_alternative<coordination::HandOver>(outcome))
-    passOn(Snapshot->AdmissionOwners[listener->Service],
-           protocol::HandOverKind::Syn, view.bytes());
+  else if (const auto *syn = std::get_if<coordination::HandOver>(&outcome))
+    passOn(Snapshot->AdmissionOwners[syn->Service], protocol::HandOverKind::Syn,
+           view.bytes());
   else if (const auto *drop = std::get_if<coordination::Drop>(&outcome))
     Counters.add(drop->Why);
 }
--- a/Source/Daemon/TrafficWorker.cpp
+++ b/Source/Daemon/TrafficWorker.cpp
@@ -100,11 +100,8 @@
     Counters.add(Cause::NoSettings);
     return;
   }
-  const auto packet = PacketRewriter::summarise(view);
-  const auto outcome = Engine.table()->findListener(packet.Destination)
-                           ? Engine.onCallerPacket(packet)
-                           : Engine.onBackendServerPacket(packet);
-  std::visit([&](const auto &it) { apply(it, view); }, outcome);
+  std::visit([&](const auto &it) { apply(it, view); },
+             Engine.onPacket(PacketRewriter::summarise(view)));
 }
 
 void TrafficWorker::apply(const coordination::ForwardToBackendServer &outcome,
@@ -141,8 +138,8 @@
 
 void TrafficWorker::apply(const coordination::HandOver &outcome,
                           protocol::PacketView &view) {
-  handOver(ownerOf(outcome.Service), protocol::HandOverKind::Syn, view);
-  const auto owner = Snapshot->AdmissionOwners[outcome.Service];
+  const auto owner = ownerOf(outcome.Service);
+  handOver(owner, protocol::HandOverKind::Syn, view);
   if (owner == Self)
     return;
   RecentSyns.add(Now, owner, {view.source(), view.destination()}, view.bytes());
@@ -166,7 +163,7 @@
 void TrafficWorker::apply(const coordination::Drop &outcome,
                           protocol::PacketView &view) {
   Counters.add(outcome.Why);
-  if (Snapshot->Relay && Relays.shouldRelay(Clock.now(), outcome.Why))
+  if (Snapshot->Relay && Relays.shouldRelay(Now, outcome.Why))
     handOver(*Snapshot->Relay, protocol::HandOverKind::Relay, view);
 }
 
--- a/Source/Protocol/CauseCodec.cpp
+++ b/Source/Protocol/CauseCodec.cpp
@@ -1,5 +1,6 @@
 #include "Protocol/CauseCodec.h"
 
+#include "Common/Epoch.h"
 #include "absl/strings/str_cat.h"
 
 #include <nlohmann/json.hpp>
@@ -12,16 +13,6 @@
 using Json = nlohmann::json;
 using state::Cause;
 
-std::int64_t millisecondsOf(common::WallTime time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             time.time_since_epoch())
-      .count();
-}
-
-common::WallTime timeOf(std::int64_t milliseconds) {
-  return common::WallTime(std::chrono::milliseconds(milliseconds));
-}
-
 std::optional<Cause> causeOf(const std::string &name) {
   for (int i = 0; i < static_cast<int>(Cause::Count); ++i)
     if (state::toString(static_cast<Cause>(i)) == name)
@@ -43,8 +34,8 @@
                                {"revision", it.Key.Revision},
                                {"subject", it.Key.Subject},
                                {"count", it.Count},
-                               {"first_ms", millisecondsOf(it.First)},
-                               {"last_ms", millisecondsOf(it.Last)}});
+                               {"first_ms", common::millisecondsOf(it.First)},
+                               {"last_ms", common::millisecondsOf(it.Last)}});
   return root.dump(1) + "\n";
 }
 
@@ -62,8 +53,8 @@
           it.at("origin"),  it.at("incarnation"), it.at("minute"), *why,
           it.at("service"), it.at("revision"),    it.at("subject")};
       entry.Count = it.at("count");
-      entry.First = timeOf(it.at("first_ms"));
-      entry.Last = timeOf(it.at("last_ms"));
+      entry.First = common::wallTimeOf(it.at("first_ms"));
+      entry.Last = common::wallTimeOf(it.at("last_ms"));
       entries.push_back(std::move(entry));
     }
     return entries;
--- a/Source/Tool/CauseCommand.cpp
+++ b/Source/Tool/CauseCommand.cpp
@@ -1,5 +1,6 @@
 #include "Tool/CauseCommand.h"
 
+#include "Common/Epoch.h"
 #include "Common/Text.h"
 #include "Protocol/CauseCodec.h"
 #include "State/CauseReport.h"
@@ -16,17 +17,11 @@
 
 using Json = nlohmann::json;
 
-std::int64_t millisecondsOf(common::WallTime time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             time.time_since_epoch())
-      .count();
-}
-
 Json toJson(const state::Trigger &trigger) {
   return {{"cause", state::toString(trigger.Why)},
           {"subject", trigger.Subject},
           {"revision", trigger.Revision},
-          {"first_ms", millisecondsOf(trigger.First)}};
+          {"first_ms", common::millisecondsOf(trigger.First)}};
 }
 
 Json toJson(const state::Finding &finding) {
@@ -34,8 +29,8 @@
             {"cause", state::toString(finding.Why)},
             {"subject", finding.Subject},
             {"count", finding.Count},
-            {"first_ms", millisecondsOf(finding.First)},
-            {"last_ms", millisecondsOf(finding.Last)},
+            {"first_ms", common::millisecondsOf(finding.First)},
+            {"last_ms", common::millisecondsOf(finding.Last)},
             {"known", !finding.Triggers.empty()},
             {"text", state::describe(finding)},
             {"triggers", Json::array()}};
