--- a/Source/Edge/EventRecorder.h
+++ b/Source/Edge/EventRecorder.h
@@ -26,7 +26,6 @@
   std::uint64_t GossipReceived = 0;
   std::uint64_t GossipMalformed = 0;
   std::uint64_t SnapshotsFetched = 0;
-  std::uint64_t PacketsHeld = 0;
   std::uint64_t Pauses = 0;
   std::uint64_t StalePacketsDropped = 0;
 };
--- a/Source/Edge/PacketPump.h
+++ b/Source/Edge/PacketPump.h
@@ -6,10 +6,6 @@
 #include "Routing/PacketRouter.h"
 
 #include <array>
-#include <deque>
-#include <vector>
-
-#include <boost/asio/steady_timer.hpp>
 
 namespace auburnroute::edge {
 
@@ -32,23 +28,8 @@
   common::TimePoint lastPacketAt() const { return LastPacketAt; }
 
 private:
-  /// A packet that waits for its backend server.
-  struct Held {
-    routing::FlowPacket Packet;
-    std::vector<std::byte> Bytes;
-    common::TimePoint Since;
-  };
-
   void onReadable();
-  void handle(std::span<std::byte> datagram, std::size_t index);
-  /// Carries out \p outcome, except that a packet to hold is left alone.
-  void carryOut(const routing::RoutingOutcome &outcome,
-                const routing::FlowPacket &packet,
-                std::span<std::byte> datagram, std::size_t index);
-  void hold(const routing::FlowPacket &packet,
-            std::span<const std::byte> datagram);
-  /// Asks again for each held packet.
-  void retryHeld();
+  void handle(transport::Datagram &datagram, std::size_t index);
 
   ReadableSocket Input;
   routing::PacketRouter &Router;
@@ -60,8 +41,6 @@
   // Own bytes of a batch, kept until it is flushed.
   std::array<std::array<std::byte, 31>, transport::UdpSocket::BatchSize>
       Heads{};
-  std::deque<Held> Waiting;
-  boost::asio::steady_timer RetryTimer;
   bool Started = false;
 };
 
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -2,9 +2,6 @@
 
 #include "absl/hash/hash.h"
 
-#include <algorithm>
-#include <array>
-
 namespace auburnroute::routing {
 
 using common::TimePoint;
@@ -19,18 +16,6 @@
 /// does not reach it.
 constexpr milliseconds EndedAfterSilence{300};
 
-/// Callers send copies of a SYN 200 ms and 600 ms after the first.
-constexpr std::array<milliseconds, 3> SynCopyAge{
-    milliseconds(0), milliseconds(200), milliseconds(600)};
-/// Callers repeat a packet after 200 ms and then after 400 ms. Data on an
-/// unknown flow that comes this early in the life of the process was most
-/// likely sent before it for the first time.
-constexpr milliseconds RepeatsAfterStart{600};
-constexpr milliseconds FirstRepeat{200};
-/// Beyond this time a held packet is sent on however busy the server is; the
-/// caller repeats it after 400 ms.
-constexpr milliseconds LongestHold{350};
-
 } // namespace
 
 std::string_view toString(Refusal refusal) {
@@ -56,34 +41,13 @@
 }
 
 RoutingOutcome PacketRouter::onPacket(const FlowPacket &packet, TimePoint now) {
-  return decide(packet, Turn::First, now);
-}
-
-RoutingOutcome PacketRouter::onHeldPacket(const FlowPacket &packet,
-                                          TimePoint heldSince, TimePoint now) {
-  return decide(packet,
-                now - heldSince < LongestHold ? Turn::Again : Turn::Last, now);
-}
-
-bool PacketRouter::yields(const Route &route, milliseconds age,
-                          ServerId server) const {
-  // An answer takes a while too, so the last quarter counts as missed.
-  if (age * 4 < route.Objective * 3)
-    return false;
-  const auto &activity = Evidence.activity(server);
-  const auto room = std::max(1U, Directory.at(server).Registration.Slots / 2);
-  return activity.Busy + activity.Opening >= room;
-}
-
-RoutingOutcome PacketRouter::decide(const FlowPacket &packet, Turn turn,
-                                    TimePoint now) {
   const FlowId id{packet.Source, packet.Destination};
   if (Routes.version() == 0)
     return refuse(id, Refusal::NoConfiguration, true);
   if (const auto *route = Routes.find(packet.Destination)) {
     if (packet.Syn && !packet.Ack)
-      return onSyn(*route, packet, turn, now);
-    return onFlowPacket(*route, packet, turn, now);
+      return onSyn(*route, packet, now);
+    return onFlowPacket(*route, packet, now);
   }
   if (packet.Rst)
     return refuse(id, Refusal::NoRoute, true);
@@ -127,14 +91,13 @@
 }
 
 RoutingOutcome PacketRouter::onSyn(const Route &route, const FlowPacket &packet,
-                                   Turn turn, TimePoint now) {
+                                   TimePoint now) {
   const FlowId id{packet.Source, packet.Destination};
   auto &attempts = Attempts[id];
   if (packet.Acknowledgement == 0 || now - attempts.LastSent > SynLifetime)
     attempts.Tried.clear();
-  else if (const auto *flow = Flows.find(id); turn == Turn::First &&
-                                              flow != nullptr &&
-                                              flow->Phase == FlowPhase::Opening)
+  else if (const auto *flow = Flows.find(id);
+           flow != nullptr && flow->Phase == FlowPhase::Opening)
     suspect(flow->Server, Suspicion::SynUnanswered, flow->LastSeen, now);
   const auto server =
       Placement.choose(serviceOf(route, id), attempts.Tried, UseLapsed, now);
@@ -142,10 +105,6 @@
     Attempts.erase(id);
     return refuse(id, Refusal::NoServer, false);
   }
-  const auto copy =
-      std::min<std::size_t>(packet.Acknowledgement, SynCopyAge.size() - 1);
-  if (turn != Turn::Last && yields(route, SynCopyAge[copy], *server))
-    return HoldPacket{};
   attempts.Tried.push_back(*server);
   attempts.LastSent = now;
   Flows.onSyn(id, *server, packet, now);
@@ -163,19 +122,15 @@
 }
 
 RoutingOutcome PacketRouter::onFlowPacket(const Route &route,
-                                          const FlowPacket &packet, Turn turn,
+                                          const FlowPacket &packet,
                                           TimePoint now) {
   const FlowId id{packet.Source, packet.Destination};
   const auto *server = Directory.findByTag(packet.Echo, serviceOf(route, id));
   if (server == nullptr)
     return refuse(id, Refusal::UnknownServer, true);
   const auto serverId = Directory.idOf(*server);
-  const auto *known = Flows.find(id);
-  if (turn != Turn::Last && known == nullptr && packet.PayloadSize > 0 &&
-      now - StartedAt < RepeatsAfterStart &&
-      yields(route, FirstRepeat, serverId))
-    return HoldPacket{};
   Attempts.erase(id);
+  const auto *known = Flows.find(id);
   const auto sentAt = known == nullptr ? now : known->PhaseSince;
   switch (Flows.onPacket(id, serverId, packet, now)) {
   case FlowEvent::Answered:
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -30,12 +30,6 @@
         Observer(observer) {}
 
   RoutingOutcome onPacket(const FlowPacket &packet, common::TimePoint now);
-  /// Decides again on a packet that is held since \p heldSince.
-  RoutingOutcome onHeldPacket(const FlowPacket &packet,
-                              common::TimePoint heldSince,
-                              common::TimePoint now);
-  /// Records that this host begins to serve.
-  void onStart(common::TimePoint now) { StartedAt = now; }
   /// Housekeeping; once a second or more often.
   void onTick(common::TimePoint now);
   /// Whether servers whose entry lapsed unannounced may get new flows when
@@ -45,28 +39,16 @@
   std::size_t flowCount() const { return Flows.size(); }
 
 private:
-  /// Which decision on a packet this is.
-  enum class Turn : std::uint8_t {
-    First,
-    Again, ///< It was held and may be held on.
-    Last,  ///< It was held for as long as it may be.
-  };
   /// Servers that got the SYN of a flow that is not open yet.
   struct SynAttempts {
     std::vector<ServerId> Tried;
     common::TimePoint LastSent;
   };
 
-  RoutingOutcome decide(const FlowPacket &packet, Turn turn,
-                        common::TimePoint now);
-  RoutingOutcome onSyn(const Route &route, const FlowPacket &packet, Turn turn,
+  RoutingOutcome onSyn(const Route &route, const FlowPacket &packet,
                        common::TimePoint now);
   RoutingOutcome onFlowPacket(const Route &route, const FlowPacket &packet,
-                              Turn turn, common::TimePoint now);
-  /// Whether a request that is \p age old misses its objective anyway and has
-  /// to wait because \p server is busy.
-  bool yields(const Route &route, std::chrono::milliseconds age,
-              ServerId server) const;
+                              common::TimePoint now);
   RoutingOutcome refuse(const FlowId &id, Refusal why, bool silent);
   /// The service of a flow; the same for all copies of its SYN.
   Names::Id serviceOf(const Route &route, const FlowId &id);
@@ -83,7 +65,6 @@
   ServerPlacement Placement;
   RoutingObserver &Observer;
   absl::flat_hash_map<FlowId, SynAttempts> Attempts;
-  common::TimePoint StartedAt;
   bool UseLapsed = false;
 };
 
--- a/Source/Routing/RoutingOutcome.h
+++ b/Source/Routing/RoutingOutcome.h
@@ -38,11 +38,6 @@
   Refusal Why = Refusal::NoRoute;
 };
 
-/// Keep the packet and ask again soon (PacketRouter::onHeldPacket): it is late
-/// already, and its backend server is busy with work that is not.
-struct HoldPacket {};
-
-using RoutingOutcome =
-    std::variant<ForwardPacket, ResetFlow, DropPacket, HoldPacket>;
+using RoutingOutcome = std::variant<ForwardPacket, ResetFlow, DropPacket>;
 
 } // namespace auburnroute::routing
