Reset flows whose server has ended, at once and on unknown tags

Ruled out: the registry as the only evidence. Its entry lapses after three heartbeats, 3.6 s there.

Change: a server has ended if three requests of several callers went unanswered, none was answered for 400 ms or twice the slowest answer of late, and another server answered meanwhile. A tag that names no server is answered by a reset once a complete directory that is newer than the first packet with it does not hold the server. Ages of peers' views allow for the way of the message, and datagrams that waited during a pause are dropped.

--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -175,6 +175,7 @@
   const bool first = rank == 0 && !StoppingSince;
   Reader.setActive(first || !View.isComplete() ||
                    View.age(now) > StandInAge + StandInStep * rank);
+  Router.setDirectoryCompleteAt(View.freshAt());
   Router.setUseLapsed(Reader.isAway() || View.age(now) > StandInAge * 2);
 }
 
@@ -185,6 +186,7 @@
     return;
   ++Recorder.counters().Pauses;
   Pump->discardBacklog();
+  Exchange->discardBacklog();
   Reader.hurry(now);
   Log.write(LogEvent::Pause, absl::StrCat("\"gap_ms\":", gap.count()));
 }
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -132,6 +132,13 @@
   OnNews();
 }
 
+void PeerExchange::discardBacklog() {
+  for (int i = 0; i < MaxBatches; ++i)
+    if (Socket.socket().receive(milliseconds(0)).size() <
+        transport::UdpSocket::BatchSize)
+      return;
+}
+
 void PeerExchange::learnHosts(const GossipMessage &message) {
   const auto now = Clock.now();
   if (Peers.learn(message.Sender, now) && Log.admits(LogEvent::Peer))
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -40,6 +40,8 @@
   void poll();
   /// Tells other hosts at once, as of a change or of the own stop.
   void announce();
+  /// Drops what waits in the socket, as after a pause: its ages are wrong.
+  void discardBacklog();
   /// The snapshot for GET /view.
   std::string snapshot() const;
 
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -10,6 +10,13 @@
 using routing::ServerState;
 using std::chrono::milliseconds;
 
+namespace {
+
+/// The age that a peer states does not count the way of its message.
+constexpr milliseconds TransitTime{50};
+
+} // namespace
+
 void FleetView::applyServer(const ServerRegistration &server, TimePoint now) {
   const auto change = Directory.apply(server, now);
   if (change == DirectoryChange::None)
@@ -75,7 +82,7 @@
   if (Revision < changes.From || Revision == 0)
     return false;
   if (changes.To >= Revision)
-    advance(changes.To, now - age);
+    advance(changes.To, now - age - TransitTime);
   return true;
 }
 
@@ -88,7 +95,7 @@
   if (snapshot.Revision <= Revision)
     return;
   HistoryFrom = std::max(HistoryFrom, snapshot.Revision);
-  advance(snapshot.Revision, now - age);
+  advance(snapshot.Revision, now - age - TransitTime);
 }
 
 void FleetView::advance(std::uint64_t revision, TimePoint freshAt) {
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -77,6 +77,8 @@
   std::uint64_t revision() const { return Revision; }
   /// Version of the configuration in force; 0 if there is none.
   std::uint64_t configurationVersion() const { return Routes.version(); }
+  /// The view was complete at this time.
+  common::TimePoint freshAt() const { return FreshAt; }
   /// How long ago the view was known to be complete.
   std::chrono::milliseconds age(common::TimePoint now) const;
   bool isComplete() const { return Revision != 0 && Routes.version() != 0; }
--- a/Source/Routing/FlowTable.cpp
+++ b/Source/Routing/FlowTable.cpp
@@ -87,8 +87,13 @@
   } else if (isAfter(packet.Acknowledgement, flow.Acknowledged)) {
     event = FlowEvent::Answered;
     flow.Acknowledged = packet.Acknowledgement;
-    if (flow.Phase == FlowPhase::Busy)
+    if (flow.Phase == FlowPhase::Busy) {
+      Evidence.onAnswerTime(
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              now - flow.PhaseSince),
+          now);
       enter(flow, FlowPhase::Idle, now);
+    }
   }
   if (packet.Fin || packet.Rst) {
     enter(flow, FlowPhase::Closed, now);
@@ -103,8 +108,8 @@
       flow.PhaseSince = now;
     enter(flow, FlowPhase::Busy, now);
   } else if (event == FlowEvent::None && flow.Phase == FlowPhase::Busy) {
+    event = flow.Repeated ? FlowEvent::RepeatedAgain : FlowEvent::Repeated;
     flow.Repeated = true;
-    event = FlowEvent::Repeated;
   }
   return event;
 }
--- a/Source/Routing/FlowTable.h
+++ b/Source/Routing/FlowTable.h
@@ -36,7 +36,9 @@
 enum class FlowEvent : std::uint8_t {
   None,
   Answered, ///< The server answered since the last packet.
-  Repeated, ///< The caller sent data again: it has seen no answer.
+  Repeated, ///< The caller sent data again for the first time: it has seen
+            ///< no answer.
+  RepeatedAgain,
 };
 
 /// The flows of which this host saw packets lately, bounded in number.
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -15,6 +15,8 @@
 /// long has ended. Callers repeat a packet after 200 ms, so a lost one alone
 /// does not reach it.
 constexpr milliseconds EndedAfterSilence{300};
+/// Longer than callers go on with a flow that does not answer.
+constexpr milliseconds UnknownTagMemory{20000};
 
 } // namespace
 
@@ -76,9 +78,9 @@
   return Directory.serviceNames().idOf(route.Services.front().Service);
 }
 
-void PacketRouter::suspect(ServerId server, Suspicion why, TimePoint sentAt,
-                           TimePoint now) {
-  if (Evidence.onSilence(server, why, sentAt, now))
+void PacketRouter::suspect(ServerId server, Suspicion why, const FlowId &id,
+                           TimePoint sentAt, TimePoint now) {
+  if (Evidence.onSilence(server, why, id.Caller.Address, sentAt, now))
     Observer.onSuspected(
         server, why, std::chrono::duration_cast<milliseconds>(now - sentAt));
 }
@@ -98,7 +100,7 @@
     attempts.Tried.clear();
   else if (const auto *flow = Flows.find(id);
            flow != nullptr && flow->Phase == FlowPhase::Opening)
-    suspect(flow->Server, Suspicion::SynUnanswered, flow->LastSeen, now);
+    suspect(flow->Server, Suspicion::SynUnanswered, id, flow->LastSeen, now);
   const auto server =
       Placement.choose(serviceOf(route, id), attempts.Tried, UseLapsed, now);
   if (!server) {
@@ -113,9 +115,12 @@
 }
 
 bool PacketRouter::hasEnded(const KnownServer &server, TimePoint now) const {
+  const auto id = Directory.idOf(server);
+  if (Evidence.isDead(id, now))
+    return true;
   if (server.Registration.State != ServerState::Lapsed)
     return false;
-  const auto &activity = Evidence.activity(Directory.idOf(server));
+  const auto &activity = Evidence.activity(id);
   return activity.SilentFlows > 0 &&
          now - activity.SilentSince >= EndedAfterSilence &&
          activity.LastAnswer < activity.SilentSince;
@@ -127,7 +132,7 @@
   const FlowId id{packet.Source, packet.Destination};
   const auto *server = Directory.findByTag(packet.Echo, serviceOf(route, id));
   if (server == nullptr)
-    return refuse(id, Refusal::UnknownServer, true);
+    return onUnknownTag(id, packet, now);
   const auto serverId = Directory.idOf(*server);
   Attempts.erase(id);
   const auto *known = Flows.find(id);
@@ -137,19 +142,37 @@
     answered(serverId, now);
     break;
   case FlowEvent::Repeated:
-    suspect(serverId, Suspicion::DataUnanswered, sentAt, now);
-    if (hasEnded(*server, now)) {
-      Flows.erase(id);
-      return refuse(id, Refusal::ServerGone, false);
-    }
+    suspect(serverId, Suspicion::DataUnanswered, id, sentAt, now);
     break;
+  case FlowEvent::RepeatedAgain:
   case FlowEvent::None:
     break;
   }
+  // The caller may send its request on a new flow at once, instead of waiting
+  // for an answer that does not come.
+  if (packet.PayloadSize > 0 && hasEnded(*server, now)) {
+    Flows.erase(id);
+    return refuse(id, Refusal::ServerGone, false);
+  }
   return ForwardPacket{serverId, packet.Echo};
 }
 
+RoutingOutcome PacketRouter::onUnknownTag(const FlowId &id,
+                                          const FlowPacket &packet,
+                                          TimePoint now) {
+  // The flow existed when the tag was seen first, so its server had been
+  // registered by then. It is not registered any more if a directory that was
+  // complete later does not hold it.
+  const auto [it, added] = UnknownTags.try_emplace(packet.Echo, now);
+  const bool ended = packet.Echo != ServerTag::None && !packet.Rst &&
+                     DirectoryCompleteAt > it->second;
+  return refuse(id, Refusal::UnknownServer, !ended);
+}
+
 void PacketRouter::onTick(TimePoint now) {
+  absl::erase_if(UnknownTags, [&](const auto &it) {
+    return now - it.second > UnknownTagMemory;
+  });
   Flows.expire(now, Routes.configuration().IdleTimeout);
   absl::erase_if(Attempts, [&](const auto &it) {
     return now - it.second.LastSent > SynLifetime;
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -36,6 +36,11 @@
   /// none is registered, as while the registry is away.
   void setUseLapsed(bool use) { UseLapsed = use; }
 
+  /// The directory held all registered servers at \p time.
+  void setDirectoryCompleteAt(common::TimePoint time) {
+    DirectoryCompleteAt = time;
+  }
+
   std::size_t flowCount() const { return Flows.size(); }
 
 private:
@@ -52,8 +57,12 @@
   RoutingOutcome refuse(const FlowId &id, Refusal why, bool silent);
   /// The service of a flow; the same for all copies of its SYN.
   Names::Id serviceOf(const Route &route, const FlowId &id);
-  void suspect(ServerId server, Suspicion why, common::TimePoint sentAt,
-               common::TimePoint now);
+  /// A packet with a tag that names no server: a server that ended before this
+  /// host began, or one that this host has not heard of yet.
+  RoutingOutcome onUnknownTag(const FlowId &id, const FlowPacket &packet,
+                              common::TimePoint now);
+  void suspect(ServerId server, Suspicion why, const FlowId &id,
+               common::TimePoint sentAt, common::TimePoint now);
   void answered(ServerId server, common::TimePoint now);
   /// Whether the server has certainly ended, so that its flows are lost.
   bool hasEnded(const KnownServer &server, common::TimePoint now) const;
@@ -65,6 +74,9 @@
   ServerPlacement Placement;
   RoutingObserver &Observer;
   absl::flat_hash_map<FlowId, SynAttempts> Attempts;
+  /// When a packet with a tag that names no server came first.
+  absl::flat_hash_map<std::uint32_t, common::TimePoint> UnknownTags;
+  common::TimePoint DirectoryCompleteAt;
   bool UseLapsed = false;
 };
 
--- a/Source/Routing/ServerEvidence.cpp
+++ b/Source/Routing/ServerEvidence.cpp
@@ -5,6 +5,7 @@
 namespace auburnroute::routing {
 
 using common::TimePoint;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -52,15 +53,48 @@
   it.LastAnswer = now;
   it.Why = Suspicion::None;
   it.SilentFlows = 0;
+  it.SeveralCallers = false;
+  if (LastAnswering != id) {
+    OtherAnswerAt = LastAnswerAt;
+    LastAnswering = id;
+  }
+  LastAnswerAt = now;
+}
+
+void ServerEvidence::onAnswerTime(milliseconds time, TimePoint now) {
+  if (now - SlowestSince > Limits.SlowestMemory) {
+    SlowestBefore = SlowestNow;
+    SlowestNow = milliseconds(0);
+    SlowestSince = now;
+  }
+  SlowestNow = std::max(SlowestNow, time);
+}
+
+milliseconds ServerEvidence::slowestAnswer() const {
+  return std::max(SlowestNow, SlowestBefore);
 }
 
-bool ServerEvidence::onSilence(ServerId id, Suspicion why, TimePoint sentAt,
-                               TimePoint now) {
+bool ServerEvidence::isDead(ServerId id, TimePoint now) const {
+  const auto &it = activity(id);
+  const auto otherAnswerAt = LastAnswering == id ? OtherAnswerAt : LastAnswerAt;
+  return it.SilentFlows >= Limits.DeadFlows && it.SeveralCallers &&
+         now - it.SilentSince >=
+             std::max(Limits.DeadSilence,
+                      Limits.DeadFactor * slowestAnswer()) &&
+         now - otherAnswerAt < Limits.OwnReach;
+}
+
+bool ServerEvidence::onSilence(ServerId id, Suspicion why, std::uint32_t caller,
+                               TimePoint sentAt, TimePoint now) {
   auto &it = ref(id);
   if (it.LastAnswer > sentAt)
     return false;
-  if (it.SilentFlows++ == 0)
+  if (it.SilentFlows++ == 0) {
     it.SilentSince = sentAt;
+    it.FirstSilentCaller = caller;
+  }
+  it.SilentSince = std::min(it.SilentSince, sentAt);
+  it.SeveralCallers |= caller != it.FirstSilentCaller;
   const bool raised = !isSuspect(id, now);
   if (raised) {
     it.Why = why;
--- a/Source/Routing/ServerEvidence.h
+++ b/Source/Routing/ServerEvidence.h
@@ -29,9 +29,13 @@
   Suspicion Why = Suspicion::None;
   common::TimePoint SuspectedAt;
   common::TimePoint SuspectUntil;
-  /// Flows that repeated a packet since the last answer.
+  /// Requests and SYNs that were repeated since the last answer.
   std::uint32_t SilentFlows = 0;
-  common::TimePoint SilentSince;
+  /// Whether more than one caller repeated them: a caller that is cut off
+  /// itself repeats packets that were answered.
+  bool SeveralCallers = false;
+  std::uint32_t FirstSilentCaller = 0; ///< IPv4 address.
+  common::TimePoint SilentSince;       ///< When the first of them was sent.
 };
 
 /// Limits of the evidence; all have the defaults that the daemon uses.
@@ -44,6 +48,17 @@
   /// them are suspected and none has answered for ZoneSilence.
   std::uint32_t ZoneSuspects = 2;
   std::chrono::milliseconds ZoneSilence{400};
+  /// A server has ended if this many requests of several callers went
+  /// unanswered, and none was answered, for DeadSilence or for DeadFactor times
+  /// the slowest answer of late, whichever is longer.
+  std::uint32_t DeadFlows = 3;
+  std::chrono::milliseconds DeadSilence{400};
+  int DeadFactor = 2;
+  /// How recently another server must have answered, which shows that this host
+  /// is not cut off or was paused itself.
+  std::chrono::milliseconds OwnReach{300};
+  /// Time for which the slowest answer is remembered.
+  std::chrono::seconds SlowestMemory{30};
 };
 
 /// Tells servers that answer from servers that do not, from the packets of
@@ -62,10 +77,12 @@
   void onSynGivenUp(ServerId id);
   /// The server answered something.
   void onAnswer(ServerId id, common::TimePoint now);
-  /// A caller repeated a packet that was first sent at \p sentAt. Returns
-  /// whether a suspicion was raised.
-  bool onSilence(ServerId id, Suspicion why, common::TimePoint sentAt,
-                 common::TimePoint now);
+  /// A request was answered after \p time.
+  void onAnswerTime(std::chrono::milliseconds time, common::TimePoint now);
+  /// \p caller (IPv4 address) repeated a packet that was first sent at
+  /// \p sentAt. Returns whether a suspicion was raised.
+  bool onSilence(ServerId id, Suspicion why, std::uint32_t caller,
+                 common::TimePoint sentAt, common::TimePoint now);
   /// A peer saw no answer since \p since. Returns whether a suspicion was
   /// raised.
   bool onReport(ServerId id, common::TimePoint since, common::TimePoint now);
@@ -73,6 +90,11 @@
   void reset(ServerId id);
 
   bool isSuspect(ServerId id, common::TimePoint now) const;
+  /// Whether the server has ended, or can't be reached, beyond doubt: open
+  /// flows to it may be reset.
+  bool isDead(ServerId id, common::TimePoint now) const;
+  /// The longest time that a request took of late.
+  std::chrono::milliseconds slowestAnswer() const;
   const ServerActivity &activity(ServerId id) const;
   /// Zones, by id, that do not answer; the own zone is never among them.
   std::vector<bool> silentZones(const ServerDirectory &directory,
@@ -83,6 +105,13 @@
 
   EvidenceLimits Limits;
   std::vector<ServerActivity> Activities;
+  // The two servers that answered last, of which one is another than any given.
+  ServerId LastAnswering = 0;
+  common::TimePoint LastAnswerAt;
+  common::TimePoint OtherAnswerAt;
+  std::chrono::milliseconds SlowestNow{0};
+  std::chrono::milliseconds SlowestBefore{0};
+  common::TimePoint SlowestSince;
 };
 
 } // namespace auburnroute::routing
