Read the registry from one host of the fleet and relay its freshness

Ruled out: a longer wait alone; changes have to be in force within the bound.

Change: one host of the fleet reads, the others stand in in the order of their zone when their view grows old. A list takes one call. A view that is 0.7 s more current is passed on at once. Pace and ages follow from the bound of the settings.

--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -25,11 +25,6 @@
 constexpr milliseconds FileCheckInterval{2000};
 /// A gap between two ticks that only a stopped process explains.
 constexpr milliseconds PauseLimit{600};
-/// The first host of a zone reads the registry all the time; the next ones
-/// step in when the view is older than this, each later than the one before.
-constexpr milliseconds StandInAge{1400};
-constexpr milliseconds StandInStep{200};
-constexpr std::size_t MaxStandInSteps = 4;
 /// The routers probe twice a second and give a host up after two misses.
 constexpr milliseconds RoutersLeave{1300};
 /// Without packets for this long after that, the routers have left.
@@ -55,7 +50,8 @@
                     Settings.FlowLifetime) +
                 RetentionReserve),
       Recorder(Log, clock, Directory, Evidence),
-      View(Routes, Directory, Recorder), Reader(View),
+      View(Routes, Directory, Recorder),
+      Reader(View, fleet::RegistryPace::forBound(Settings.ChangeBound)),
       Peers({Settings.Peers.Address, Settings.Zone,
              static_cast<std::uint64_t>(
                  common::millisecondsOf(clock.wallTime()))},
@@ -171,12 +167,15 @@
 }
 
 void EdgeNode::updateDuty(TimePoint now) {
-  const auto rank = std::min(Peers.rankInZone(now), MaxStandInSteps);
-  const bool first = rank == 0 && !StoppingSince;
-  Reader.setActive(first || !View.isComplete() ||
-                   View.age(now) > StandInAge + StandInStep * rank);
+  const auto &pace = Reader.pace();
+  const auto rank =
+      std::min(Peers.rankInZone(now), fleet::RegistryPace::MaxStandInSteps);
+  const auto standInAge =
+      pace.StandInAge + pace.StandInStep * static_cast<int>(rank);
+  const bool first = Peers.isFirst(now) && !StoppingSince;
+  Reader.setActive(first || !View.isComplete() || View.age(now) > standInAge);
   Router.setDirectoryCompleteAt(View.freshAt());
-  Router.setUseLapsed(Reader.isAway() || View.age(now) > StandInAge * 2);
+  Router.setUseLapsed(Reader.isAway() || View.age(now) > pace.StandInAge * 2);
 }
 
 void EdgeNode::checkPause(TimePoint now) {
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -19,6 +19,9 @@
 /// Within a zone or a region a snapshot takes some milliseconds.
 constexpr milliseconds SnapshotTime{600};
 constexpr int MaxBatches = 4;
+/// A view that is this much more current is passed on at once: the registry is
+/// read by one host, in steps of a second and more.
+constexpr milliseconds FreshnessStep{700};
 
 } // namespace
 
@@ -48,8 +51,7 @@
 
 void PeerExchange::poll() {
   const auto now = Clock.now();
-  if (View.changeCount() != AnnouncedChange)
-    announce();
+  relay();
   if (now < NextRound)
     return;
   NextRound = now + Round;
@@ -65,8 +67,15 @@
   sendTo(to, !View.isComplete() || Peers.aliveCount(now) == 0);
 }
 
+void PeerExchange::relay() {
+  if (View.changeCount() != AnnouncedChange ||
+      (View.isComplete() && View.freshAt() - RelayedFreshAt >= FreshnessStep))
+    announce();
+}
+
 void PeerExchange::announce() {
   AnnouncedChange = View.changeCount();
+  RelayedFreshAt = View.freshAt();
   const auto now = Clock.now();
   const auto all = Peers.aliveCount(now);
   sendTo(Peers.choose(all <= SmallFleet ? all : FanOut + 1, now), false);
@@ -127,8 +136,7 @@
     if (batch.size() < transport::UdpSocket::BatchSize)
       break;
   }
-  if (View.changeCount() != AnnouncedChange)
-    announce();
+  relay();
   OnNews();
 }
 
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -51,6 +51,9 @@
   void learnHosts(const fleet::GossipMessage &message);
   void learnSuspects(const fleet::GossipMessage &message);
   void sendTo(const std::vector<std::uint32_t> &addresses, bool wantsAnswer);
+  /// Tells other hosts of changes, or that the view is more current than it
+  /// was when they were told last.
+  void relay();
   void fetchSnapshot(std::uint32_t address);
   std::vector<fleet::ReportedSuspect> suspects(common::TimePoint now) const;
 
@@ -69,7 +72,7 @@
   common::TimePoint NextRound;
   std::size_t SeedCursor = 0;
   std::uint64_t AnnouncedChange = 0;
-  common::TimePoint AnnouncedSuspicion;
+  common::TimePoint RelayedFreshAt;
   bool Fetching = false;
   std::unique_ptr<reactor::AsyncHttpClient> Fetcher;
 };
--- a/Source/Edge/RegistryClient.cpp
+++ b/Source/Edge/RegistryClient.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusGone = 410;
 
 } // namespace
@@ -46,10 +45,6 @@
               common::fromAbsl(result.status().message()));
   } else if (result->Status == StatusGone) {
     onFailure(RegistryFailure::Compacted, "the history is gone");
-  } else if (result->Status == StatusNotFound &&
-             call.Kind == fleet::RegistryCallKind::ReadConfiguration) {
-    // Before the first configuration is written.
-    onFailure(RegistryFailure::Refused, "there is no configuration yet");
   } else if (result->Status != StatusOk) {
     onFailure(RegistryFailure::Refused,
               absl::StrCat("status ", result->Status));
--- a/Source/Fleet/PeerTable.cpp
+++ b/Source/Fleet/PeerTable.cpp
@@ -76,6 +76,14 @@
   return all;
 }
 
+bool PeerTable::isFirst(TimePoint now) const {
+  return std::ranges::none_of(Peers, [&](const auto &it) {
+    const auto &peer = it.second;
+    return isAlive(peer, now) && !peer.Info.Leaving &&
+           peer.Info.Address < Self.Address;
+  });
+}
+
 std::size_t PeerTable::rankInZone(TimePoint now) const {
   return static_cast<std::size_t>(
       std::ranges::count_if(Peers, [&](const auto &it) {
--- a/Source/Fleet/PeerTable.h
+++ b/Source/Fleet/PeerTable.h
@@ -57,6 +57,8 @@
   /// Number of hosts of the own zone that run, are not leaving and come before
   /// this host in the order of addresses.
   std::size_t rankInZone(common::TimePoint now) const;
+  /// Whether this host comes before all others that run and are not leaving.
+  bool isFirst(common::TimePoint now) const;
   void expire(common::TimePoint now);
 
 private:
--- a/Source/Fleet/RegistryCall.h
+++ b/Source/Fleet/RegistryCall.h
@@ -12,15 +12,14 @@
 namespace auburnroute::fleet {
 
 enum class RegistryCallKind : std::uint8_t {
-  ReadConfiguration,
-  ListServers,
+  List,  ///< All servers and the configuration, in pages.
   Watch, ///< Changes of servers and configuration after a revision.
 };
 
 /// One read of the registry.
 struct RegistryCall {
-  RegistryCallKind Kind = RegistryCallKind::ListServers;
-  std::string After;          ///< ListServers: name that the page begins after.
+  RegistryCallKind Kind = RegistryCallKind::List;
+  std::string After;          ///< List: where the page begins; empty at first.
   std::uint64_t Revision = 0; ///< Watch: the last revision that is known.
   std::chrono::milliseconds Wait{0};    ///< Watch: time to wait for a change.
   std::chrono::milliseconds Timeout{0}; ///< Without an answer it has failed.
@@ -38,7 +37,7 @@
   std::vector<routing::ServerRegistration> Servers;
   std::vector<RegistryRemoval> Removed;
   std::optional<routing::RoutingConfiguration> Configuration;
-  std::string LastKey; ///< ListServers: where the next page begins.
+  std::string LastKey; ///< List: where the next page begins.
   bool HasMore = false;
   std::uint32_t Unreadable = 0; ///< Entries that were left out.
 };
--- a/Source/Routing/FlowTable.cpp
+++ b/Source/Routing/FlowTable.cpp
@@ -107,7 +107,8 @@
     if (flow.Phase == FlowPhase::Busy)
       flow.PhaseSince = now;
     enter(flow, FlowPhase::Busy, now);
-  } else if (event == FlowEvent::None && flow.Phase == FlowPhase::Busy) {
+  } else if (event == FlowEvent::None && flow.Phase == FlowPhase::Busy &&
+             now - flow.PhaseSince >= RepeatedAfter) {
     event = flow.Repeated ? FlowEvent::RepeatedAgain : FlowEvent::Repeated;
     flow.Repeated = true;
   }
--- a/Source/Routing/FlowTable.h
+++ b/Source/Routing/FlowTable.h
@@ -53,6 +53,9 @@
   /// A caller repeats unanswered data after 200 ms; a request that is older
   /// and was not repeated was answered by packets that this host did not see.
   static constexpr std::chrono::milliseconds AnswerAssumedAfter{300};
+  /// Packets of one request that arrive out of order are closer together than
+  /// this; callers repeat them after 200 ms.
+  static constexpr std::chrono::milliseconds RepeatedAfter{150};
   /// Time for the last packets of a closed flow.
   static constexpr std::chrono::milliseconds ClosedLinger{2000};
 
--- a/Source/State/EdgeSettings.cpp
+++ b/Source/State/EdgeSettings.cpp
@@ -41,6 +41,10 @@
       field<E, &E::ServerHeartbeat>(
           V::duration("serverHeartbeat", 1ms, 10min,
                       "Interval in which backend servers write their entry.")),
+      field<E, &E::ChangeBound>(
+          V::duration("changeBound", 500ms, 10min,
+                      "Time in which a change has to be in force on all "
+                      "hosts.")),
       field<E, &E::FlowLifetime>(V::duration(
           "flowLifetime", 1s, 1000min, "Age up to which a flow must be kept.")),
       field<E, &E::StopTimeout>(V::duration("stopTimeout", 100ms, 60min,
--- a/Source/State/EdgeSettings.h
+++ b/Source/State/EdgeSettings.h
@@ -22,6 +22,8 @@
   common::Endpoint Registry; ///< TCP, HTTP; configuration and servers.
   std::vector<common::Endpoint> Seeds; ///< Control endpoints of other hosts.
   std::chrono::milliseconds ServerHeartbeat{1000};
+  /// The shortest bound on the time until a change is in force.
+  std::chrono::milliseconds ChangeBound{3000};
   std::chrono::milliseconds FlowLifetime{60000};
   std::chrono::milliseconds StopTimeout{6000};
 };
--- a/Source/platform/StoreCodec.cpp
+++ b/Source/platform/StoreCodec.cpp
@@ -213,21 +213,12 @@
 } // namespace
 
 std::string StoreCodec::target(const RegistryCall &call) {
-  switch (call.Kind) {
-  case RegistryCallKind::ReadConfiguration:
-    return absl::StrCat("/kv-key?key=", common::toAbsl(ConfigurationKey));
-  case RegistryCallKind::ListServers:
-    return absl::StrCat(
-        "/kv-range?prefix=", common::toAbsl(ServerPrefix),
-        call.After.empty()
-            ? ""
-            : absl::StrCat("&after=", common::toAbsl(ServerPrefix),
-                           call.After));
-  case RegistryCallKind::Watch:
+  // The empty prefix brings servers and configuration in one call.
+  if (call.Kind == RegistryCallKind::Watch)
     return absl::StrCat("/kv-watch?prefix=&after=", call.Revision,
                         "&wait_ms=", call.Wait.count());
-  }
-  return {};
+  return absl::StrCat(
+      "/kv-range?prefix=", call.After.empty() ? "" : "&after=", call.After);
 }
 
 absl::StatusOr<RegistryPage> StoreCodec::decode(const RegistryCall &call,
@@ -240,20 +231,13 @@
     return absl::InvalidArgumentError("the body has no at_rev");
   RegistryPage page;
   page.Revision = *revision;
-  if (call.Kind == RegistryCallKind::ReadConfiguration) {
-    decodeItem(*object, page);
-    return page;
-  }
-  const auto *list =
-      call.Kind == RegistryCallKind::ListServers ? "items" : "events";
+  const auto *list = call.Kind == RegistryCallKind::List ? "items" : "events";
   const auto items = object->find(list);
   if (items == object->end() || !items->is_array())
     return absl::InvalidArgumentError(
         absl::StrCat("the body has no list ", list));
   for (const auto &it : *items)
     decodeItem(it, page);
-  if (page.LastKey.starts_with(ServerPrefix))
-    page.LastKey.erase(0, ServerPrefix.size());
   const auto more = object->find("has_more");
   page.HasMore = more != object->end() && more->is_boolean() &&
                  more->get<bool>() && !page.LastKey.empty();
