--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -19,6 +19,8 @@
   switch (change) {
   case DirectoryChange::None:
     return "none";
+  case DirectoryChange::Refreshed:
+    return "refreshed";
   case DirectoryChange::Added:
     return "added";
   case DirectoryChange::Updated:
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -21,8 +21,12 @@
   const auto change = Directory.apply(server, now);
   if (change == DirectoryChange::None)
     return;
-  ++ChangeCount;
+  // Also one without a change of content: a peer may know a state in between
+  // that this view has skipped.
   History.push_back({server.Revision, now, server.Name});
+  if (change == DirectoryChange::Refreshed)
+    return;
+  ++ChangeCount;
   if (const auto *known = Directory.findByName(server.Name))
     Observer.onServer(known->Registration, change);
 }
@@ -120,9 +124,9 @@
     if (!seen.insert(it->Name).second)
       continue;
     if (changes.Servers.size() == most) {
-      // The receiver must know everything up to the first change left out.
+      // The receiver must know all that is left out. Changes come in any order.
       changes.From = std::max(changes.From, it->Revision);
-      break;
+      continue;
     }
     if (const auto *known = Directory.findByName(it->Name))
       changes.Servers.push_back(known->Registration);
--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -1,5 +1,7 @@
 #include "Fleet/GossipCodec.h"
 
+#include "Routing/Names.h"
+
 #include "Fleet.pb.h"
 
 #include <algorithm>
@@ -48,12 +50,13 @@
 }
 
 std::optional<routing::ServerRegistration> read(const wire::Server &in) {
-  if (in.name().empty() ||
+  if (!routing::isName(in.name()) ||
       in.state() > static_cast<std::uint32_t>(ServerState::Lapsed))
     return std::nullopt;
   const auto state = static_cast<ServerState>(in.state());
   if (state != ServerState::Lapsed &&
-      (!isPort(in.port()) || in.identity() == 0 || in.service().empty()))
+      (!isPort(in.port()) || in.identity() == 0 ||
+       !routing::isName(in.service()) || !routing::isName(in.zone())))
     return std::nullopt;
   return routing::ServerRegistration{
       in.name(),     in.identity(),
@@ -130,7 +133,8 @@
 std::optional<GossipMessage> GossipCodec::decode(std::string_view bytes) {
   wire::Gossip in;
   if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
-      !in.has_sender() || in.sender().address() == 0)
+      !in.has_sender() || in.sender().address() == 0 ||
+      !routing::isName(in.sender().zone()))
     return std::nullopt;
   GossipMessage message;
   message.Sender = read(in.sender());
--- a/Source/Fleet/RegistryReader.cpp
+++ b/Source/Fleet/RegistryReader.cpp
@@ -57,8 +57,7 @@
     // Without a change the registry answers when the wait is over, so that the
     // answer is as recent as that; otherwise it may have been under way long.
     const bool waited = page.Servers.empty() && page.Removed.empty() &&
-                        !page.Configuration &&
-                        now - CalledAt >= Pace.WatchWait;
+                        !page.Configuration && now - CalledAt >= Pace.WatchWait;
     View.applyChanges(page, waited ? CalledAt + Pace.WatchWait : CalledAt, now);
     NextAt = now + Pace.WatchPause;
     return;
--- /dev/null
+++ b/Source/Routing/Names.cpp
@@ -0,0 +1,23 @@
+#include "Routing/Names.h"
+
+#include "absl/strings/ascii.h"
+
+#include <algorithm>
+
+namespace auburnroute::routing {
+
+namespace {
+
+constexpr std::size_t MaxNameBytes = 200; // The registry's limit for keys.
+
+} // namespace
+
+bool isName(std::string_view text) {
+  return !text.empty() && text.size() <= MaxNameBytes &&
+         std::ranges::all_of(text, [](char ch) {
+           return absl::ascii_isalnum(static_cast<unsigned char>(ch)) ||
+                  ch == '-' || ch == '_' || ch == '.';
+         });
+}
+
+} // namespace auburnroute::routing
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -114,16 +114,16 @@
   return ForwardPacket{*server, Directory.at(*server).Tag};
 }
 
-bool PacketRouter::hasEnded(const KnownServer &server, TimePoint now) const {
+bool PacketRouter::hasEnded(const KnownServer &server, TimePoint now) {
   const auto id = Directory.idOf(server);
   if (Evidence.isDead(id, now))
     return true;
   if (server.Registration.State != ServerState::Lapsed)
     return false;
-  const auto &activity = Evidence.activity(id);
-  return activity.SilentFlows > 0 &&
-         now - activity.SilentSince >= EndedAfterSilence &&
-         activity.LastAnswer < activity.SilentSince;
+  // One that announced its end has left. Otherwise the registry may be at
+  // fault, and a single repeat may be a lost packet.
+  return Evidence.isSilent(id, server.LapsedUnannounced ? 2 : 1,
+                           EndedAfterSilence, now);
 }
 
 RoutingOutcome PacketRouter::onFlowPacket(const Route &route,
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -65,7 +65,7 @@
                common::TimePoint sentAt, common::TimePoint now);
   void answered(ServerId server, common::TimePoint now);
   /// Whether the server has certainly ended, so that its flows are lost.
-  bool hasEnded(const KnownServer &server, common::TimePoint now) const;
+  bool hasEnded(const KnownServer &server, common::TimePoint now);
 
   const RouteTable &Routes;
   ServerDirectory &Directory;
--- a/Source/Routing/ServerDirectory.cpp
+++ b/Source/Routing/ServerDirectory.cpp
@@ -44,7 +44,7 @@
   const bool same = before.State == it.State && before.Address == it.Address &&
                     before.Service == it.Service && before.Zone == it.Zone &&
                     before.Slots == it.Slots && before.ColdLeft == it.ColdLeft;
-  return same ? DirectoryChange::None : DirectoryChange::Updated;
+  return same ? DirectoryChange::Refreshed : DirectoryChange::Updated;
 }
 
 DirectoryChange ServerDirectory::remove(std::string_view name,
@@ -59,7 +59,7 @@
     server.Registration.State = ServerState::Lapsed;
     server.Registration.Revision = revision;
     ByName.emplace(name, id);
-    return DirectoryChange::None;
+    return DirectoryChange::Refreshed;
   }
   auto &server = Servers[it->second];
   auto &known = server.Registration;
@@ -67,7 +67,7 @@
     return DirectoryChange::None;
   known.Revision = revision;
   if (known.State == ServerState::Lapsed)
-    return DirectoryChange::None;
+    return DirectoryChange::Refreshed;
   server.LapsedUnannounced = known.State == ServerState::Ready;
   known.State = ServerState::Lapsed;
   server.LapsedAt = now;
--- a/Source/Routing/ServerDirectory.h
+++ b/Source/Routing/ServerDirectory.h
@@ -34,7 +34,8 @@
 
 /// What a change to the directory did.
 enum class DirectoryChange {
-  None, ///< Known already, or older than what is known.
+  None,      ///< Known already, or older than what is known.
+  Refreshed, ///< Newer, with the same content.
   Added,
   Updated,   ///< Fields changed.
   Restarted, ///< The same name with another lifetime: it holds no flows.
--- a/Source/Routing/ServerEvidence.cpp
+++ b/Source/Routing/ServerEvidence.cpp
@@ -54,6 +54,7 @@
   it.Why = Suspicion::None;
   it.SilentFlows = 0;
   it.SeveralCallers = false;
+  it.DeadUntil = {};
   if (LastAnswering != id) {
     OtherAnswerAt = LastAnswerAt;
     LastAnswering = id;
@@ -74,21 +75,39 @@
   return std::max(SlowestNow, SlowestBefore);
 }
 
-bool ServerEvidence::isDead(ServerId id, TimePoint now) const {
+bool ServerEvidence::isSilent(ServerId id, std::uint32_t flows,
+                              milliseconds time, TimePoint now) const {
   const auto &it = activity(id);
+  return it.SilentFlows >= flows &&
+         now - it.LastSilenceAt < Limits.SilenceMemory &&
+         now - it.SilentSince >= time;
+}
+
+bool ServerEvidence::isDead(ServerId id, TimePoint now) {
+  auto &it = ref(id);
+  if (now < it.DeadUntil)
+    return true;
   const auto otherAnswerAt = LastAnswering == id ? OtherAnswerAt : LastAnswerAt;
-  return it.SilentFlows >= Limits.DeadFlows && it.SeveralCallers &&
-         now - it.SilentSince >=
-             std::max(Limits.DeadSilence,
-                      Limits.DeadFactor * slowestAnswer()) &&
-         now - otherAnswerAt < Limits.OwnReach;
+  const auto silence =
+      std::max(Limits.DeadSilence, Limits.DeadFactor * slowestAnswer());
+  const bool dead = it.SeveralCallers &&
+                    isSilent(id, Limits.DeadFlows, silence, now) &&
+                    now - otherAnswerAt < Limits.OwnReach;
+  if (dead)
+    it.DeadUntil = now + Limits.DeadHold;
+  return dead;
 }
 
 bool ServerEvidence::onSilence(ServerId id, Suspicion why, std::uint32_t caller,
                                TimePoint sentAt, TimePoint now) {
   auto &it = ref(id);
-  if (it.LastAnswer > sentAt)
+  if (it.LastAnswer > sentAt || now - sentAt < Limits.ShortestSilence)
     return false;
+  if (now - it.LastSilenceAt > Limits.SilenceMemory) {
+    it.SilentFlows = 0;
+    it.SeveralCallers = false;
+  }
+  it.LastSilenceAt = now;
   if (it.SilentFlows++ == 0) {
     it.SilentSince = sentAt;
     it.FirstSilentCaller = caller;
--- a/Source/Routing/ServerEvidence.h
+++ b/Source/Routing/ServerEvidence.h
@@ -36,6 +36,8 @@
   bool SeveralCallers = false;
   std::uint32_t FirstSilentCaller = 0; ///< IPv4 address.
   common::TimePoint SilentSince;       ///< When the first of them was sent.
+  common::TimePoint LastSilenceAt;     ///< When the last of them came.
+  common::TimePoint DeadUntil;         ///< Taken for dead; ends by an answer.
 };
 
 /// Limits of the evidence; all have the defaults that the daemon uses.
@@ -54,6 +56,15 @@
   std::uint32_t DeadFlows = 3;
   std::chrono::milliseconds DeadSilence{400};
   int DeadFactor = 2;
+  /// Repeats further apart than this have nothing to do with each other;
+  /// callers repeat an unanswered request within 0.6 s.
+  std::chrono::milliseconds SilenceMemory{1000};
+  /// How long a server is taken for dead without new evidence; its entry lapses
+  /// meanwhile.
+  std::chrono::milliseconds DeadHold{2000};
+  /// Packets that are closer together were held up on their way or on this
+  /// host; callers repeat after 200 ms.
+  std::chrono::milliseconds ShortestSilence{150};
   /// How recently another server must have answered, which shows that this host
   /// is not cut off or was paused itself.
   std::chrono::milliseconds OwnReach{300};
@@ -92,7 +103,11 @@
   bool isSuspect(ServerId id, common::TimePoint now) const;
   /// Whether the server has ended, or can't be reached, beyond doubt: open
   /// flows to it may be reset.
-  bool isDead(ServerId id, common::TimePoint now) const;
+  bool isDead(ServerId id, common::TimePoint now);
+  /// Whether at least \p flows repeated packets of late, the first of them sent
+  /// \p time ago or earlier, and none was answered.
+  bool isSilent(ServerId id, std::uint32_t flows,
+                std::chrono::milliseconds time, common::TimePoint now) const;
   /// The longest time that a request took of late.
   std::chrono::milliseconds slowestAnswer() const;
   const ServerActivity &activity(ServerId id) const;
--- /dev/null
+++ b/Source/UnitTests/Fleet/FleetViewTest.cpp
@@ -0,0 +1,175 @@
+#include "UnitTests/Fleet/FleetFixture.h"
+#include "UnitTests/Seeds.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <random>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+using routing::ServerState;
+using unittests::sampleConfiguration;
+using unittests::samplePage;
+using unittests::sampleServer;
+using unittests::ViewFixture;
+
+namespace {
+
+/// Loads \p it with servers 1 and 2 and version 1 at revision 10.
+void load(ViewFixture &it, common::TimePoint now) {
+  it.View.applyEntries(
+      samplePage(10, {sampleServer(1, 3), sampleServer(2, 4)}, 1), now);
+  it.View.finishList({"s1", "s2"}, 10, now, now);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FleetViewTest)
+
+// Guards against a configuration that goes back, from a stale registry or a
+// peer that lags.
+BOOST_AUTO_TEST_CASE(ConfigurationsNeverGoBack) {
+  common::ManualClock clock;
+  ViewFixture it;
+  load(it, clock.now());
+  it.View.applyChanges(samplePage(12, {}, 5), clock.now(), clock.now());
+  it.View.applyChanges(samplePage(11, {}, 2), clock.now(), clock.now());
+  it.View.applySnapshot({20, sampleConfiguration(4), {}}, 0ms, clock.now());
+  BOOST_TEST(it.Routes.version() == 5U);
+  BOOST_TEST((it.Observer.Versions == std::vector<std::uint64_t>{1, 5}));
+}
+
+// Guards against servers that left while no change was seen: a new list, after
+// the history was dropped, does not name them.
+BOOST_AUTO_TEST_CASE(AListLapsesWhatItDoesNotName) {
+  common::ManualClock clock;
+  ViewFixture it;
+  load(it, clock.now());
+  it.View.applyEntries(samplePage(30, {sampleServer(2, 4)}), clock.now());
+  it.View.finishList({"s2"}, 30, clock.now(), clock.now());
+  BOOST_TEST((it.stateOf("s1") == ServerState::Lapsed));
+  BOOST_TEST((it.stateOf("s2") == ServerState::Ready));
+}
+
+// Guards against a list that lapses a server which registered while its pages
+// were read.
+BOOST_AUTO_TEST_CASE(AListKeepsWhatIsNewerThanItsStart) {
+  common::ManualClock clock;
+  ViewFixture it;
+  load(it, clock.now());
+  it.View.applyPeerChanges({10, 31, {sampleServer(3, 31)}}, 0ms, clock.now());
+  it.View.finishList({"s1", "s2"}, 30, clock.now(), clock.now());
+  BOOST_TEST((it.stateOf("s3") == ServerState::Ready));
+}
+
+// Guards against a host that takes itself for current after it missed changes:
+// they must be fetched.
+BOOST_AUTO_TEST_CASE(AGapAsksForASnapshot) {
+  common::ManualClock clock;
+  ViewFixture it;
+  load(it, clock.now());
+  clock.advance(5s);
+  BOOST_TEST(!it.View.applyPeerChanges({14, 20, {sampleServer(3, 20)}}, 0ms,
+                                       clock.now()));
+  BOOST_TEST(it.View.revision() == 10U);
+  BOOST_TEST((it.View.age(clock.now()) >= 5s));
+  BOOST_TEST(it.View.applyPeerChanges({10, 20, {}}, 100ms, clock.now()));
+  BOOST_TEST(it.View.revision() == 20U);
+  BOOST_TEST((it.View.age(clock.now()) < 200ms));
+}
+
+// Guards against a list of changes that is cut short and still claims to be
+// complete.
+BOOST_AUTO_TEST_CASE(CutChangesStartLater) {
+  common::ManualClock clock;
+  ViewFixture it;
+  load(it, clock.now());
+  for (std::uint64_t n = 11; n <= 20; ++n)
+    it.View.applyChanges(samplePage(n, {sampleServer(n, n)}), clock.now(),
+                         clock.now());
+  const auto changes = it.View.recentChanges(3);
+  BOOST_TEST(changes.Servers.size() == 3U);
+  BOOST_TEST(changes.From == 17U);
+  BOOST_TEST(changes.To == 20U);
+}
+
+// Random changes at a registry that some views read and that pass to others in
+// any order, with losses. Views never go back and hold no server against the
+// registry once they are complete to its revision.
+BOOST_AUTO_TEST_CASE(ViewsConverge) {
+  for (const auto seed : unittests::seeds({1, 2, 3, 4, 5})) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      std::mt19937_64 random(seed);
+      common::ManualClock clock;
+      std::vector<ViewFixture> views(4);
+      std::map<std::uint64_t, routing::ServerRegistration> registry;
+      std::vector<std::pair<std::uint64_t, std::uint64_t>> log; // revision, id
+      std::uint64_t revision = 1;
+      const auto list = [&](ViewFixture &it) {
+        std::set<std::string> names;
+        std::vector<routing::ServerRegistration> servers;
+        for (const auto &[id, server] : registry)
+          if (server.State != ServerState::Lapsed) {
+            servers.push_back(server);
+            names.insert(server.Name);
+          }
+        it.View.applyEntries(samplePage(revision, servers, 1), clock.now());
+        it.View.finishList(names, revision, clock.now(), clock.now());
+      };
+      for (auto &it : views)
+        list(it);
+      for (int step = 0; step < 3000; ++step) {
+        clock.advance(std::chrono::milliseconds(random() % 30));
+        auto &a = views[random() % views.size()];
+        auto &b = views[random() % views.size()];
+        const auto before = a.View.revision();
+        switch (random() % 6) {
+        case 0:
+        case 1: {
+          const auto id = 1 + random() % 12;
+          const auto state = static_cast<ServerState>(random() % 3);
+          registry[id] = sampleServer(id, ++revision, state);
+          log.emplace_back(revision, id);
+          break;
+        }
+        case 2: { // A watch by one of the first two views.
+          auto &reader = views[random() % 2];
+          fleet::RegistryPage page;
+          page.Revision = revision;
+          for (const auto &[at, id] : log)
+            if (at > reader.View.revision()) {
+              if (registry[id].State == ServerState::Lapsed)
+                page.Removed.push_back(
+                    {registry[id].Name, registry[id].Revision});
+              else
+                page.Servers.push_back(registry[id]);
+            }
+          reader.View.applyChanges(page, clock.now(), clock.now());
+          break;
+        }
+        case 3:
+        case 4: {
+          const auto changes = b.View.recentChanges(1 + random() % 8);
+          if (!a.View.applyPeerChanges(changes, 0ms, clock.now()) &&
+              random() % 2 == 0)
+            a.View.applySnapshot(b.View.snapshot(), 0ms, clock.now());
+          break;
+        }
+        default:
+          a.View.expire(clock.now());
+        }
+        BOOST_TEST(a.View.revision() >= before);
+        for (const auto &it : views) {
+          if (it.View.revision() != revision)
+            continue;
+          for (const auto &[id, server] : registry)
+            BOOST_TEST((it.stateOf(server.Name) == server.State),
+                       "step " << step << " server " << id);
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Fleet/GossipCodecTest.cpp
@@ -0,0 +1,101 @@
+#include "Fleet/GossipCodec.h"
+#include "UnitTests/Fleet/FleetFixture.h"
+#include "UnitTests/Seeds.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+using fleet::GossipCodec;
+using fleet::GossipMessage;
+
+namespace {
+
+GossipMessage largestMessage() {
+  GossipMessage message;
+  message.Sender = {0x0a010101, "availability-zone-1", 1769245012022, 1000};
+  for (std::size_t n = 0; n < GossipCodec::MaxHosts; ++n)
+    message.Hosts.push_back({0x0a010102 + static_cast<std::uint32_t>(n),
+                             "availability-zone-1", 1769245012022, 1000});
+  for (std::size_t n = 0; n < GossipCodec::MaxChanges; ++n) {
+    auto server = unittests::sampleServer(0x1234567890 + n, 100000 + n);
+    server.Name = "i-1234567890";
+    server.Lifetime = 1769245012022;
+    message.Changes.Servers.push_back(server);
+  }
+  message.Changes.From = 99000;
+  message.Changes.To = 100100;
+  for (std::size_t n = 0; n < GossipCodec::MaxSuspects; ++n)
+    message.Suspects.push_back({0x1234567890 + n, 1500ms});
+  return message;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GossipCodecTest)
+
+// Guards against fields that get lost on the way.
+BOOST_AUTO_TEST_CASE(MessagesSurviveTheirEncoding) {
+  const auto message = largestMessage();
+  const auto decoded = GossipCodec::decode(GossipCodec::encode(message));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->Sender.Zone == message.Sender.Zone);
+  BOOST_TEST(decoded->Hosts.size() == message.Hosts.size());
+  BOOST_TEST(decoded->Changes.From == 99000U);
+  BOOST_TEST(decoded->Changes.To == 100100U);
+  const auto &server = decoded->Changes.Servers.back();
+  BOOST_TEST(server.Identity == message.Changes.Servers.back().Identity);
+  BOOST_TEST(server.Lifetime == 1769245012022);
+  BOOST_TEST((server.Address == message.Changes.Servers.back().Address));
+  BOOST_TEST((decoded->Suspects.back().SilentFor == 1500ms));
+}
+
+// Guards against messages that do not fit a frame and get lost with it.
+BOOST_AUTO_TEST_CASE(TheLargestMessageFitsADatagram) {
+  BOOST_TEST(GossipCodec::encode(largestMessage()).size() <=
+             GossipCodec::MaxDatagram);
+}
+
+// Guards against hostile messages: whatever the bytes, nothing crashes and
+// no server without an address or service gets through.
+BOOST_AUTO_TEST_CASE(MangledMessagesAreDroppedOrHarmless) {
+  const auto bytes = GossipCodec::encode(largestMessage());
+  for (const auto seed : unittests::seeds({1, 2, 3})) {
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < 3000; ++i) {
+      auto mangled = bytes.substr(0, random() % (bytes.size() + 1));
+      for (auto n = random() % 8; n > 0 && !mangled.empty(); --n)
+        mangled[random() % mangled.size()] = static_cast<char>(random());
+      const auto decoded = GossipCodec::decode(mangled);
+      if (!decoded)
+        continue;
+      for (const auto &it : decoded->Changes.Servers)
+        BOOST_TEST((
+            it.State == routing::ServerState::Lapsed ||
+            (it.Address.Port != 0 && it.Identity != 0 && !it.Service.empty())));
+      GossipCodec::decodeSnapshot(mangled);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SnapshotsSurviveTheirEncoding) {
+  fleet::AgedSnapshot snapshot;
+  snapshot.View.Revision = 12;
+  snapshot.View.Configuration = unittests::sampleConfiguration(7);
+  snapshot.View.Servers.push_back(unittests::sampleServer(1, 3));
+  snapshot.Age = 300ms;
+  const auto decoded =
+      GossipCodec::decodeSnapshot(GossipCodec::encode(snapshot));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->View.Revision == 12U);
+  BOOST_TEST(decoded->View.Configuration.Version == 7U);
+  BOOST_TEST(
+      decoded->View.Configuration.Routes.front().Services.front().Service ==
+      "orders");
+  BOOST_TEST(decoded->View.Servers.size() == 1U);
+  BOOST_TEST((decoded->Age == 300ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Fleet/PeerTableTest.cpp
@@ -0,0 +1,78 @@
+#include "Fleet/PeerTable.h"
+#include "Common/ManualClock.h"
+#include "UnitTests/Seeds.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+using fleet::PeerInfo;
+using fleet::PeerTable;
+
+BOOST_AUTO_TEST_SUITE(PeerTableTest)
+
+// Guards against old news that keeps a dead host alive, or that hides its
+// restart.
+BOOST_AUTO_TEST_CASE(OnlyANewHeartbeatShowsLife) {
+  common::ManualClock clock;
+  PeerTable table({1, "a", 1}, 1);
+  BOOST_TEST(table.learn({2, "a", 100, 5}, clock.now()));
+  clock.advance(3s);
+  BOOST_TEST(!table.learn({2, "a", 100, 5}, clock.now()));
+  clock.advance(2s);
+  BOOST_TEST(table.aliveCount(clock.now()) == 0U);
+  BOOST_TEST(!table.learn({2, "a", 99, 50}, clock.now()));
+  BOOST_TEST(table.aliveCount(clock.now()) == 0U);
+  BOOST_TEST(table.learn({2, "a", 101, 1}, clock.now()));
+  BOOST_TEST(table.aliveCount(clock.now()) == 1U);
+}
+
+// Guards against a fleet without a reader, or with many: exactly one host that
+// is not leaving comes first.
+BOOST_AUTO_TEST_CASE(OneHostComesFirst) {
+  common::ManualClock clock;
+  std::vector<PeerTable> tables;
+  for (std::uint32_t n = 1; n <= 5; ++n)
+    tables.emplace_back(PeerInfo{n, n < 3 ? "a" : "b", 1}, n);
+  for (auto &it : tables)
+    for (std::uint32_t n = 1; n <= 5; ++n)
+      it.learn({n, n < 3 ? "a" : "b", 1, 1, n == 1}, clock.now());
+  BOOST_TEST(std::ranges::count_if(tables, [&](const PeerTable &it) {
+               return it.isFirst(clock.now()) && it.self().Address != 1;
+             }) == 1);
+  BOOST_TEST(tables[1].rankInZone(clock.now()) == 0U);
+  BOOST_TEST(tables[4].rankInZone(clock.now()) == 2U);
+}
+
+// Guards against gossip that stays within a zone, or never leaves it.
+BOOST_AUTO_TEST_CASE(ChoicesCoverBothZones) {
+  common::ManualClock clock;
+  for (const auto seed : unittests::seeds({1, 2, 3})) {
+    PeerTable table({1, "a", 1}, seed);
+    for (std::uint32_t n = 2; n <= 41; ++n)
+      table.learn({n, n % 2 == 0 ? "a" : "b", 1, 1}, clock.now());
+    const auto chosen = table.choose(4, clock.now());
+    BOOST_TEST(chosen.size() == 4U);
+    BOOST_TEST(std::ranges::count_if(chosen,
+                                     [](auto it) { return it % 2 == 0; }) == 2);
+  }
+}
+
+// Guards against a table that hostile messages fill without bound.
+BOOST_AUTO_TEST_CASE(TheTableIsBounded) {
+  common::ManualClock clock;
+  fleet::MembershipLimits limits;
+  limits.MaxPeers = 100;
+  PeerTable table({1, "a", 1}, 1, limits);
+  for (std::uint32_t n = 2; n <= 1000; ++n)
+    table.learn({n, "a", 1, 1}, clock.now());
+  BOOST_TEST(table.aliveCount(clock.now()) == 100U);
+  clock.advance(limits.ForgottenAfter + 1s);
+  table.beat(clock.now());
+  BOOST_TEST(table.learn({2000, "a", 1, 1}, clock.now()));
+  BOOST_TEST(table.aliveCount(clock.now()) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Routing/FlowTableTest.cpp
@@ -0,0 +1,106 @@
+#include "Routing/FlowTable.h"
+#include "Common/ManualClock.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+using routing::FlowEvent;
+using routing::FlowId;
+using routing::FlowPacket;
+using routing::FlowTable;
+using routing::ServerEvidence;
+
+namespace {
+
+struct Fixture {
+  common::ManualClock Clock;
+  ServerEvidence Evidence;
+  FlowTable Flows{Evidence};
+  FlowId Id{{1, 2}, {3, 4}};
+
+  FlowEvent packet(std::uint32_t sequence, std::uint32_t ack,
+                   std::uint16_t size, bool fin = false) {
+    FlowPacket it;
+    it.Ack = true;
+    it.Fin = fin;
+    it.Sequence = sequence;
+    it.Acknowledgement = ack;
+    it.PayloadSize = size;
+    return Flows.onPacket(Id, 0, it, Clock.now());
+  }
+  void open() {
+    FlowPacket syn;
+    syn.Syn = true;
+    syn.Sequence = 99;
+    Flows.onSyn(Id, 0, syn, Clock.now());
+    packet(100, 50, 0);
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FlowTableTest)
+
+// Guards against loads that drift: each request must be counted once and taken
+// off once.
+BOOST_AUTO_TEST_CASE(RequestsAreCountedUntilTheirAnswer) {
+  Fixture it;
+  it.open();
+  BOOST_TEST(it.Evidence.activity(0).Open == 1U);
+  BOOST_TEST(it.Evidence.activity(0).Opening == 0U);
+  it.packet(100, 50, 200);
+  BOOST_TEST(it.Evidence.activity(0).Busy == 1U);
+  it.Clock.advance(20ms);
+  BOOST_TEST((it.packet(300, 1250, 0) == FlowEvent::Answered));
+  BOOST_TEST(it.Evidence.activity(0).Busy == 0U);
+  it.packet(300, 1250, 0, true);
+  BOOST_TEST(it.Evidence.activity(0).Open == 0U);
+}
+
+// Guards against suspicions that a reordered request raised: the second packet
+// of a request came 0 ms before the first.
+BOOST_AUTO_TEST_CASE(PacketsOutOfOrderAreNoRepeats) {
+  Fixture it;
+  it.open();
+  it.packet(1300, 50, 600);
+  BOOST_TEST((it.packet(100, 50, 1200) == FlowEvent::None));
+  it.Clock.advance(200ms);
+  BOOST_TEST((it.packet(100, 50, 1200) == FlowEvent::Repeated));
+  it.Clock.advance(400ms);
+  BOOST_TEST((it.packet(100, 50, 1200) == FlowEvent::RepeatedAgain));
+}
+
+// Guards against sequence numbers that wrap within a flow.
+BOOST_AUTO_TEST_CASE(SequenceNumbersWrap) {
+  Fixture it;
+  FlowPacket syn;
+  syn.Syn = true;
+  syn.Sequence = 0xfffffff0;
+  it.Flows.onSyn(it.Id, 0, syn, it.Clock.now());
+  it.packet(0xfffffff1, 0xfffffff0, 0);
+  it.packet(0xfffffff1, 0xfffffff0, 100);
+  BOOST_TEST(it.Evidence.activity(0).Busy == 1U);
+  it.Clock.advance(10ms);
+  BOOST_TEST((it.packet(0x55, 0x10, 0) == FlowEvent::Answered));
+  BOOST_TEST((it.packet(0x55, 0x10, 50) == FlowEvent::None));
+  BOOST_TEST(it.Evidence.activity(0).Busy == 1U);
+}
+
+// Guards against a server that looks busy for good when the rest of a flow
+// takes another host.
+BOOST_AUTO_TEST_CASE(UnseenAnswersAreAssumed) {
+  Fixture it;
+  it.open();
+  it.packet(100, 50, 200);
+  it.Clock.advance(FlowTable::AnswerAssumedAfter + 1ms);
+  it.Flows.expire(it.Clock.now(), 15s);
+  BOOST_TEST(it.Evidence.activity(0).Busy == 0U);
+  BOOST_TEST(it.Flows.size() == 1U);
+  it.Clock.advance(16s);
+  it.Flows.expire(it.Clock.now(), 15s);
+  BOOST_TEST(it.Flows.size() == 0U);
+  BOOST_TEST(it.Evidence.activity(0).Open == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Routing/PacketRouterTest.cpp
@@ -0,0 +1,279 @@
+#include "UnitTests/Routing/RoutingFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+using routing::DropPacket;
+using routing::ForwardPacket;
+using routing::Refusal;
+using routing::ResetFlow;
+using routing::ServerState;
+using unittests::forwardOf;
+using unittests::RoutingFixture;
+
+BOOST_AUTO_TEST_SUITE(PacketRouterTest)
+
+// Guards against flows that need the host that opened them: another host with
+// the same registrations sends their packets to the same server.
+BOOST_AUTO_TEST_CASE(AnyHostForwardsAnyFlow) {
+  RoutingFixture first(1);
+  RoutingFixture second(2);
+  for (std::uint64_t n = 1; n <= 20; ++n)
+    first.add(n);
+  for (std::uint64_t n = 20; n >= 1; --n)
+    second.add(n);
+  for (std::uint16_t port = 1; port <= 200; ++port) {
+    const auto sent = forwardOf(first.syn(port));
+    const auto later = forwardOf(second.data(port, sent.Tag, 1000, 1, 10));
+    BOOST_TEST(first.Directory.at(sent.Server).Registration.Name ==
+               second.Directory.at(later.Server).Registration.Name);
+  }
+}
+
+// Guards against new flows for servers that leave or have left.
+BOOST_AUTO_TEST_CASE(DrainingServersGetNoNewFlows) {
+  RoutingFixture it;
+  const auto kept = it.add(1);
+  it.add(2, "orders", "a", ServerState::Draining);
+  it.add(3);
+  it.lapse(3);
+  for (std::uint16_t port = 1; port <= 50; ++port)
+    BOOST_TEST(forwardOf(it.syn(port)).Server == kept);
+}
+
+// Guards against a refusal that lets the caller wait: with no server at all
+// the SYN is answered at once.
+BOOST_AUTO_TEST_CASE(NoServerIsRefusedAtOnce) {
+  RoutingFixture it;
+  it.add(2, "orders", "a", ServerState::Draining);
+  const auto outcome = it.syn(1);
+  BOOST_TEST(std::holds_alternative<ResetFlow>(outcome));
+  BOOST_TEST((it.Observer.Refused.back() == Refusal::NoServer));
+}
+
+// Guards against flows that break when the entry of a living server lapses, as
+// in an outage of the registry.
+BOOST_AUTO_TEST_CASE(OpenFlowsOutliveTheEntry) {
+  RoutingFixture it;
+  it.add(1);
+  const auto sent = forwardOf(it.syn(1));
+  it.request(1, sent);
+  it.lapse(1);
+  for (std::uint32_t n = 1; n <= 20; ++n) {
+    it.Clock.advance(100ms);
+    const auto ack = 5000 + n * 100;
+    BOOST_TEST(
+        forwardOf(it.data(1, sent.Tag, 1000 + n * 100, ack, 100)).Server ==
+        sent.Server);
+  }
+}
+
+// Guards against SYN copies that go to the server that did not answer.
+BOOST_AUTO_TEST_CASE(CopiesOfASynGoElsewhere) {
+  RoutingFixture it;
+  it.add(1);
+  it.add(2);
+  it.add(3);
+  std::set<routing::ServerId> used;
+  used.insert(forwardOf(it.syn(1, 0)).Server);
+  it.Clock.advance(200ms);
+  used.insert(forwardOf(it.syn(1, 1)).Server);
+  it.Clock.advance(400ms);
+  used.insert(forwardOf(it.syn(1, 2)).Server);
+  BOOST_TEST(used.size() == 3U);
+}
+
+// Crash of a server under steady load: new flows avoid it after the first
+// caller that got no answer, and return with the first answer.
+BOOST_AUTO_TEST_CASE(SilentServerIsAvoidedUntilItAnswers) {
+  RoutingFixture it;
+  it.add(1);
+  it.add(2);
+  const auto lost = forwardOf(it.syn(1));
+  it.Clock.advance(200ms);
+  it.syn(1, 1);
+  for (std::uint16_t port = 10; port < 60; ++port)
+    BOOST_TEST(forwardOf(it.syn(port)).Server != lost.Server);
+  it.data(1, lost.Tag, 1000, 5000, 0);
+  std::set<routing::ServerId> used;
+  for (std::uint16_t port = 100; port < 120; ++port)
+    used.insert(forwardOf(it.syn(port)).Server);
+  BOOST_TEST(used.contains(lost.Server));
+}
+
+// Silent loss of a server with long flows: their callers are told to open new
+// ones instead of waiting for their time limit, but only once several callers
+// got no answer while other servers answered.
+BOOST_AUTO_TEST_CASE(FlowsOfADeadServerAreReset) {
+  RoutingFixture it;
+  it.add(1);
+  it.add(2);
+  const auto dead = it.Directory.at(0);
+  const auto live = it.Directory.at(1);
+  for (std::uint16_t port = 1; port <= 4; ++port)
+    it.data(port, dead.Tag, 1000, 5000, 100);
+  it.data(20, live.Tag, 1000, 5000, 100);
+  it.Clock.advance(50ms);
+  it.data(20, live.Tag, 1100, 6000, 0);
+  it.Clock.advance(200ms);
+  for (std::uint16_t port = 1; port <= 2; ++port)
+    it.data(port, dead.Tag, 1000, 5000, 100);
+  it.Clock.advance(250ms);
+  it.data(21, live.Tag, 1100, 6000, 0);
+  it.data(21, live.Tag, 1100, 7000, 0);
+  // Two repeats are too few.
+  BOOST_TEST(std::holds_alternative<ForwardPacket>(
+      it.data(1, dead.Tag, 1000, 5000, 100)));
+  const auto third = it.data(3, dead.Tag, 1000, 5000, 100);
+  BOOST_TEST(std::holds_alternative<ResetFlow>(third));
+  // A new request on another old flow need not wait either.
+  BOOST_TEST(
+      std::holds_alternative<ResetFlow>(it.data(9, dead.Tag, 1000, 5000, 100)));
+  // It stays dead without new evidence, until its entry is seen to lapse.
+  it.Clock.advance(1500ms);
+  BOOST_TEST(std::holds_alternative<ResetFlow>(
+      it.data(11, dead.Tag, 1000, 5000, 100)));
+  // An answer ends it.
+  it.data(4, dead.Tag, 1100, 6000, 0);
+  BOOST_TEST(std::holds_alternative<ForwardPacket>(
+      it.data(10, dead.Tag, 1000, 5000, 100)));
+}
+
+// Guards against a reset that a hunted day showed: single repeats, seconds
+// apart, of flows whose other packets take other hosts are no sign of death.
+BOOST_AUTO_TEST_CASE(RepeatsSecondsApartResetNothing) {
+  RoutingFixture it;
+  it.add(1);
+  it.add(2);
+  const auto quiet = it.Directory.at(0).Tag;
+  const auto live = it.Directory.at(1).Tag;
+  std::uint32_t ack = 5000;
+  for (std::uint16_t port = 1; port <= 5; ++port) {
+    it.data(port, quiet, 1000, 5000, 100);
+    it.Clock.advance(200ms);
+    it.data(20, live, 1000, ack += 100, 0);
+    BOOST_TEST(std::holds_alternative<ForwardPacket>(
+        it.data(port, quiet, 1000, 5000, 100)));
+    it.Clock.advance(2500ms);
+    it.data(20, live, 1000, ack += 100, 0);
+  }
+}
+
+// Guards against SYNs that waited during a pause and are handled in one go:
+// the copy behind its first is no sign of silence.
+BOOST_AUTO_TEST_CASE(CopiesHandledTogetherRaiseNoSuspicion) {
+  RoutingFixture it;
+  it.add(1);
+  it.add(2);
+  it.syn(1, 0);
+  it.syn(1, 1);
+  BOOST_TEST(it.Observer.Suspected.empty());
+}
+
+// Guards against resets by a host that is cut off itself: nothing answers it.
+BOOST_AUTO_TEST_CASE(ACutOffHostResetsNothing) {
+  RoutingFixture it;
+  it.add(1);
+  it.add(2);
+  const auto tag = it.Directory.at(0).Tag;
+  for (std::uint16_t port = 1; port <= 8; ++port)
+    it.data(port, tag, 1000, 5000, 100);
+  for (int round = 0; round < 5; ++round) {
+    it.Clock.advance(300ms);
+    for (std::uint16_t port = 1; port <= 8; ++port)
+      BOOST_TEST(std::holds_alternative<ForwardPacket>(
+          it.data(port, tag, 1000, 5000, 100)));
+  }
+}
+
+// Guards against resets to the flows of a server that this host has not heard
+// of yet: only a directory newer than the flow shows that it has ended.
+BOOST_AUTO_TEST_CASE(UnknownTagIsResetOnlyByANewerDirectory) {
+  RoutingFixture it;
+  it.add(1);
+  it.Router.setDirectoryCompleteAt(it.Clock.now() - 1ms);
+  BOOST_TEST(
+      std::holds_alternative<DropPacket>(it.data(1, 77, 1000, 5000, 100)));
+  it.Clock.advance(200ms);
+  BOOST_TEST(
+      std::holds_alternative<DropPacket>(it.data(1, 77, 1000, 5000, 100)));
+  it.Router.setDirectoryCompleteAt(it.Clock.now());
+  it.Clock.advance(400ms);
+  BOOST_TEST(
+      std::holds_alternative<ResetFlow>(it.data(1, 77, 1000, 5000, 100)));
+}
+
+// Guards against a dropped route whose flows go on, and against new flows on
+// it; open flows of other routes stay.
+BOOST_AUTO_TEST_CASE(DroppedRouteEndsItsFlows) {
+  RoutingFixture it;
+  it.add(1, "sheets");
+  const auto sent = forwardOf(it.syn(1, 0, RoutingFixture::Sheets));
+  it.configure(2, false);
+  BOOST_TEST(std::holds_alternative<ResetFlow>(
+      it.data(1, sent.Tag, 1000, 1, 10, RoutingFixture::Sheets)));
+  BOOST_TEST(
+      std::holds_alternative<ResetFlow>(it.syn(2, 0, RoutingFixture::Sheets)));
+  it.configure(1, true);
+  BOOST_TEST(it.Routes.version() == 2U);
+  BOOST_TEST(
+      std::holds_alternative<ResetFlow>(it.syn(3, 0, RoutingFixture::Sheets)));
+}
+
+// Loss of the way to another zone: after two of its servers fell silent, new
+// flows avoid the whole zone.
+BOOST_AUTO_TEST_CASE(SilentZoneIsAvoided) {
+  RoutingFixture it;
+  for (std::uint64_t n = 1; n <= 6; ++n)
+    it.add(n, "orders", "b");
+  std::set<routing::ServerId> tried;
+  for (std::uint16_t port = 1; port <= 2; ++port)
+    tried.insert(forwardOf(it.syn(port)).Server);
+  it.Clock.advance(200ms);
+  for (std::uint16_t port = 1; port <= 2; ++port)
+    it.syn(port, 1);
+  BOOST_TEST(tried.size() == 2U);
+  const auto near = it.add(10, "orders", "c");
+  it.Clock.advance(100ms);
+  for (std::uint16_t port = 50; port < 60; ++port)
+    BOOST_TEST(forwardOf(it.syn(port)).Server == near);
+}
+
+// An outage of the registry in which all entries lapse: the servers are used
+// on, but only if that is allowed and none is registered.
+BOOST_AUTO_TEST_CASE(LapsedServersServeInAnOutage) {
+  RoutingFixture it;
+  const auto id = it.add(1);
+  it.lapse(1);
+  BOOST_TEST(std::holds_alternative<ResetFlow>(it.syn(1)));
+  it.Router.setUseLapsed(true);
+  BOOST_TEST(forwardOf(it.syn(2)).Server == id);
+  const auto back = it.add(2);
+  for (std::uint16_t port = 10; port < 30; ++port)
+    BOOST_TEST(forwardOf(it.syn(port)).Server == back);
+}
+
+// Swing of demand: a zone whose slots are all taken spills over to idle servers
+// of another zone, and comes back.
+BOOST_AUTO_TEST_CASE(LoadSpillsOverToAnotherZone) {
+  RoutingFixture it;
+  const auto near = it.add(1, "orders", "a");
+  const auto far = it.add(2, "orders", "b");
+  std::uint16_t port = 1;
+  for (; port <= 2; ++port) {
+    const auto to = forwardOf(it.syn(port));
+    BOOST_TEST(to.Server == near);
+    it.request(port, to);
+  }
+  const auto spilled = forwardOf(it.syn(port));
+  BOOST_TEST(spilled.Server == far);
+  it.Clock.advance(20ms);
+  it.data(1, it.Directory.at(near).Tag, 1100, 6000, 0);
+  it.data(2, it.Directory.at(near).Tag, 1100, 6000, 0);
+  BOOST_TEST(forwardOf(it.syn(++port)).Server == near);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Routing/ServerDirectoryTest.cpp
@@ -0,0 +1,125 @@
+#include "Routing/ServerDirectory.h"
+#include "Common/ManualClock.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+using routing::DirectoryChange;
+using routing::ServerDirectory;
+using routing::ServerRegistration;
+using routing::ServerState;
+using routing::ServerTag;
+
+namespace {
+
+ServerRegistration registration(const std::string &name, std::uint64_t identity,
+                                std::uint64_t revision) {
+  ServerRegistration it;
+  it.Name = name;
+  it.Identity = identity;
+  it.Service = "orders";
+  it.Zone = "a";
+  it.Address = {0x0a000001, 8000};
+  it.Lifetime = 7;
+  it.Revision = revision;
+  return it;
+}
+
+/// Two identities that share their first candidate tag, by search.
+std::pair<std::uint64_t, std::uint64_t> colliding() {
+  std::map<std::uint32_t, std::uint64_t> seen;
+  for (std::uint64_t n = 1;; ++n) {
+    const auto [it, added] = seen.emplace(ServerTag::of(n).front(), n);
+    if (!added)
+      return {it->second, n};
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServerDirectoryTest)
+
+// Guards against an entry that arrives late from a peer and revives a server
+// that has left.
+BOOST_AUTO_TEST_CASE(OlderRevisionsChangeNothing) {
+  common::ManualClock clock;
+  ServerDirectory directory(60s);
+  auto it = registration("s-1", 1, 10);
+  BOOST_TEST((directory.apply(it, clock.now()) == DirectoryChange::Added));
+  BOOST_TEST(
+      (directory.remove("s-1", 12, clock.now()) == DirectoryChange::Lapsed));
+  it.Revision = 11;
+  BOOST_TEST((directory.apply(it, clock.now()) == DirectoryChange::None));
+  BOOST_TEST(
+      (directory.findByName("s-1")->Registration.State == ServerState::Lapsed));
+  it.Revision = 13;
+  BOOST_TEST((directory.apply(it, clock.now()) == DirectoryChange::Updated));
+}
+
+// Guards against a removal that overtakes the entry that it removes.
+BOOST_AUTO_TEST_CASE(RemovalBeforeEntryHolds) {
+  common::ManualClock clock;
+  ServerDirectory directory(60s);
+  directory.remove("s-1", 12, clock.now());
+  directory.apply(registration("s-1", 1, 10), clock.now());
+  BOOST_TEST(directory.readyCount() == 0U);
+}
+
+// Guards against a tag that stands for two servers: flows of one would reach
+// the other.
+BOOST_AUTO_TEST_CASE(CollidingServersGetDifferentTags) {
+  const auto [first, second] = colliding();
+  common::ManualClock clock;
+  ServerDirectory directory(60s);
+  directory.apply(registration("s-1", first, 1), clock.now());
+  clock.advance(1s);
+  directory.apply(registration("s-2", second, 2), clock.now());
+  const auto &a = *directory.findByName("s-1");
+  const auto &b = *directory.findByName("s-2");
+  BOOST_TEST(a.Tag != b.Tag);
+  BOOST_TEST(directory.findByTag(a.Tag, a.Service)->Registration.Name == "s-1");
+  BOOST_TEST(directory.findByTag(b.Tag, b.Service)->Registration.Name == "s-2");
+}
+
+// Guards against the flows of a server that change hands when another one with
+// the same candidate tag joins: its writer did not know the other.
+BOOST_AUTO_TEST_CASE(SharedTagMeansTheServerKnownFirst) {
+  const auto [first, second] = colliding();
+  common::ManualClock clock;
+  ServerDirectory directory(60s);
+  directory.apply(registration("s-2", second, 1), clock.now());
+  const auto tag = directory.findByName("s-2")->Tag;
+  clock.advance(1s);
+  directory.apply(registration("s-1", first, 2), clock.now());
+  BOOST_TEST(directory.findByTag(tag, 0)->Registration.Name == "s-2");
+}
+
+// Guards against flows that lose their way when the entry of their server
+// lapses while it goes on.
+BOOST_AUTO_TEST_CASE(LapsedServersAreFoundUntilTheRetentionEnds) {
+  common::ManualClock clock;
+  ServerDirectory directory(60s);
+  directory.apply(registration("s-1", 1, 1), clock.now());
+  const auto tag = directory.findByName("s-1")->Tag;
+  directory.remove("s-1", 2, clock.now());
+  clock.advance(59s);
+  directory.expire(clock.now());
+  BOOST_TEST((directory.findByTag(tag, 0) != nullptr));
+  clock.advance(2s);
+  directory.expire(clock.now());
+  BOOST_TEST((directory.findByTag(tag, 0) == nullptr));
+}
+
+// Guards against a restart under the same name that passes for the old start.
+BOOST_AUTO_TEST_CASE(AnotherLifetimeIsARestart) {
+  common::ManualClock clock;
+  ServerDirectory directory(60s);
+  auto it = registration("s-1", 1, 1);
+  directory.apply(it, clock.now());
+  it.Lifetime = 8;
+  it.Revision = 2;
+  BOOST_TEST((directory.apply(it, clock.now()) == DirectoryChange::Restarted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/platform/StoreCodecTest.cpp
@@ -0,0 +1,180 @@
+#include "platform/StoreCodec.h"
+#include "Common/Text.h"
+#include "UnitTests/Seeds.h"
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace auburnroute;
+using fleet::RegistryCall;
+using fleet::RegistryCallKind;
+using platform::StoreCodec;
+using routing::RequestKind;
+using routing::ServerState;
+
+namespace {
+
+std::string item(const std::string &key, const std::string &value,
+                 std::uint64_t revision) {
+  return absl::StrCat(R"({"key":")", key, R"(","value":")",
+                      absl::Base64Escape(value), R"(","revision":)", revision,
+                      R"(,"created":1,"lease":0})");
+}
+
+std::string list(const std::vector<std::string> &items,
+                 const char *name = "items") {
+  std::string body = absl::StrCat(R"({")", name, R"(":[)");
+  for (std::size_t i = 0; i < items.size(); ++i)
+    absl::StrAppend(&body, i == 0 ? "" : ",", items[i]);
+  return absl::StrCat(body, R"(],"has_more":false,"at_rev":530})");
+}
+
+const std::string Server =
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"sando",)"
+    R"("version":"v1","slots":2,"state":"ready","cold_left_ms":150,)"
+    R"("sequence":4,"born":1769245012022})";
+
+const std::string Configuration =
+    R"({"version":7,"routes":[{"name":"r-1","host":"198.18.0.1",)"
+    R"("prefix":"/8443/","type":"safe","timeout_ms":500,"aim_ms":100,)"
+    R"("backends":[{"service":"huvo11a","weight":90},)"
+    R"({"service":"wuno96b","weight":10}]},)"
+    R"({"name":"r-2","host":"198.18.0.2","prefix":"/8443/",)"
+    R"("type":"download","service":"wuno96b"}],)"
+    R"("services":[],"limits":{"idle_timeout_ms":12000}})";
+
+fleet::RegistryPage decode(const std::string &body,
+                           RegistryCallKind kind = RegistryCallKind::List) {
+  RegistryCall call;
+  call.Kind = kind;
+  auto page = StoreCodec::decode(call, body);
+  BOOST_REQUIRE(page.ok());
+  return *std::move(page);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(StoreCodecTest)
+
+// Guards against names of the platform that are read as something else.
+BOOST_AUTO_TEST_CASE(EntriesBecomeRegistrations) {
+  const auto page = decode(list({item("servers/i-7f3a91c2", Server, 412)}));
+  BOOST_REQUIRE(page.Servers.size() == 1U);
+  const auto &it = page.Servers.front();
+  BOOST_TEST(it.Name == "i-7f3a91c2");
+  BOOST_TEST(it.Identity == 0x7f3a91c2U);
+  BOOST_TEST(it.Service == "huvo11a");
+  BOOST_TEST(common::toString(it.Address) == "10.128.0.9:8080");
+  BOOST_TEST(it.Slots == 2U);
+  BOOST_TEST((it.State == ServerState::Ready));
+  BOOST_TEST(it.ColdLeft.count() == 150);
+  BOOST_TEST(it.Lifetime == 1769245012022);
+  BOOST_TEST(it.Revision == 412U);
+  BOOST_TEST(page.Revision == 530U);
+}
+
+BOOST_AUTO_TEST_CASE(ConfigurationsBecomeRoutes) {
+  const auto page = decode(list({item("op/config", Configuration, 9)}));
+  BOOST_REQUIRE(page.Configuration.has_value());
+  const auto &it = *page.Configuration;
+  BOOST_TEST(it.Version == 7U);
+  BOOST_REQUIRE(it.Routes.size() == 2U);
+  BOOST_TEST(common::toString(it.Routes[0].Address) == "198.18.0.1:8443");
+  BOOST_TEST((it.Routes[0].Kind == RequestKind::Idempotent));
+  BOOST_TEST(it.Routes[0].Services.size() == 2U);
+  BOOST_TEST(it.Routes[0].Services[0].Weight == 90U);
+  BOOST_TEST((it.Routes[1].Kind == RequestKind::Download));
+  BOOST_TEST(it.IdleTimeout.count() == 12000);
+}
+
+// Guards against an entry of another writer that is taken for a server, and
+// against one that hides the entries beside it.
+BOOST_AUTO_TEST_CASE(BrokenEntriesAreSkippedAndCounted) {
+  const std::vector<std::pair<std::string, std::string>> broken = {
+      {R"("service":"huvo11a",)", ""},
+      {R"("service":"huvo11a")", R"("service":5)"},
+      {R"("service":"huvo11a")", R"("service":"a\"b")"},
+      {R"("address":"10.128.0.9:8080")", R"("address":"10.128.0.9")"},
+      {R"("address":"10.128.0.9:8080")", R"("address":"nowhere:1")"},
+      {R"("state":"ready")", R"("state":"napping")"},
+      {R"("slots":2)", R"("slots":"2")"},
+      {R"("slots":2)", R"("slots":-1)"},
+      {R"("sequence":4)", R"("sequence":null)"},
+      {R"("zone":"sando",)", ""},
+      {R"("born":1769245012022)", R"("born":"then")"},
+      {R"("born":1769245012022)", R"("born":1.5)"},
+      {R"("cold_left_ms":150)", R"("cold_left_ms":true)"},
+  };
+  for (const auto &[from, to] : broken) {
+    auto value = Server;
+    value.replace(value.find(from), from.size(), to);
+    const auto page = decode(list(
+        {item("servers/i-01", value, 5), item("servers/i-02", Server, 6)}));
+    BOOST_TEST(page.Servers.size() == 1U, value);
+    BOOST_TEST(page.Unreadable == 1U, value);
+    // It names no server from then on.
+    BOOST_REQUIRE(page.Removed.size() == 1U);
+    BOOST_TEST(page.Removed.front().Name == "i-01");
+  }
+  for (const auto *key : {"servers/", "servers/i-", "servers/i-xyz",
+                          "servers/i-0", "servers/i-11112222333344445"})
+    BOOST_TEST(decode(list({item(key, Server, 5)})).Servers.empty(), key);
+  const auto bytes = decode(list({item("servers/i-01", "\xff\x00\x01", 5),
+                                  R"({"key":"servers/i-02","value":"%%",)"
+                                  R"("revision":6})",
+                                  "7", R"({"key":5})"}));
+  BOOST_TEST(bytes.Servers.empty());
+  BOOST_TEST(bytes.Unreadable == 4U);
+}
+
+// Guards against a route that disappears with a faulty one beside it.
+BOOST_AUTO_TEST_CASE(BrokenRoutesAreSkippedAndCounted) {
+  auto value = Configuration;
+  const std::string from = R"("prefix":"/8443/","type":"safe")";
+  value.replace(value.find(from), from.size(), R"("prefix":"8443")");
+  const auto page = decode(list({item("op/config", value, 9)}));
+  BOOST_REQUIRE(page.Configuration.has_value());
+  BOOST_TEST(page.Configuration->Routes.size() == 1U);
+  BOOST_TEST(page.Unreadable == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(EventsMayRemove) {
+  const auto page =
+      decode(list({R"({"key":"servers/i-0a","revision":413,"tombstone":true})",
+                   item("servers/i-0b", Server, 414),
+                   R"({"key":"other/x","revision":415,"tombstone":true})"},
+                  "events"),
+             RegistryCallKind::Watch);
+  BOOST_REQUIRE(page.Removed.size() == 1U);
+  BOOST_TEST(page.Removed.front().Name == "i-0a");
+  BOOST_TEST(page.Removed.front().Revision == 413U);
+  BOOST_TEST(page.Servers.size() == 1U);
+}
+
+// Guards against bodies that are no answer, whatever their bytes.
+BOOST_AUTO_TEST_CASE(MangledBodiesAreErrorsOrHarmless) {
+  const auto body = list({item("servers/i-7f3a91c2", Server, 412),
+                          item("op/config", Configuration, 9)});
+  for (const auto seed : unittests::seeds({1, 2, 3})) {
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < 2000; ++i) {
+      auto mangled = body.substr(0, random() % (body.size() + 1));
+      for (auto n = random() % 6; n > 0 && !mangled.empty(); --n)
+        mangled[random() % mangled.size()] = static_cast<char>(random());
+      const auto page = StoreCodec::decode({}, mangled);
+      if (!page.ok())
+        continue;
+      for (const auto &it : page->Servers)
+        BOOST_TEST((it.Identity != 0 && it.Address.Port != 0));
+    }
+  }
+  BOOST_TEST(!StoreCodec::decode({}, "[]").ok());
+  BOOST_TEST(!StoreCodec::decode({}, R"({"items":[]})").ok());
+  BOOST_TEST(!StoreCodec::decode({}, R"({"at_rev":1})").ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Source/platform/StoreCodec.cpp
+++ b/Source/platform/StoreCodec.cpp
@@ -37,6 +37,13 @@
   return std::nullopt;
 }
 
+/// The same for a member that may be absent; nothing only if it is of another
+/// type.
+template <typename T>
+std::optional<T> memberOr(const json &object, const char *name, T otherwise) {
+  return object.contains(name) ? member<T>(object, name) : otherwise;
+}
+
 std::optional<json> parseObject(std::string_view text) {
   auto value = json::parse(text, nullptr, false);
   if (value.is_discarded() || !value.is_object())
@@ -65,14 +72,18 @@
   const auto zone = member<std::string>(*object, "zone");
   const auto state = member<std::string>(*object, "state");
   const auto identity = identityOf(id);
-  if (!service || service->empty() || !address || !zone || !state || !identity)
+  if (!service || !routing::isName(*service) || !address || !zone ||
+      !routing::isName(*zone) || !state || !identity || !routing::isName(id))
     return std::nullopt;
   const auto endpoint = common::parseEndpoint(*address);
   if (!endpoint.ok() || (*state != "ready" && *state != "draining"))
     return std::nullopt;
   const auto slots = member<std::uint32_t>(*object, "slots");
   // Rises with each write of a target; an entry without it is not a target's.
-  if (!slots || *slots == 0 || !member<std::uint64_t>(*object, "sequence"))
+  const auto coldLeft = memberOr<std::uint32_t>(*object, "cold_left_ms", 0);
+  const auto born = memberOr<std::int64_t>(*object, "born", 0);
+  if (!slots || *slots == 0 || !member<std::uint64_t>(*object, "sequence") ||
+      !coldLeft || !born)
     return std::nullopt;
   routing::ServerRegistration server;
   server.Name = id;
@@ -83,9 +94,8 @@
   server.Slots = *slots;
   server.State = *state == "ready" ? routing::ServerState::Ready
                                    : routing::ServerState::Draining;
-  server.ColdLeft =
-      milliseconds(member<std::uint32_t>(*object, "cold_left_ms").value_or(0));
-  server.Lifetime = member<std::int64_t>(*object, "born").value_or(0);
+  server.ColdLeft = milliseconds(*coldLeft);
+  server.Lifetime = *born;
   return server;
 }
 
