--- /dev/null
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -0,0 +1,114 @@
+#include "Edge/EdgeMetrics.h"
+
+#include "Common/Text.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <string_view>
+
+namespace auburnroute::edge {
+
+namespace {
+
+/// Upper bounds of the buckets in ms; from half of the shortest usual work to
+/// the longest time limit.
+constexpr std::array<double, 12> AnswerBuckets{
+    5, 10, 20, 50, 100, 200, 300, 500, 1000, 2000, 5000, 10000};
+
+constexpr std::string_view Prefix = "auburnedge_";
+
+template <typename T>
+void appendSample(std::string &text, std::string_view name,
+                  std::string_view type, T value) {
+  const auto full = absl::StrCat(common::toAbsl(Prefix), common::toAbsl(name));
+  absl::StrAppend(&text, "# TYPE ", full, " ", common::toAbsl(type), "\n", full,
+                  " ", value, "\n");
+}
+
+} // namespace
+
+std::string_view toString(EdgeCounter counter) {
+  switch (counter) {
+  case EdgeCounter::CallerPackets:
+    return "caller_packets_total";
+  case EdgeCounter::PacketsForwarded:
+    return "packets_forwarded_total";
+  case EdgeCounter::FlowsPlaced:
+    return "flows_placed_total";
+  case EdgeCounter::SynsRepeated:
+    return "syns_repeated_total";
+  case EdgeCounter::FlowsReset:
+    return "flows_reset_total";
+  case EdgeCounter::PacketsDropped:
+    return "packets_dropped_total";
+  case EdgeCounter::Suspicions:
+    return "suspicions_total";
+  case EdgeCounter::RegistryCalls:
+    return "registry_calls_total";
+  case EdgeCounter::RegistryFailures:
+    return "registry_failures_total";
+  case EdgeCounter::EntriesUnreadable:
+    return "entries_unreadable_total";
+  case EdgeCounter::GossipSent:
+    return "gossip_messages_sent_total";
+  case EdgeCounter::GossipBytesSent:
+    return "gossip_bytes_sent_total";
+  case EdgeCounter::GossipReceived:
+    return "gossip_messages_received_total";
+  case EdgeCounter::GossipMalformed:
+    return "gossip_messages_malformed_total";
+  case EdgeCounter::SnapshotsFetched:
+    return "snapshots_fetched_total";
+  case EdgeCounter::Pauses:
+    return "pauses_total";
+  case EdgeCounter::StalePacketsDropped:
+    return "stale_packets_dropped_total";
+  case EdgeCounter::LogLinesDropped:
+    return "log_lines_dropped_total";
+  case EdgeCounter::Count:
+    break;
+  }
+  return "invalid";
+}
+
+EdgeMetrics::EdgeMetrics()
+    : AnswerTimes(boost::histogram::make_histogram(
+          boost::histogram::axis::variable<double>(AnswerBuckets))) {}
+
+void EdgeMetrics::addAnswerTime(std::chrono::milliseconds time) {
+  AnswerTimes(static_cast<double>(time.count()));
+  AnswerTimeSum += static_cast<double>(time.count());
+}
+
+std::string EdgeMetrics::text(const EdgeGauges &gauges) const {
+  std::string text;
+  for (std::size_t i = 0; i < Counts.size(); ++i)
+    appendSample(text, toString(static_cast<EdgeCounter>(i)), "counter",
+                 Counts[i]);
+  appendSample(text, "ready", "gauge", gauges.Ready ? 1 : 0);
+  appendSample(text, "configuration_version", "gauge",
+               gauges.ConfigurationVersion);
+  appendSample(text, "view_revision", "gauge", gauges.ViewRevision);
+  appendSample(text, "view_age_ms", "gauge", gauges.ViewAge.count());
+  appendSample(text, "ready_servers", "gauge", gauges.ReadyServers);
+  appendSample(text, "flows", "gauge", gauges.Flows);
+  appendSample(text, "peers", "gauge", gauges.Peers);
+  const auto name = absl::StrCat(common::toAbsl(Prefix), "answer_time_ms");
+  absl::StrAppend(&text, "# TYPE ", name, " histogram\n");
+  // Bin -1 holds what lies below the first bound.
+  double sum = 0;
+  for (int i = -1; i < static_cast<int>(AnswerBuckets.size()); ++i) {
+    sum += AnswerTimes.at(i);
+    absl::StrAppend(
+        &text, name, "_bucket{le=\"",
+        i + 1 < static_cast<int>(AnswerBuckets.size())
+            ? absl::StrCat(AnswerBuckets[static_cast<std::size_t>(i + 1)])
+            : "+Inf",
+        "\"} ", sum, "\n");
+  }
+  absl::StrAppend(&text, name, "_sum ", AnswerTimeSum, "\n", name, "_count ",
+                  sum, "\n");
+  return text;
+}
+
+} // namespace auburnroute::edge
--- /dev/null
+++ b/Source/Edge/EdgeMetrics.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <boost/histogram.hpp>
+
+namespace auburnroute::edge {
+
+/// What an edge daemon counts; monotonic.
+enum class EdgeCounter : std::uint8_t {
+  CallerPackets,
+  PacketsForwarded,
+  FlowsPlaced,
+  SynsRepeated,
+  FlowsReset,
+  PacketsDropped,
+  Suspicions,
+  RegistryCalls,
+  RegistryFailures,
+  EntriesUnreadable,
+  GossipSent,
+  GossipBytesSent,
+  GossipReceived,
+  GossipMalformed,
+  SnapshotsFetched,
+  Pauses,
+  StalePacketsDropped,
+  LogLinesDropped,
+  Count, ///< Number of counters; not a counter.
+};
+
+/// Values that go up and down, read when the metrics are fetched.
+struct EdgeGauges {
+  bool Ready = false;
+  std::uint64_t ConfigurationVersion = 0;
+  std::uint64_t ViewRevision = 0;
+  std::chrono::milliseconds ViewAge{0};
+  std::size_t ReadyServers = 0;
+  std::size_t Flows = 0;
+  std::size_t Peers = 0;
+};
+
+/// Counters and the histogram of answer times of an edge daemon. Used from one
+/// thread.
+class EdgeMetrics {
+public:
+  EdgeMetrics();
+
+  void add(EdgeCounter counter, std::uint64_t n = 1) {
+    Counts[static_cast<std::size_t>(counter)] += n;
+  }
+  /// Takes over a count that is kept elsewhere.
+  void set(EdgeCounter counter, std::uint64_t n) {
+    Counts[static_cast<std::size_t>(counter)] = n;
+  }
+  std::uint64_t value(EdgeCounter counter) const {
+    return Counts[static_cast<std::size_t>(counter)];
+  }
+  /// A request was answered after \p time, as its caller's packets show.
+  void addAnswerTime(std::chrono::milliseconds time);
+
+  /// All of it in the Prometheus text format.
+  std::string text(const EdgeGauges &gauges) const;
+
+private:
+  using Histogram = decltype(boost::histogram::make_histogram(
+      boost::histogram::axis::variable<double>{0.0, 1.0}));
+
+  std::array<std::uint64_t, static_cast<std::size_t>(EdgeCounter::Count)>
+      Counts{};
+  Histogram AnswerTimes; ///< ms
+  double AnswerTimeSum = 0;
+};
+
+/// Name of a counter as in the metrics, with its unit.
+std::string_view toString(EdgeCounter counter);
+
+} // namespace auburnroute::edge
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -58,7 +58,8 @@
             randomSeed()),
       Router(Routes, Directory, Evidence,
              Directory.zoneNames().idOf(Settings.Zone), randomSeed(), Recorder),
-      ReadyServer(Loop), ControlServer(Loop), PeerServer(Loop) {
+      ReadyServer(Loop), ControlServer(Loop), MetricsServer(Loop),
+      PeerServer(Loop) {
   Recorder.setView(&View);
 }
 
@@ -91,9 +92,9 @@
                                       Directory, Clock, Recorder);
   Exchange = std::make_unique<PeerExchange>(
       Loop, *std::move(peers), Settings.Peers, Peers, View, Directory, Evidence,
-      Clock, Log, Recorder.counters(), [this] { updateReadiness(); });
+      Clock, Log, Recorder.metrics(), [this] { updateReadiness(); });
   Registry = std::make_unique<RegistryClient>(
-      Loop, Settings.Registry, Reader, Clock, Log, Recorder.counters(), [this] {
+      Loop, Settings.Registry, Reader, Clock, Log, Recorder.metrics(), [this] {
         updateReadiness();
         Exchange->poll();
         updateDuty(Clock.now());
@@ -109,9 +110,10 @@
   ControlServer.serve("/status", "application/json", [this] {
     return reactor::HttpAnswer{StatusOk, status()};
   });
-  ControlServer.serve("/metrics", "text/plain; version=0.0.4", [this] {
-    return reactor::HttpAnswer{StatusOk, metrics()};
-  });
+  for (auto *server : {&ControlServer, &MetricsServer})
+    server->serve("/metrics", "text/plain; version=0.0.4", [this] {
+      return reactor::HttpAnswer{StatusOk, metrics()};
+    });
   PeerServer.serve("/view", "application/x-protobuf", [this] {
     return reactor::HttpAnswer{View.isComplete() ? StatusOk : StatusUnavailable,
                                Exchange->snapshot()};
@@ -120,6 +122,9 @@
     return status;
   if (auto status = ControlServer.listen(Settings.Control); !status.ok())
     return status;
+  if (Settings.Metrics.Port != 0)
+    if (auto status = MetricsServer.listen(Settings.Metrics); !status.ok())
+      return status;
   return PeerServer.listen(Settings.Peers);
 }
 
@@ -147,6 +152,8 @@
     Router.onTick(now);
     View.expire(now);
     Log.flush();
+    Recorder.metrics().set(EdgeCounter::EntriesUnreadable, View.unreadable());
+    Recorder.metrics().set(EdgeCounter::LogLinesDropped, Log.dropped());
   }
   if (now >= NextFileCheck) {
     NextFileCheck = now + FileCheckInterval;
@@ -183,7 +190,7 @@
   LastTick = now;
   if (gap < PauseLimit)
     return;
-  ++Recorder.counters().Pauses;
+  Recorder.metrics().add(EdgeCounter::Pauses);
   Pump->discardBacklog();
   Exchange->discardBacklog();
   Reader.hurry(now);
@@ -258,9 +265,16 @@
 }
 
 std::string EdgeNode::metrics() const {
-  auto &it = const_cast<EventRecorder &>(Recorder).counters();
-  return absl::StrCat("caller_packets_total ", it.CallerPackets,
-                      "\npackets_forwarded_total ", it.PacketsForwarded, "\n");
+  const auto now = Clock.now();
+  EdgeGauges gauges;
+  gauges.Ready = Ready;
+  gauges.ConfigurationVersion = Routes.version();
+  gauges.ViewRevision = View.revision();
+  gauges.ViewAge = View.age(now);
+  gauges.ReadyServers = Directory.readyCount();
+  gauges.Flows = Router.flowCount();
+  gauges.Peers = Peers.aliveCount(now);
+  return Recorder.metrics().text(gauges);
 }
 
 } // namespace auburnroute::edge
--- a/Source/Edge/EdgeNode.h
+++ b/Source/Edge/EdgeNode.h
@@ -67,6 +67,7 @@
   std::unique_ptr<RegistryClient> Registry;
   reactor::AsyncHttpServer ReadyServer;
   reactor::AsyncHttpServer ControlServer;
+  reactor::AsyncHttpServer MetricsServer;
   reactor::AsyncHttpServer PeerServer;
   bool Ready = false;
   std::optional<common::TimePoint> StoppingSince;
--- a/Source/Edge/EventLog.cpp
+++ b/Source/Edge/EventLog.cpp
@@ -106,6 +106,7 @@
   auto &rate = Rates[static_cast<std::size_t>(event)];
   if (rate.Left == 0) {
     ++rate.Dropped;
+    ++DroppedTotal;
     return false;
   }
   --rate.Left;
@@ -125,9 +126,11 @@
             absl::StrCat("\"kind\":\"",
                          common::toAbsl(toString(static_cast<LogEvent>(i))),
                          "\",\"lines\":", n));
-  if (const auto n = Output->takeDropped(); n > 0)
+  if (const auto n = Output->takeDropped(); n > 0) {
+    DroppedTotal += n;
     write(LogEvent::LogDropped,
           absl::StrCat("\"kind\":\"unread\",\"lines\":", n));
+  }
   Logger->flush();
 }
 
--- a/Source/Edge/EventLog.h
+++ b/Source/Edge/EventLog.h
@@ -56,6 +56,8 @@
   bool admits(LogEvent event);
   /// Adds a line. \p fields: the members of a JSON object without braces.
   void write(LogEvent event, std::string_view fields);
+  /// Lines that were not written since the start.
+  std::uint64_t dropped() const { return DroppedTotal; }
   /// Writes what is pending, and a line on what was dropped.
   void flush();
 
@@ -71,6 +73,7 @@
   };
   std::array<Rate, static_cast<std::size_t>(LogEvent::Count)> Rates{};
   common::TimePoint RefilledAt;
+  std::uint64_t DroppedTotal = 0;
 };
 
 } // namespace auburnroute::edge
--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -55,9 +55,9 @@
 
 void EventRecorder::onPlaced(const FlowId &flow, ServerId server,
                              std::uint32_t copy) {
-  ++Counters.FlowsPlaced;
+  Metrics.add(EdgeCounter::FlowsPlaced);
   if (copy > 0)
-    ++Counters.SynsRepeated;
+    Metrics.add(EdgeCounter::SynsRepeated);
   if (!Log.admits(LogEvent::Placed))
     return;
   const auto &activity = Evidence.activity(server);
@@ -68,7 +68,7 @@
 }
 
 void EventRecorder::onRefused(const FlowId &flow, Refusal why, bool silent) {
-  ++Counters.Refusals[static_cast<std::size_t>(why)];
+  Metrics.add(silent ? EdgeCounter::PacketsDropped : EdgeCounter::FlowsReset);
   if (!Log.admits(LogEvent::Refused))
     return;
   Log.write(LogEvent::Refused,
@@ -79,7 +79,7 @@
 
 void EventRecorder::onSuspected(ServerId server, Suspicion why,
                                 std::chrono::milliseconds silence) {
-  ++Counters.Suspicions;
+  Metrics.add(EdgeCounter::Suspicions);
   if (!Log.admits(LogEvent::Suspected))
     return;
   Log.write(LogEvent::Suspected,
@@ -93,6 +93,10 @@
     Log.write(LogEvent::Cleared, serverField(server));
 }
 
+void EventRecorder::onAnswered(std::chrono::milliseconds time) {
+  Metrics.addAnswerTime(time);
+}
+
 void EventRecorder::onConfiguration(std::uint64_t version) {
   if (Log.admits(LogEvent::Configuration))
     Log.write(LogEvent::Configuration,
--- a/Source/Edge/PacketPump.cpp
+++ b/Source/Edge/PacketPump.cpp
@@ -36,7 +36,7 @@
 void PacketPump::discardBacklog() {
   for (int i = 0; i < MaxBatches; ++i) {
     const auto n = Input.socket().receive(std::chrono::milliseconds(0)).size();
-    Recorder.counters().StalePacketsDropped += n;
+    Recorder.metrics().add(EdgeCounter::StalePacketsDropped, n);
     if (n < UdpSocket::BatchSize)
       return;
   }
@@ -48,7 +48,7 @@
     if (batch.empty())
       return;
     LastPacketAt = Clock.now();
-    Recorder.counters().CallerPackets += batch.size();
+    Recorder.metrics().add(EdgeCounter::CallerPackets, batch.size());
     for (std::size_t n = 0; n < batch.size(); ++n)
       handle(batch[n], n);
     Input.socket().flush();
@@ -60,8 +60,7 @@
 void PacketPump::handle(transport::Datagram &datagram, std::size_t index) {
   const auto packet = PacketCodec::decode(datagram.Bytes);
   if (!packet) {
-    ++Recorder.counters()
-          .Refusals[static_cast<std::size_t>(routing::Refusal::Malformed)];
+    Recorder.metrics().add(EdgeCounter::PacketsDropped);
     return;
   }
   const auto outcome = Router.onPacket(*packet, LastPacketAt);
@@ -70,7 +69,7 @@
     PacketCodec::writeEcho(datagram.Bytes, forward->Tag);
     const auto prefix = PacketCodec::prefix(server.Identity);
     std::ranges::copy(prefix, Heads[index].begin());
-    ++Recorder.counters().PacketsForwarded;
+    Recorder.metrics().add(EdgeCounter::PacketsForwarded);
     Input.socket().queue(server.Address,
                          std::span(Heads[index]).first(prefix.size()),
                          datagram.Bytes);
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -31,10 +31,10 @@
                            routing::ServerDirectory &directory,
                            routing::ServerEvidence &evidence,
                            const common::Clock &clock, EventLog &log,
-                           EdgeCounters &counters, std::function<void()> onNews)
+                           EdgeMetrics &metrics, std::function<void()> onNews)
     : Loop(loop), Socket(loop, std::move(socket)), Self(self), Peers(peers),
       View(view), Directory(directory), Evidence(evidence), Clock(clock),
-      Log(log), Counters(counters), OnNews(std::move(onNews)) {}
+      Log(log), Metrics(metrics), OnNews(std::move(onNews)) {}
 
 void PeerExchange::start(const std::vector<common::Endpoint> &seeds) {
   setSeeds(seeds);
@@ -97,8 +97,8 @@
   const auto bytes = GossipCodec::encode(message);
   for (const auto it : addresses) {
     Socket.socket().queue({it, Self.Port}, std::as_bytes(std::span(bytes)), {});
-    ++Counters.GossipSent;
-    Counters.GossipBytesSent += bytes.size();
+    Metrics.add(EdgeCounter::GossipSent);
+    Metrics.add(EdgeCounter::GossipBytesSent, bytes.size());
   }
   Socket.socket().flush();
 }
@@ -127,11 +127,11 @@
     for (const auto &it : batch) {
       const auto message = GossipCodec::decode(
           {reinterpret_cast<const char *>(it.Bytes.data()), it.Bytes.size()});
-      ++Counters.GossipReceived;
+      Metrics.add(EdgeCounter::GossipReceived);
       if (message && message->Sender.Address == it.Sender.Address)
         onMessage(*message, it.Sender.Address);
       else
-        ++Counters.GossipMalformed;
+        Metrics.add(EdgeCounter::GossipMalformed);
     }
     if (batch.size() < transport::UdpSocket::BatchSize)
       break;
@@ -193,10 +193,10 @@
       return; // The next message of a peer leads to the next try.
     const auto snapshot = GossipCodec::decodeSnapshot(result->Body);
     if (!snapshot) {
-      ++Counters.GossipMalformed;
+      Metrics.add(EdgeCounter::GossipMalformed);
       return;
     }
-    ++Counters.SnapshotsFetched;
+    Metrics.add(EdgeCounter::SnapshotsFetched);
     View.applySnapshot(snapshot->View, snapshot->Age, Clock.now());
     OnNews();
   });
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -31,7 +31,7 @@
                common::Endpoint self, fleet::PeerTable &peers,
                fleet::FleetView &view, routing::ServerDirectory &directory,
                routing::ServerEvidence &evidence, const common::Clock &clock,
-               EventLog &log, EdgeCounters &counters,
+               EventLog &log, EdgeMetrics &metrics,
                std::function<void()> onNews);
 
   void start(const std::vector<common::Endpoint> &seeds);
@@ -66,7 +66,7 @@
   routing::ServerEvidence &Evidence;
   const common::Clock &Clock;
   EventLog &Log;
-  EdgeCounters &Counters;
+  EdgeMetrics &Metrics;
   std::function<void()> OnNews;
   std::vector<std::uint32_t> Seeds;
   common::TimePoint NextRound;
--- a/Source/Edge/RegistryClient.cpp
+++ b/Source/Edge/RegistryClient.cpp
@@ -22,16 +22,16 @@
                                common::Endpoint registry,
                                fleet::RegistryReader &reader,
                                const common::Clock &clock, EventLog &log,
-                               EdgeCounters &counters,
+                               EdgeMetrics &metrics,
                                std::function<void()> onAnswer)
     : Http(loop, registry), Reader(reader), Clock(clock), Log(log),
-      Counters(counters), OnAnswer(std::move(onAnswer)) {}
+      Metrics(metrics), OnAnswer(std::move(onAnswer)) {}
 
 void RegistryClient::poll() {
   const auto call = Reader.next(Clock.now());
   if (!call)
     return;
-  ++Counters.RegistryCalls;
+  Metrics.add(EdgeCounter::RegistryCalls);
   Http.get(
       StoreCodec::target(*call), call->Timeout,
       [this, call = *call](const auto &result) { onResult(call, result); });
@@ -61,7 +61,7 @@
 
 void RegistryClient::onFailure(RegistryFailure failure,
                                std::string_view reason) {
-  ++Counters.RegistryFailures;
+  Metrics.add(EdgeCounter::RegistryFailures);
   Reader.onFailure(failure, Clock.now());
   if (failure != RegistryFailure::Compacted)
     report(false, reason);
--- a/Source/Edge/RegistryClient.h
+++ b/Source/Edge/RegistryClient.h
@@ -16,7 +16,7 @@
   /// answer or failure.
   RegistryClient(boost::asio::io_context &loop, common::Endpoint registry,
                  fleet::RegistryReader &reader, const common::Clock &clock,
-                 EventLog &log, EdgeCounters &counters,
+                 EventLog &log, EdgeMetrics &metrics,
                  std::function<void()> onAnswer);
 
   /// Sends the next call if one is due.
@@ -32,7 +32,7 @@
   fleet::RegistryReader &Reader;
   const common::Clock &Clock;
   EventLog &Log;
-  EdgeCounters &Counters;
+  EdgeMetrics &Metrics;
   std::function<void()> OnAnswer;
   bool Reachable = false;
   bool Reported = false;
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -137,9 +137,13 @@
   Attempts.erase(id);
   const auto *known = Flows.find(id);
   const auto sentAt = known == nullptr ? now : known->PhaseSince;
+  const bool wasBusy = known != nullptr && known->Phase == FlowPhase::Busy;
   switch (Flows.onPacket(id, serverId, packet, now)) {
   case FlowEvent::Answered:
     answered(serverId, now);
+    if (wasBusy)
+      Observer.onAnswered(
+          std::chrono::duration_cast<milliseconds>(now - sentAt));
     break;
   case FlowEvent::Repeated:
     suspect(serverId, Suspicion::DataUnanswered, id, sentAt, now);
--- a/Source/Routing/RoutingObserver.h
+++ b/Source/Routing/RoutingObserver.h
@@ -23,6 +23,8 @@
                            std::chrono::milliseconds silence) = 0;
   /// A suspected server answered.
   virtual void onCleared(ServerId server) = 0;
+  /// A request was answered after \p time.
+  virtual void onAnswered(std::chrono::milliseconds time) = 0;
 };
 
 } // namespace auburnroute::routing
--- a/Source/State/EdgeSettings.cpp
+++ b/Source/State/EdgeSettings.cpp
@@ -26,6 +26,9 @@
       field<E, &E::Control>(
           V::endpoint("control", "TCP, status and metrics for operators.")
               .required()),
+      field<E, &E::Metrics>(
+          V::endpoint("metrics", "TCP, metrics for monitoring, beside those on "
+                                 "control.")),
       field<E, &E::Peers>(
           V::endpoint("peers", "UDP and TCP, messages between hosts. The port "
                                "is the same on all hosts.")
--- a/Source/State/EdgeSettings.h
+++ b/Source/State/EdgeSettings.h
@@ -18,6 +18,7 @@
   common::Endpoint Packets;  ///< UDP, packets from the routers.
   common::Endpoint Ready;    ///< TCP, HTTP for the routers.
   common::Endpoint Control;  ///< TCP, HTTP for operators.
+  common::Endpoint Metrics;  ///< TCP, HTTP for monitoring; optional.
   common::Endpoint Peers;    ///< UDP and TCP, other hosts.
   common::Endpoint Registry; ///< TCP, HTTP; configuration and servers.
   std::vector<common::Endpoint> Seeds; ///< Control endpoints of other hosts.
--- a/Source/UnitTests/Routing/RoutingFixture.h
+++ b/Source/UnitTests/Routing/RoutingFixture.h
@@ -25,6 +25,7 @@
   void onCleared(routing::ServerId server) override {
     Cleared.push_back(server);
   }
+  void onAnswered(std::chrono::milliseconds) override {}
 
   std::vector<routing::ServerId> Placed;
   std::vector<routing::Refusal> Refused;
