Explain a flow from captured logs, and test sockets, log and metrics

Cause: on-call engineers have only the lines that hosts wrote; nothing led from a failed request to its cause. At layer 4 a request is known by its flow, so the lines name the flow's ends.

Found by the tests: a body beyond the limit was taken whole, as Beast 1.74 loses that error; the length is checked after the header now.

--- a/Source/Edge/EventLog.cpp
+++ b/Source/Edge/EventLog.cpp
@@ -82,6 +82,8 @@
     return "suspected";
   case LogEvent::Cleared:
     return "cleared";
+  case LogEvent::Late:
+    return "late";
   case LogEvent::LogDropped:
     return "log_dropped";
   case LogEvent::Count:
--- a/Source/Edge/EventLog.h
+++ b/Source/Edge/EventLog.h
@@ -30,6 +30,7 @@
   Refused,
   Suspected,
   Cleared,
+  Late,
   LogDropped,
   Count, ///< Number of kinds; not a kind.
 };
@@ -45,7 +46,7 @@
 public:
   /// Lines of one kind in a second; state changes are rarer, decisions on
   /// flows are sampled. A line costs some 10 us of a share of 0.055 of a core.
-  static constexpr std::uint32_t LinesPerSecond = 20;
+  static constexpr std::uint32_t LinesPerSecond = 100;
   /// Lines that wait to be written, in bytes.
   static constexpr std::size_t MaxPending = 64 * 1024;
 
--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -77,14 +77,15 @@
                          silent ? "false" : "true", viewFields()));
 }
 
-void EventRecorder::onSuspected(ServerId server, Suspicion why,
+void EventRecorder::onSuspected(const FlowId &flow, ServerId server,
+                                Suspicion why,
                                 std::chrono::milliseconds silence) {
   Metrics.add(EdgeCounter::Suspicions);
   if (!Log.admits(LogEvent::Suspected))
     return;
   Log.write(LogEvent::Suspected,
-            absl::StrCat(serverField(server), ",\"cause\":\"",
-                         toAbsl(routing::toString(why)),
+            absl::StrCat(flowField(flow), ",", serverField(server),
+                         ",\"cause\":\"", toAbsl(routing::toString(why)),
                          "\",\"silent_ms\":", silence.count()));
 }
 
@@ -93,8 +94,18 @@
     Log.write(LogEvent::Cleared, serverField(server));
 }
 
-void EventRecorder::onAnswered(std::chrono::milliseconds time) {
+void EventRecorder::onAnswered(const FlowId &flow, ServerId server,
+                               std::chrono::milliseconds time,
+                               std::chrono::milliseconds objective) {
   Metrics.addAnswerTime(time);
+  if (objective.count() == 0 || time <= objective ||
+      !Log.admits(LogEvent::Late))
+    return;
+  Log.write(LogEvent::Late,
+            absl::StrCat(flowField(flow), ",", serverField(server),
+                         ",\"answer_ms\":", time.count(),
+                         ",\"objective_ms\":", objective.count(),
+                         ",\"busy\":", Evidence.activity(server).Busy));
 }
 
 void EventRecorder::onConfiguration(std::uint64_t version) {
--- a/Source/Edge/EventRecorder.h
+++ b/Source/Edge/EventRecorder.h
@@ -23,10 +23,13 @@
                 std::uint32_t copy) override;
   void onRefused(const routing::FlowId &flow, routing::Refusal why,
                  bool silent) override;
-  void onSuspected(routing::ServerId server, routing::Suspicion why,
+  void onSuspected(const routing::FlowId &flow, routing::ServerId server,
+                   routing::Suspicion why,
                    std::chrono::milliseconds silence) override;
   void onCleared(routing::ServerId server) override;
-  void onAnswered(std::chrono::milliseconds time) override;
+  void onAnswered(const routing::FlowId &flow, routing::ServerId server,
+                  std::chrono::milliseconds time,
+                  std::chrono::milliseconds objective) override;
   void onConfiguration(std::uint64_t version) override;
   void onServer(const routing::ServerRegistration &server,
                 routing::DirectoryChange change) override;
--- a/Source/Programs/auburnctl.cpp
+++ b/Source/Programs/auburnctl.cpp
@@ -13,6 +13,9 @@
 
 ABSL_FLAG(std::string, settings, "", "settings file to read");
 ABSL_FLAG(bool, daemon, false, "check a daemon's local settings file");
+ABSL_FLAG(bool, edge, false,
+          "check an edge daemon's settings file or its template");
+ABSL_FLAG(std::string, flow, "", "flow to explain, as CALLER>SERVICE");
 ABSL_FLAG(bool, json, false, "write the report as JSON");
 ABSL_FLAG(std::vector<std::string>, hosts, {},
           "operator endpoints of hosts to ask, one per zone is enough");
@@ -26,8 +29,9 @@
 
 /// Flags of the tool; Abseil's own (such as --flagfile, which reads files) are
 /// not offered.
-constexpr std::array<std::string_view, 7> Flags{
-    "settings", "daemon", "json", "hosts", "service", "since", "html"};
+constexpr std::array<std::string_view, 9> Flags{"settings", "daemon", "edge",
+                                                "flow",     "json",   "hosts",
+                                                "service",  "since",  "html"};
 
 /// What is wrong with the flag at \p at, which is moved over its value; nothing
 /// if it is right. Abseil ends the process with code 1 and help text on a bad
@@ -78,6 +82,8 @@
   tool::Arguments arguments;
   arguments.SettingsFile = absl::GetFlag(FLAGS_settings);
   arguments.Daemon = absl::GetFlag(FLAGS_daemon);
+  arguments.Edge = absl::GetFlag(FLAGS_edge);
+  arguments.Flow = absl::GetFlag(FLAGS_flow);
   arguments.Json = absl::GetFlag(FLAGS_json);
   arguments.Hosts = absl::GetFlag(FLAGS_hosts);
   arguments.Service = absl::GetFlag(FLAGS_service);
--- a/Source/Reactor/AsyncHttpClient.cpp
+++ b/Source/Reactor/AsyncHttpClient.cpp
@@ -73,6 +73,22 @@
   }
 
   void receive() {
+    http::async_read_header(Stream, Buffer, *Parser,
+                            [self = shared_from_this()](auto ec, std::size_t) {
+                              // Beast 1.74 loses this error when more of the
+                              // answer is there, so the length is checked here
+                              // as well.
+                              const auto length =
+                                  self->Parser->content_length();
+                              if (!ec && length && *length > MaxBodyBytes)
+                                ec = http::error::body_limit;
+                              if (ec)
+                                return self->fail("receive", ec);
+                              self->receiveBody();
+                            });
+  }
+
+  void receiveBody() {
     http::async_read(Stream, Buffer, *Parser,
                      [self = shared_from_this()](auto ec, std::size_t) {
                        if (ec)
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -82,7 +82,8 @@
                            TimePoint sentAt, TimePoint now) {
   if (Evidence.onSilence(server, why, id.Caller.Address, sentAt, now))
     Observer.onSuspected(
-        server, why, std::chrono::duration_cast<milliseconds>(now - sentAt));
+        id, server, why,
+        std::chrono::duration_cast<milliseconds>(now - sentAt));
 }
 
 void PacketRouter::answered(ServerId server, TimePoint now) {
@@ -143,7 +144,8 @@
     answered(serverId, now);
     if (wasBusy)
       Observer.onAnswered(
-          std::chrono::duration_cast<milliseconds>(now - sentAt));
+          id, serverId, std::chrono::duration_cast<milliseconds>(now - sentAt),
+          route.Objective);
     break;
   case FlowEvent::Repeated:
     suspect(serverId, Suspicion::DataUnanswered, id, sentAt, now);
--- a/Source/Routing/RoutingObserver.h
+++ b/Source/Routing/RoutingObserver.h
@@ -18,13 +18,16 @@
                         std::uint32_t copy) = 0;
   /// The caller gets a reset, or nothing if \p silent.
   virtual void onRefused(const FlowId &flow, Refusal why, bool silent) = 0;
-  /// The server did not answer a packet for \p silence.
-  virtual void onSuspected(ServerId server, Suspicion why,
+  /// The server did not answer a packet of \p flow for \p silence.
+  virtual void onSuspected(const FlowId &flow, ServerId server, Suspicion why,
                            std::chrono::milliseconds silence) = 0;
   /// A suspected server answered.
   virtual void onCleared(ServerId server) = 0;
-  /// A request was answered after \p time.
-  virtual void onAnswered(std::chrono::milliseconds time) = 0;
+  /// A request was answered after \p time; its route's objective is
+  /// \p objective, 0 if it has none.
+  virtual void onAnswered(const FlowId &flow, ServerId server,
+                          std::chrono::milliseconds time,
+                          std::chrono::milliseconds objective) = 0;
 };
 
 } // namespace auburnroute::routing
--- a/Source/Tool/BurnCommand.cpp
+++ b/Source/Tool/BurnCommand.cpp
@@ -118,7 +118,8 @@
 } // namespace
 
 bool BurnCommand::accepts(const Arguments &arguments) const {
-  return arguments.Operands.empty() && !arguments.Hosts.empty() &&
+  return arguments.Flow.empty() && !arguments.Edge &&
+         arguments.Operands.empty() && !arguments.Hosts.empty() &&
          arguments.SettingsFile.empty() && !arguments.Daemon &&
          arguments.Service.empty() && arguments.Since.empty();
 }
--- a/Source/Tool/CauseCommand.cpp
+++ b/Source/Tool/CauseCommand.cpp
@@ -83,7 +83,8 @@
 } // namespace
 
 bool CauseCommand::accepts(const Arguments &arguments) const {
-  return arguments.Operands.empty() && !arguments.Hosts.empty() &&
+  return arguments.Flow.empty() && !arguments.Edge &&
+         arguments.Operands.empty() && !arguments.Hosts.empty() &&
          arguments.SettingsFile.empty() && !arguments.Daemon &&
          arguments.HtmlFile.empty();
 }
--- a/Source/Tool/CheckCommand.cpp
+++ b/Source/Tool/CheckCommand.cpp
@@ -1,19 +1,24 @@
 #include "Tool/CheckCommand.h"
 
 #include "State/DaemonSettingsLoader.h"
+#include "State/EdgeSettings.h"
 #include "Tool/SettingsFile.h"
+#include "platform/SettingsTemplate.h"
 
 #include "absl/strings/str_format.h"
 
 namespace auburnroute::tool {
 
 bool CheckCommand::accepts(const Arguments &arguments) const {
-  return !arguments.hasLiveFlags() && arguments.Operands.size() == 1 &&
-         arguments.SettingsFile.empty() && !arguments.Json;
+  return arguments.Flow.empty() && !arguments.hasLiveFlags() &&
+         arguments.Operands.size() == 1 && arguments.SettingsFile.empty() &&
+         !arguments.Json && !(arguments.Daemon && arguments.Edge);
 }
 
 int CheckCommand::run(const Arguments &arguments, Output &output) const {
   const auto &fileName = arguments.Operands.front();
+  if (arguments.Edge)
+    return checkEdge(fileName, output);
   return arguments.Daemon ? checkDaemon(fileName, output)
                           : checkSettings(fileName, output);
 }
@@ -49,4 +54,27 @@
   return ExitSuccess;
 }
 
+int CheckCommand::checkEdge(const std::string &fileName, Output &output) {
+  const auto text = SettingsFile::readText(fileName);
+  if (!text.ok()) {
+    output.Err << text.status().message() << "\n";
+    return ExitFailure;
+  }
+  const bool isTemplate = platform::SettingsTemplate::isTemplate(*text);
+  const auto filled =
+      isTemplate ? platform::SettingsTemplate::fillWithSamples(*text, fileName)
+                 : text;
+  const auto settings =
+      filled.ok() ? state::loadEdgeSettings(*filled, fileName)
+                  : absl::StatusOr<state::EdgeSettings>(filled.status());
+  if (!settings.ok()) {
+    output.Err << settings.status().message() << "\n";
+    return ExitFailure;
+  }
+  output.Out << fileName << ": no fault"
+             << (isTemplate ? ", filled with sample values" : "") << ", host "
+             << settings->Host << ", zone " << settings->Zone << "\n";
+  return ExitSuccess;
+}
+
 } // namespace auburnroute::tool
--- a/Source/Tool/CheckCommand.h
+++ b/Source/Tool/CheckCommand.h
@@ -4,11 +4,12 @@
 
 namespace auburnroute::tool {
 
-/// Checks a settings document or a daemon settings file.
+/// Checks a settings document, a daemon settings file, or those of an edge
+/// daemon or their template.
 class CheckCommand final : public Command {
 public:
   std::string_view name() const override { return "check"; }
-  std::string_view usage() const override { return "[--daemon] FILE"; }
+  std::string_view usage() const override { return "[--daemon | --edge] FILE"; }
   std::string_view summary() const override {
     return "lists the faults of a settings file, or of a daemon's local file";
   }
@@ -17,6 +18,7 @@
 
 private:
   static int checkSettings(const std::string &fileName, Output &output);
+  static int checkEdge(const std::string &fileName, Output &output);
   static int checkDaemon(const std::string &fileName, Output &output);
 };
 
--- a/Source/Tool/Command.h
+++ b/Source/Tool/Command.h
@@ -17,7 +17,9 @@
   std::vector<std::string> Operands; ///< Without the name of the command.
   std::string SettingsFile;          ///< --settings; empty if absent.
   bool Daemon = false;               ///< --daemon
+  bool Edge = false;                 ///< --edge
   bool Json = false;                 ///< --json
+  std::string Flow;                  ///< --flow, as CALLER>SERVICE.
   std::vector<std::string> Hosts;    ///< --hosts: operator endpoints.
   std::string Service;               ///< --service; empty for all.
   std::string Since;                 ///< --since, such as "60m"; may be empty.
--- a/Source/Tool/CommandTable.cpp
+++ b/Source/Tool/CommandTable.cpp
@@ -4,6 +4,7 @@
 #include "Tool/CauseCommand.h"
 #include "Tool/CheckCommand.h"
 #include "Tool/DiffCommand.h"
+#include "Tool/ExplainCommand.h"
 #include "Tool/ShowCommand.h"
 #include "Tool/StatusCommand.h"
 
@@ -23,9 +24,10 @@
 
 std::string CommandTable::help() const {
   std::string text =
-      "auburnctl: checks settings of auburnroute and asks its hosts\n";
+      "auburnctl: checks settings of auburnroute, asks its hosts and reads "
+      "their logs\n\n";
   for (const auto &it : Commands)
-    absl::StrAppend(&text, "\n  auburnctl ", toAbsl(it->name()), " ",
+    absl::StrAppend(&text, "  auburnctl ", toAbsl(it->name()), " ",
                     toAbsl(it->usage()), "\n      ", toAbsl(it->summary()),
                     "\n");
   absl::StrAppend(&text,
@@ -70,6 +72,7 @@
   table.add(std::make_unique<StatusCommand>());
   table.add(std::make_unique<CauseCommand>());
   table.add(std::make_unique<BurnCommand>());
+  table.add(std::make_unique<ExplainCommand>());
   return table;
 }
 
--- a/Source/Tool/DiffCommand.cpp
+++ b/Source/Tool/DiffCommand.cpp
@@ -6,7 +6,8 @@
 namespace auburnroute::tool {
 
 bool DiffCommand::accepts(const Arguments &arguments) const {
-  return !arguments.hasLiveFlags() && arguments.Operands.size() == 2 &&
+  return arguments.Flow.empty() && !arguments.Edge &&
+         !arguments.hasLiveFlags() && arguments.Operands.size() == 2 &&
          arguments.SettingsFile.empty() && !arguments.Daemon;
 }
 
--- /dev/null
+++ b/Source/Tool/ExplainCommand.cpp
@@ -0,0 +1,28 @@
+#include "Tool/ExplainCommand.h"
+
+#include "Tool/FlowExplanation.h"
+
+namespace auburnroute::tool {
+
+bool ExplainCommand::accepts(const Arguments &arguments) const {
+  return !arguments.Operands.empty() && !arguments.Flow.empty() &&
+         arguments.SettingsFile.empty() && !arguments.Daemon &&
+         !arguments.Edge && !arguments.hasLiveFlags();
+}
+
+int ExplainCommand::run(const Arguments &arguments, Output &output) const {
+  LogArchive archive;
+  for (const auto &it : arguments.Operands)
+    if (const auto status = archive.addFile(it); !status.ok()) {
+      output.Err << "auburnctl: " << status.message() << "\n";
+      return ExitFailure;
+    }
+  const auto explanation = FlowExplanation::of(arguments.Flow, archive);
+  if (arguments.Json)
+    output.Out << explanation.json().dump() << "\n";
+  else
+    output.Out << explanation.text();
+  return explanation.isFound() ? ExitSuccess : ExitFailure;
+}
+
+} // namespace auburnroute::tool
--- a/Source/Tool/ShowCommand.cpp
+++ b/Source/Tool/ShowCommand.cpp
@@ -6,7 +6,8 @@
 namespace auburnroute::tool {
 
 bool ShowCommand::accepts(const Arguments &arguments) const {
-  return !arguments.hasLiveFlags() && arguments.Operands.size() == 1 &&
+  return arguments.Flow.empty() && !arguments.Edge &&
+         !arguments.hasLiveFlags() && arguments.Operands.size() == 1 &&
          !arguments.SettingsFile.empty() && !arguments.Daemon;
 }
 
--- a/Source/Tool/StatusCommand.cpp
+++ b/Source/Tool/StatusCommand.cpp
@@ -36,7 +36,8 @@
 } // namespace
 
 bool StatusCommand::accepts(const Arguments &arguments) const {
-  return arguments.Operands.empty() && !arguments.Hosts.empty() &&
+  return arguments.Flow.empty() && !arguments.Edge &&
+         arguments.Operands.empty() && !arguments.Hosts.empty() &&
          arguments.SettingsFile.empty() && !arguments.Daemon &&
          arguments.Service.empty() && arguments.Since.empty() &&
          arguments.HtmlFile.empty();
--- /dev/null
+++ b/Source/UnitTests/Edge/EventLogTest.cpp
@@ -0,0 +1,124 @@
+#include "Edge/EventLog.h"
+#include "Common/ManualClock.h"
+#include "Edge/EdgeMetrics.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <chrono>
+#include <string>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+using edge::EdgeCounter;
+using edge::EventLog;
+using edge::LogEvent;
+
+namespace {
+
+/// Standard output as a pipe while it lives.
+class CapturedOutput {
+public:
+  CapturedOutput() : Saved(::dup(STDOUT_FILENO)) {
+    BOOST_REQUIRE(::pipe2(Ends.data(), O_CLOEXEC) == 0);
+    ::dup2(Ends[1], STDOUT_FILENO);
+    ::fcntl(Ends[0], F_SETFL, O_NONBLOCK);
+  }
+  ~CapturedOutput() {
+    ::dup2(Saved, STDOUT_FILENO);
+    for (const int it : {Saved, Ends[0], Ends[1]})
+      ::close(it);
+  }
+  std::string read() {
+    std::string text;
+    std::array<char, 65536> buf{};
+    for (ssize_t n; (n = ::read(Ends[0], buf.data(), buf.size())) > 0;)
+      text.append(buf.data(), static_cast<std::size_t>(n));
+    return text;
+  }
+
+private:
+  std::array<int, 2> Ends{};
+  int Saved;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EventLogTest)
+
+BOOST_AUTO_TEST_CASE(LinesAreOneObjectEach) {
+  common::ManualClock clock;
+  CapturedOutput output;
+  EventLog log(clock);
+  log.write(LogEvent::Placed, "\"flow\":\"a>b\"");
+  log.flush();
+  const auto text = output.read();
+  BOOST_TEST(text.ends_with(",\"event\":\"placed\",\"flow\":\"a>b\"}\n"));
+  BOOST_TEST(text.starts_with("{\"time_ms\":"));
+}
+
+// Guards against logs whose volume grows with the load.
+BOOST_AUTO_TEST_CASE(LinesOfAKindAreLimitedAndCounted) {
+  common::ManualClock clock;
+  CapturedOutput output;
+  EventLog log(clock);
+  std::uint32_t admitted = 0;
+  for (int i = 0; i < 1000; ++i)
+    admitted += log.admits(LogEvent::Placed);
+  BOOST_TEST(admitted == EventLog::LinesPerSecond);
+  BOOST_TEST(log.admits(LogEvent::Refused));
+  log.flush();
+  BOOST_TEST(output.read().find("\"kind\":\"placed\",\"lines\":900") !=
+             std::string::npos);
+  BOOST_TEST(log.dropped() == 900U);
+  clock.advance(1s);
+  BOOST_TEST(log.admits(LogEvent::Placed));
+}
+
+// Guards against a daemon that waits for a reader of its output that has
+// stopped reading.
+BOOST_AUTO_TEST_CASE(AStoppedReaderBlocksNothing) {
+  common::ManualClock clock;
+  CapturedOutput output;
+  EventLog log(clock);
+  const std::string fields = "\"x\":\"" + std::string(500, 'x') + "\"";
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < 2000; ++i) {
+    log.write(LogEvent::Placed, fields);
+    log.flush();
+  }
+  BOOST_TEST((std::chrono::steady_clock::now() - start < 2s));
+  const auto first = output.read();
+  BOOST_TEST(first.size() <= 65536U);
+  log.flush();
+  log.flush();
+  // What was lost is said once the reader is back.
+  BOOST_TEST((first + output.read()).find("\"kind\":\"unread\"") !=
+             std::string::npos);
+}
+
+// Guards against metrics that scrapers refuse: each sample has its type, and
+// buckets are cumulative.
+BOOST_AUTO_TEST_CASE(MetricsAreInTheTextFormat) {
+  edge::EdgeMetrics metrics;
+  metrics.add(EdgeCounter::FlowsPlaced, 3);
+  metrics.addAnswerTime(7ms);
+  metrics.addAnswerTime(15ms);
+  metrics.addAnswerTime(60s);
+  const auto text = metrics.text({});
+  for (const std::string part :
+       {"# TYPE auburnedge_flows_placed_total counter\n"
+        "auburnedge_flows_placed_total 3\n",
+        "auburnedge_answer_time_ms_bucket{le=\"5\"} 0\n",
+        "auburnedge_answer_time_ms_bucket{le=\"10\"} 1\n",
+        "auburnedge_answer_time_ms_bucket{le=\"20\"} 2\n",
+        "auburnedge_answer_time_ms_bucket{le=\"10000\"} 2\n",
+        "auburnedge_answer_time_ms_bucket{le=\"+Inf\"} 3\n",
+        "auburnedge_answer_time_ms_count 3\n"})
+    BOOST_TEST(text.find(part) != std::string::npos, part);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Routing/RoutingFixture.h
+++ b/Source/UnitTests/Routing/RoutingFixture.h
@@ -18,14 +18,16 @@
   void onRefused(const routing::FlowId &, routing::Refusal why, bool) override {
     Refused.push_back(why);
   }
-  void onSuspected(routing::ServerId server, routing::Suspicion,
-                   std::chrono::milliseconds) override {
+  void onSuspected(const routing::FlowId &, routing::ServerId server,
+                   routing::Suspicion, std::chrono::milliseconds) override {
     Suspected.push_back(server);
   }
   void onCleared(routing::ServerId server) override {
     Cleared.push_back(server);
   }
-  void onAnswered(std::chrono::milliseconds) override {}
+  void onAnswered(const routing::FlowId &, routing::ServerId,
+                  std::chrono::milliseconds,
+                  std::chrono::milliseconds) override {}
 
   std::vector<routing::ServerId> Placed;
   std::vector<routing::Refusal> Refused;
--- /dev/null
+++ b/Source/UnitTests/Tool/ExplainTest.cpp
@@ -0,0 +1,106 @@
+#include "Tool/CommandTable.h"
+#include "Tool/FlowExplanation.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <sstream>
+
+using namespace auburnroute::tool;
+
+namespace {
+
+const std::string Flow = "100.64.0.7:40001>198.18.0.1:443";
+
+/// A log as a daemon writes it: the first server is silent, and the second
+/// answers late.
+std::string lateLog() {
+  return R"({"time_ms":1000000,"event":"start","host":"front-a-1"}
+{"time_ms":1001000,"event":"placed","flow":")" +
+         Flow +
+         R"(","server":"s-1","copy":0,"busy":0,"open":2,"revision":7,"view_age_ms":300}
+{"time_ms":1001200,"event":"suspected","flow":")" +
+         Flow +
+         R"(","server":"s-1","cause":"syn_unanswered","silent_ms":200}
+{"time_ms":1001200,"event":"placed","flow":")" +
+         Flow +
+         R"(","server":"s-2","copy":1,"busy":3,"open":2,"revision":7,"view_age_ms":500}
+{"time_ms":1001400,"event":"late","flow":")" +
+         Flow + R"(","server":"s-2","answer_ms":190,"objective_ms":100,"busy":3}
+{"time_ms":1003000,"event":"server","server":"s-1","service":"orders","state":"lapsed","change":"lapsed"}
+{"time_ms":1003100,"event":"server","server":"s-9","service":"orders","state":"lapsed","change":"lapsed"}
+{"time_ms":1003200,"event":"log_dropped","kind":"placed","lines":4}
+this is no log line
+)";
+}
+
+bool contains(const std::string &text, std::string_view part) {
+  return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ExplainTest)
+
+// Guards against an explanation that leaves out why a request was late, or
+// blames a server that had nothing to do with it.
+BOOST_AUTO_TEST_CASE(ALateRequestIsTracedToItsCauses) {
+  LogArchive archive;
+  archive.addText(lateLog(), "a.log");
+  const auto text = FlowExplanation::of(Flow, archive).text();
+  BOOST_TEST(contains(text, "front-a-1: SYN 1 sent to s-1"));
+  BOOST_TEST(contains(text, "server s-1 did not answer"));
+  BOOST_TEST(contains(text, "server s-1 was lapsed"));
+  BOOST_TEST(contains(text, "server s-2 took 190 ms"));
+  BOOST_TEST(!contains(text, "s-9"));
+  BOOST_TEST(contains(text, "4 lines were left out"));
+  BOOST_TEST(contains(text, "1 lines could not be read"));
+}
+
+BOOST_AUTO_TEST_CASE(RefusalsNameTheirCause) {
+  LogArchive archive;
+  archive.addText(
+      R"(  1.25 front-b-2 {"time_ms":5,"event":"refused","flow":")" + Flow +
+          R"(","cause":"no_server","reset":true})",
+      "all.log");
+  const auto json = FlowExplanation::of(Flow, archive).json();
+  BOOST_TEST(json["hosts"][0] == "front-b-2");
+  BOOST_TEST(json["causes"][0] ==
+             "no server of the service was registered and ready");
+}
+
+// Guards against an explanation for a flow that no log names.
+BOOST_AUTO_TEST_CASE(AnUnknownFlowIsSaidToBeUnknown) {
+  LogArchive archive;
+  archive.addText(lateLog(), "a.log");
+  const auto explanation = FlowExplanation::of("1.2.3.4:5>6.7.8.9:10", archive);
+  BOOST_TEST(!explanation.isFound());
+  BOOST_TEST(contains(explanation.text(), "no line names the flow"));
+}
+
+BOOST_AUTO_TEST_CASE(TheCommandRefusesWrongUse) {
+  std::ostringstream out;
+  std::ostringstream err;
+  Output output{out, err};
+  BOOST_TEST(allCommands().run({"explain", "x.log"}, {}, output) == ExitUsage);
+  Arguments arguments;
+  arguments.Flow = Flow;
+  BOOST_TEST(allCommands().run({"explain", "/nowhere/x.log"}, arguments,
+                               output) == ExitFailure);
+  BOOST_TEST(contains(err.str(), "/nowhere/x.log"));
+}
+
+// Guards against a template that the platform can't fill in, or whose result
+// the daemon refuses.
+BOOST_AUTO_TEST_CASE(TheDeployedTemplateIsGood) {
+  std::ostringstream out;
+  std::ostringstream err;
+  Output output{out, err};
+  Arguments arguments;
+  arguments.Edge = true;
+  BOOST_TEST(allCommands().run({"check", AUBURN_SOURCE_DIR "/deploy/edge.json"},
+                               arguments, output) == ExitSuccess,
+             err.str());
+  BOOST_TEST(contains(out.str(), "no fault, filled with sample values"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/cmake/Edge.cmake
+++ b/cmake/Edge.cmake
@@ -7,7 +7,7 @@
   target_link_libraries(${name} PUBLIC project_options ${ARGN})
 endfunction()
 
-add_library(EdgeBase STATIC
+set(edge_base_sources
   ${CMAKE_SOURCE_DIR}/Source/State/JsonReader.cpp
   ${CMAKE_SOURCE_DIR}/Source/State/ObjectReader.cpp
   ${CMAKE_SOURCE_DIR}/Source/State/ValueReader.cpp
@@ -19,6 +19,7 @@
   ${CMAKE_SOURCE_DIR}/Source/Common/Endpoint.cpp
   ${CMAKE_SOURCE_DIR}/Source/Common/Files.cpp
   ${CMAKE_SOURCE_DIR}/Source/Transport/UdpSocket.cpp)
+add_library(EdgeBase STATIC ${edge_base_sources})
 target_link_libraries(EdgeBase PUBLIC project_options absl::status
   absl::statusor absl::strings absl::flat_hash_map absl::node_hash_map
   absl::hash)
