--- a/Source/Edge/EdgeMetrics.cpp
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <iterator>
 #include <string_view>
 
 namespace auburnroute::edge {
@@ -97,14 +98,13 @@
   absl::StrAppend(&text, "# TYPE ", name, " histogram\n");
   // Bin -1 holds what lies below the first bound.
   double sum = 0;
-  for (int i = -1; i < static_cast<int>(AnswerBuckets.size()); ++i) {
+  const int last = static_cast<int>(AnswerBuckets.size()) - 1;
+  for (int i = -1; i <= last; ++i) {
     sum += AnswerTimes.at(i);
-    absl::StrAppend(
-        &text, name, "_bucket{le=\"",
-        i + 1 < static_cast<int>(AnswerBuckets.size())
-            ? absl::StrCat(AnswerBuckets[static_cast<std::size_t>(i + 1)])
-            : "+Inf",
-        "\"} ", sum, "\n");
+    const auto bound =
+        i == last ? "+Inf"
+                  : absl::StrCat(*std::next(AnswerBuckets.begin(), i + 1));
+    absl::StrAppend(&text, name, "_bucket{le=\"", bound, "\"} ", sum, "\n");
   }
   absl::StrAppend(&text, name, "_sum ", AnswerTimeSum, "\n", name, "_count ",
                   sum, "\n");
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -49,6 +49,8 @@
       Directory(std::chrono::duration_cast<std::chrono::seconds>(
                     Settings.FlowLifetime) +
                 RetentionReserve),
+      Evidence(routing::EvidenceLimits::of(Settings.ServerHeartbeat,
+                                           Settings.ChangeBound)),
       Recorder(Log, clock, Directory, Evidence),
       View(Routes, Directory, Recorder),
       Reader(View, fleet::RegistryPace::forBound(Settings.ChangeBound)),
--- a/Source/Edge/EventLog.h
+++ b/Source/Edge/EventLog.h
@@ -11,7 +11,7 @@
 
 namespace spdlog {
 class logger;
-}
+} // namespace spdlog
 
 namespace auburnroute::edge {
 
@@ -48,7 +48,7 @@
   /// flows are sampled. A line costs some 10 us of a share of 0.055 of a core.
   static constexpr std::uint32_t LinesPerSecond = 100;
   /// Lines that wait to be written, in bytes.
-  static constexpr std::size_t MaxPending = 64 * 1024;
+  static constexpr std::size_t MaxPending = std::size_t{64} * 1024;
 
   explicit EventLog(const common::Clock &clock);
   ~EventLog();
--- a/Source/Reactor/AsyncHttpClient.cpp
+++ b/Source/Reactor/AsyncHttpClient.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 // A list of 500 entries of 1 KB, encoded as base64, with room to spare.
-constexpr std::uint64_t MaxBodyBytes = 4 * 1024 * 1024;
+constexpr std::uint64_t MaxBodyBytes = std::uint64_t{4} * 1024 * 1024;
 
 } // namespace
 
--- a/Source/Routing/ServerDirectory.h
+++ b/Source/Routing/ServerDirectory.h
@@ -6,7 +6,6 @@
 #include "Routing/ServerTag.h"
 
 #include "absl/container/flat_hash_map.h"
-#include "absl/container/node_hash_map.h"
 
 #include <cstdint>
 #include <string_view>
--- a/Source/Routing/ServerEvidence.cpp
+++ b/Source/Routing/ServerEvidence.cpp
@@ -30,6 +30,13 @@
   return "invalid";
 }
 
+EvidenceLimits EvidenceLimits::of(milliseconds heartbeat,
+                                  milliseconds changeBound) {
+  EvidenceLimits limits;
+  limits.SuspicionHold = 3 * heartbeat + changeBound / 2;
+  return limits;
+}
+
 ServerActivity &ServerEvidence::ref(ServerId id) {
   if (Activities.size() <= id)
     Activities.resize(id + 1);
@@ -94,7 +101,7 @@
                     isSilent(id, Limits.DeadFlows, silence, now) &&
                     now - otherAnswerAt < Limits.OwnReach;
   if (dead)
-    it.DeadUntil = now + Limits.DeadHold;
+    it.DeadUntil = now + Limits.SuspicionHold;
   return dead;
 }
 
--- a/Source/Routing/ServerEvidence.h
+++ b/Source/Routing/ServerEvidence.h
@@ -42,9 +42,8 @@
 
 /// Limits of the evidence; all have the defaults that the daemon uses.
 struct EvidenceLimits {
-  /// How long a suspicion stands without new evidence. A dead server's entry
-  /// lapses after three missed heartbeats, so the suspicion need only cover
-  /// that and the delay of the registry.
+  /// How long a suspicion stands without new evidence, and how long a server is
+  /// taken for dead. Its entry lapses meanwhile.
   std::chrono::milliseconds SuspicionHold{4000};
   /// A zone whose servers stay silent is taken for unreachable if this many of
   /// them are suspected and none has answered for ZoneSilence.
@@ -59,9 +58,6 @@
   /// Repeats further apart than this have nothing to do with each other;
   /// callers repeat an unanswered request within 0.6 s.
   std::chrono::milliseconds SilenceMemory{1000};
-  /// How long a server is taken for dead without new evidence; its entry lapses
-  /// meanwhile.
-  std::chrono::milliseconds DeadHold{2000};
   /// Packets that are closer together were held up on their way or on this
   /// host; callers repeat after 200 ms.
   std::chrono::milliseconds ShortestSilence{150};
@@ -70,6 +66,12 @@
   std::chrono::milliseconds OwnReach{300};
   /// Time for which the slowest answer is remembered.
   std::chrono::seconds SlowestMemory{30};
+
+  /// Limits for servers that write their entry each \p heartbeat, where changes
+  /// of the registry are known within \p changeBound: an entry lapses after
+  /// three missed heartbeats.
+  static EvidenceLimits of(std::chrono::milliseconds heartbeat,
+                           std::chrono::milliseconds changeBound);
 };
 
 /// Tells servers that answer from servers that do not, from the packets of
--- a/cmake/Edge.cmake
+++ b/cmake/Edge.cmake
@@ -21,7 +21,7 @@
   ${CMAKE_SOURCE_DIR}/Source/Transport/UdpSocket.cpp)
 add_library(EdgeBase STATIC ${edge_base_sources})
 target_link_libraries(EdgeBase PUBLIC project_options absl::status
-  absl::statusor absl::strings absl::flat_hash_map absl::node_hash_map
+  absl::statusor absl::strings absl::flat_hash_map
   absl::hash)
 
 add_library(FleetGenerated STATIC
