--- a/Source/State/EdgeSettings.cpp
+++ b/Source/State/EdgeSettings.cpp
@@ -71,4 +71,11 @@
   return settings;
 }
 
+std::vector<std::string_view> edgeSettingKeys() {
+  std::vector<std::string_view> keys;
+  for (const auto &it : edgeDescriptors())
+    keys.push_back(it.Value.Key);
+  return keys;
+}
+
 } // namespace auburnroute::state
--- a/Source/State/EdgeSettings.h
+++ b/Source/State/EdgeSettings.h
@@ -34,4 +34,7 @@
 absl::StatusOr<EdgeSettings> loadEdgeSettings(std::string_view text,
                                               std::string_view fileName);
 
+/// The keys of all settings, in the order of the reference page.
+std::vector<std::string_view> edgeSettingKeys();
+
 } // namespace auburnroute::state
--- /dev/null
+++ b/Source/UnitTests/Process/edge_fleet.py
@@ -0,0 +1,629 @@
+"""A fleet of auburnedge on loopback with stand-ins for what surrounds it.
+
+Runs the real programs as processes. Registry, routers, backend servers and
+callers are stand-ins in this process, which injects faults from outside
+(signals, a registry that is down or silent, backend servers that fall silent)
+and checks the promises from what callers and backend servers see.
+
+usage: edge_fleet.py BIN_DIR --seed N [--seconds S] [--calm]
+"""
+import argparse
+import asyncio
+import base64
+import json
+import os
+import random
+import signal
+import socket
+import struct
+import sys
+import tempfile
+import time
+
+HEAD = struct.Struct(">IBIIHIHIIH")
+SYN, ACK, FIN, RST = 8, 128, 64, 4
+READY_PORT, CONTROL_PORT, PEER_PORT, PACKET_PORT = 8167, 8166, 7720, 8172
+CHANGE_BOUND = 3.0  # s until a change is in force on all hosts
+STABLE = 4.0  # s without a fault after which the bounds hold
+CALL_LIMIT = 3.0  # s after which a caller gives a request up
+KEYED_SUM = 0x5EED  # any value but that of a reset
+
+now = time.monotonic
+
+
+def address(text):
+    return struct.unpack(">I", socket.inet_aton(text))[0]
+
+
+def text_of(number):
+    return socket.inet_ntoa(struct.pack(">I", number))
+
+
+class Packet:
+    def __init__(self, src, dst, flags, seq=0, ack=0, echo=0, data=b"", keyed=KEYED_SUM):
+        self.src, self.dst, self.flags, self.seq, self.ack = src, dst, flags, seq, ack
+        self.echo, self.data, self.keyed = echo, data, keyed
+
+    def encode(self):
+        return HEAD.pack(self.keyed, self.flags, self.seq, self.ack, self.src[1], address(self.src[0]),
+                         self.dst[1], address(self.dst[0]), self.echo, len(self.data)) + self.data
+
+    @staticmethod
+    def decode(buf):
+        keyed, flags, seq, ack, sport, src, dport, dst, echo, size = HEAD.unpack(buf[:31])
+        assert len(buf) == 31 + size
+        return Packet((text_of(src), sport), (text_of(dst), dport), flags, seq, ack, echo, buf[31:], keyed)
+
+
+class Udp(asyncio.DatagramProtocol):
+    def __init__(self, handler):
+        self.handler = handler
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, addr):
+        self.handler(data, addr)
+
+
+async def open_udp(at, handler):
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(lambda: Udp(handler), local_addr=at)
+    return transport
+
+
+class Registry:
+    """The metadata store: items, watches and the ways in which it fails."""
+
+    def __init__(self):
+        self.items, self.events, self.revision = {}, [], 1
+        self.mode = "up"
+        self.changed = asyncio.Event()
+        self.calls = 0
+        self.disturbed_at = -100.0
+
+    def set_mode(self, mode):
+        self.mode = mode
+        self.disturbed_at = now()
+
+    def put(self, key, value):
+        self.revision += 1
+        made = self.items[key]["created"] if key in self.items else self.revision
+        self.items[key] = {"key": key, "value": base64.b64encode(value.encode()).decode(),
+                           "revision": self.revision, "created": made, "lease": 0}
+        self.notify(self.items[key])
+
+    def remove(self, key):
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.notify({"key": key, "revision": self.revision, "tombstone": True})
+
+    def notify(self, event):
+        self.events.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                request = (await reader.readuntil(b"\r\n\r\n")).decode()
+                self.calls += 1
+                target = request.split(" ")[1]
+                path, _, query = target.partition("?")
+                words = dict(it.partition("=")[::2] for it in query.split("&"))
+                status, body = await self.answer(path, words)
+                if self.mode == "silent":
+                    await asyncio.sleep(30)
+                text = json.dumps(body)
+                writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n\r\n{text}".encode())
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, path, words):
+        if self.mode == "down":
+            return 503, {}
+        if path == "/kv-range":
+            items = [it for key, it in sorted(self.items.items()) if key > words.get("after", "")]
+            return 200, {"items": items[:10], "has_more": len(items) > 10, "at_rev": self.revision}
+        after = int(words["after"])
+        changed = self.changed
+        found = [it for it in self.events if it["revision"] > after]
+        if not found:
+            try:
+                await asyncio.wait_for(changed.wait(), int(words["wait_ms"]) / 1000)
+            except asyncio.TimeoutError:
+                pass
+            found = [it for it in self.events if it["revision"] > after]
+        return 200, {"events": found, "at_rev": self.revision}
+
+
+class BackendServer:
+    def __init__(self, fleet, number, service, zone, host):
+        self.fleet, self.number, self.service, self.zone = fleet, number, service, zone
+        self.identity = 0x1000000000 + number
+        self.name = f"i-{self.identity:x}"
+        self.host = host
+        self.flows, self.alive, self.draining_since = {}, True, None
+        self.disturbed_at = -100.0
+        self.busy = 0
+
+    async def start(self):
+        self.transport = await open_udp((self.host, 8000), self.on_datagram)
+        self.register("ready")
+
+    def register(self, state):
+        self.fleet.registry.put(f"servers/{self.name}", json.dumps({
+            "service": self.service, "address": f"{self.host}:8000", "zone": self.zone, "version": "v1",
+            "slots": 2, "state": state, "cold_left_ms": 0, "sequence": 1, "born": 1}))
+
+    def drain(self):
+        self.draining_since = now()
+        self.register("draining")
+
+    def crash(self):
+        """Falls silent; its entry lapses after three heartbeats."""
+        self.alive = False
+        self.disturbed_at = now()
+        self.flows.clear()
+
+    def end(self):
+        self.alive = False
+        self.transport.close()
+        self.fleet.registry.remove(f"servers/{self.name}")
+
+    def send(self, packet):
+        host, port = packet.dst[0], PACKET_PORT
+        if self.alive and not self.transport.is_closing():
+            self.transport.sendto(packet.encode(), (host, port))
+
+    def on_datagram(self, data, addr):
+        if not self.alive:
+            return
+        identity = struct.unpack(">Q", data[:8])[0]
+        if identity not in (0, self.identity):
+            return
+        p = Packet.decode(data[8:])
+        if p.keyed != KEYED_SUM:
+            self.fleet.fail(f"{self.name}: a packet that its sender did not write so")
+        flow = self.flows.get(p.src)
+        if p.flags & SYN:
+            self.fleet.on_syn_arrived(self, p, addr[0])
+            if flow is None:
+                flow = self.flows[p.src] = {"seq": random.getrandbits(31), "next": p.seq + 1, "open": False}
+            flow["echo"] = p.echo
+            self.send(Packet(p.dst, p.src, SYN | ACK, flow["seq"], p.seq + 1, p.echo))
+            return
+        if flow is None:
+            self.send(Packet(p.dst, p.src, RST, p.ack, 0, p.echo))
+            return
+        flow["echo"] = p.echo
+        flow["open"] = True
+        if p.flags & (FIN | RST):
+            self.flows.pop(p.src, None)
+        elif p.data:
+            if p.seq == flow["next"]:
+                flow["next"] += len(p.data)
+                flow["answer"] = None
+                asyncio.ensure_future(self.run(p, flow))
+            elif flow.get("answer"):
+                self.send(flow["answer"])
+
+    async def run(self, p, flow):
+        request = p.data.decode()
+        self.busy += 1
+        self.fleet.on_run(self, request)
+        await asyncio.sleep(0.01 * self.fleet.random.uniform(0.5, 2) * max(1, self.busy - 1))
+        self.busy -= 1
+        body = f"{request}|{self.service}|{self.name}".encode()
+        answer = Packet(p.dst, p.src, ACK, flow["seq"] + 1, p.seq + len(p.data), flow["echo"], body)
+        flow["seq"] += len(body)
+        flow["answer"] = answer
+        self.send(answer)
+
+
+class Host:
+    def __init__(self, fleet, number, zone):
+        self.fleet, self.number, self.zone = fleet, number, zone
+        self.ip = f"127.1.{number}.1"
+        self.name = f"front-{zone}-{number}"
+        self.process, self.in_rotation, self.misses = None, False, 0
+        self.disturbed_at = -100.0
+        self.stopping = False
+
+    async def start(self):
+        file = os.path.join(self.fleet.folder, f"{self.name}.json")
+        with open(file, "w") as out:
+            json.dump({"host": self.name, "zone": self.zone, "packets": f"{self.ip}:{PACKET_PORT}",
+                       "ready": f"{self.ip}:{READY_PORT}", "control": f"{self.ip}:{CONTROL_PORT}",
+                       "peers": f"{self.ip}:{PEER_PORT}", "registry": "127.9.0.1:8169",
+                       "seeds": [f"127.1.{n}.1:{CONTROL_PORT}" for n in range(1, 4)],
+                       "serverHeartbeat": "700ms", "changeBound": "3s", "stopTimeout": "6s"}, out)
+        log = open(os.path.join(self.fleet.folder, f"{self.name}.log"), "ab")
+        self.process = await asyncio.create_subprocess_exec(
+            os.path.join(self.fleet.bin_dir, "auburnedge"), "--settings", file, stdout=log, stderr=log)
+        log.close()
+
+    def mark(self):
+        self.disturbed_at = now()
+
+    async def kill(self):
+        self.mark()
+        self.process.kill()
+        await self.process.wait()
+        await asyncio.sleep(0.3)
+        self.mark()
+        await self.start()
+
+    async def stop(self):
+        self.stopping = True
+        began = now()
+        self.process.terminate()
+        code = await self.process.wait()
+        self.stopping = False
+        if code != 0 or now() - began > 6:
+            self.fleet.fail(f"{self.name}: ended with {code} after {now() - began:.1f} s")
+        await asyncio.sleep(0.2)
+        self.mark()
+        await self.start()
+
+    async def pause(self, seconds):
+        self.mark()
+        self.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.process.send_signal(signal.SIGCONT)
+        self.mark()
+
+    async def probe(self):
+        """The routers' view: out after two misses, back with one answer."""
+        while True:
+            ready = False
+            try:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(self.ip, READY_PORT), 0.4)
+                writer.write(b"GET /readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                ready = b" 200 " in await asyncio.wait_for(reader.readline(), 0.4)
+                writer.close()
+            except (OSError, asyncio.TimeoutError):
+                pass
+            self.misses = 0 if ready else self.misses + 1
+            if ready:
+                self.in_rotation = True
+            elif self.misses >= 2:
+                self.in_rotation = False
+            await asyncio.sleep(0.25)
+
+
+class Caller:
+    def __init__(self, fleet, number, zone):
+        self.fleet, self.zone = fleet, zone
+        self.ip = f"127.2.{number}.1"
+        self.flows, self.port = {}, 1024
+
+    async def start(self):
+        self.transport = await open_udp((self.ip, PACKET_PORT), self.on_datagram)
+
+    def send(self, packet):
+        host = self.fleet.route(self.zone, packet)
+        if host is not None:
+            self.transport.sendto(packet.encode(), (host.ip, PACKET_PORT))
+
+    def on_datagram(self, data, addr):
+        p = Packet.decode(data)
+        queue = self.flows.get(p.dst[1])
+        if queue is not None:
+            queue.put_nowait((p, addr[0]))
+
+    async def exchange(self, queue, packet, wanted, limit):
+        """Sends with repeats until \\p wanted(packet); returns it or None."""
+        began, pause, copies = now(), 0.2, 0
+        while now() - began < limit:
+            self.send(packet)
+            deadline = now() + min(pause, limit - (now() - began))
+            while now() < deadline:
+                try:
+                    p, source = await asyncio.wait_for(queue.get(), deadline - now())
+                except asyncio.TimeoutError:
+                    break
+                if p.flags & RST or wanted(p):
+                    return p, source
+            pause *= 2
+            copies += 1
+            if packet.flags == SYN:
+                packet.ack = copies
+        return None, None
+
+    async def open(self, route):
+        self.port = 1024 + (self.port - 1023) % 60000
+        me, to = (self.ip, self.port), route
+        queue = self.flows[self.port] = asyncio.Queue()
+        seq = random.getrandbits(31)
+        syn = Packet(me, to, SYN, seq)
+        p, source = await self.exchange(queue, syn, lambda it: it.flags & SYN, 1.4)
+        if p is None or p.flags & RST:
+            self.flows.pop(me[1], None)
+            return None, p
+        flow = {"me": me, "to": to, "queue": queue, "seq": seq + 1, "ack": p.seq + 1, "echo": p.echo,
+                "server": source}
+        self.send(Packet(me, to, ACK, flow["seq"], flow["ack"], flow["echo"]))
+        return flow, None
+
+    async def request(self, flow, text, limit):
+        data = text.encode()
+        packet = Packet(flow["me"], flow["to"], ACK, flow["seq"], flow["ack"], flow["echo"], data)
+        p, source = await self.exchange(flow["queue"], packet, lambda it: it.data and it.seq == flow["ack"], limit)
+        if p is None:
+            return None
+        if p.flags & RST:
+            self.fleet.on_reset(flow, p, source)
+            return None
+        flow["seq"] += len(data)
+        flow["ack"] += len(p.data)
+        flow["echo"] = p.echo
+        self.send(Packet(flow["me"], flow["to"], ACK, flow["seq"], flow["ack"], flow["echo"]))
+        return p.data.decode()
+
+    def close(self, flow):
+        self.send(Packet(flow["me"], flow["to"], FIN | ACK, flow["seq"], flow["ack"], flow["echo"]))
+        self.flows.pop(flow["me"][1], None)
+
+
+class Fleet:
+    ROUTES = {"orders": ("198.18.0.1", 443), "sheets": ("198.18.0.2", 443)}
+    IDLE_ROUTE = ("198.18.0.9", 443)
+
+    def __init__(self, bin_dir, seed, folder):
+        self.bin_dir, self.folder = bin_dir, folder
+        self.random = random.Random(seed)
+        self.registry = Registry()
+        self.hosts, self.servers, self.callers = [], [], []
+        self.runs, self.faults = {}, []
+        self.counts = {"sent": 0, "answered": 0, "unanswered": 0, "refused": 0, "feeds": 0, "resets": 0}
+        self.version, self.idle_route_dropped_at = 0, None
+        self.number = 0
+        self.planned_only = True
+        self.log = []
+
+    def fail(self, text):
+        self.faults.append(f"{now() - self.began:.2f} s: {text}")
+
+    def note(self, text):
+        self.log.append(f"{now() - self.began:7.2f} {text}")
+
+    # What callers and backend servers see.
+    def on_run(self, server, request):
+        kind, wanted, _ = request.split("/")
+        if wanted != server.service:
+            self.fail(f"{request} was run by {server.service}")
+        self.runs[request] = self.runs.get(request, 0) + 1
+        if kind == "order" and self.runs[request] > 1:
+            self.fail(f"{request} was run twice")
+
+    def calm_for(self, *times):
+        return all(now() - it > STABLE for it in (*times, self.registry.disturbed_at))
+
+    def on_syn_arrived(self, server, packet, source):
+        host = next((it for it in self.hosts if it.ip == source), None)
+        if server.draining_since and now() - server.draining_since > CHANGE_BOUND and host is not None \
+                and self.registry.mode == "up" and self.calm_for(host.disturbed_at):
+            self.fail(f"{host.name} sent a new flow to {server.name}, "
+                      f"draining for {now() - server.draining_since:.1f} s")
+        if packet.dst == self.IDLE_ROUTE and self.idle_route_dropped_at \
+                and now() - self.idle_route_dropped_at > CHANGE_BOUND and self.calm_for(host.disturbed_at):
+            self.fail(f"{host.name} used a dropped route")
+
+    def on_reset(self, flow, packet, source):
+        self.counts["resets"] += 1
+        server = next((it for it in self.servers if it.host == flow["server"]), None)
+        if packet.keyed == 0 and server is not None and server.alive and now() - server.disturbed_at > STABLE:
+            self.fail(f"{source} reset a flow of the living {server.name}")
+
+    def route(self, zone, packet):
+        """The host that the routers choose for a packet."""
+        near = [it for it in self.hosts if it.zone == zone]
+        ready = [it for it in near if it.in_rotation]
+        if not ready:
+            ready = [it for it in self.hosts if it.in_rotation] or near
+        elif len(ready) * 2 < len(near):
+            ready = near
+        return ready[hash((packet.src, packet.dst)) % len(ready)]
+
+    # The operator.
+    def publish(self, with_idle=True):
+        self.version += self.random.randint(1, 3)
+        routes = [{"name": name, "host": at[0], "prefix": f"/{at[1]}/", "type": "safe", "timeout_ms": 3000,
+                   "aim_ms": 200, "service": name} for name, at in self.ROUTES.items()]
+        if with_idle:
+            routes.append({"name": "idle", "host": self.IDLE_ROUTE[0], "prefix": f"/{self.IDLE_ROUTE[1]}/",
+                           "type": "safe", "service": "orders"})
+        self.idle_route_dropped_at = None if with_idle else now()
+        self.registry.put("op/config", json.dumps({"version": self.version, "routes": routes, "services": [],
+                                                   "limits": {"idle_timeout_ms": 15000}}))
+
+    async def add_server(self, service, zone):
+        self.number += 1
+        server = BackendServer(self, self.number, service, zone, f"127.3.{self.number // 250}.{self.number % 250 + 1}")
+        self.servers.append(server)
+        await server.start()
+        return server
+
+    async def start(self, zones=("a", "b"), hosts_per_zone=2, servers_per_zone=4):
+        self.began = now()
+        await asyncio.start_server(self.registry.serve, "127.9.0.1", 8169)
+        self.publish()
+        for zone in zones:
+            for n in range(servers_per_zone):
+                await self.add_server("sheets" if n == 0 else "orders", zone)
+        for zone in zones:
+            for _ in range(hosts_per_zone):
+                host = Host(self, len(self.hosts) + 1, zone)
+                self.hosts.append(host)
+                await host.start()
+                asyncio.ensure_future(host.probe())
+        for n in range(8):
+            caller = Caller(self, n + 1, zones[n % len(zones)])
+            self.callers.append(caller)
+            await caller.start()
+        deadline = now() + 10
+        while not all(it.in_rotation for it in self.hosts):
+            if now() > deadline:
+                raise SystemExit("the hosts did not become ready within 10 s")
+            await asyncio.sleep(0.05)
+
+    def check(self, request, answer, service):
+        self.counts["answered"] += 1
+        text, by, _ = answer.split("|")
+        if text != request or by != service:
+            self.fail(f"{request} got the answer {answer}")
+
+    async def short_calls(self, caller):
+        while not self.over:
+            service = self.random.choice(["orders", "orders", "sheets"])
+            kind = "order" if service == "orders" else "sheet"
+            self.number_of_request = getattr(self, "number_of_request", 0) + 1
+            request = f"{kind}/{service}/{self.number_of_request}"
+            self.counts["sent"] += 1
+            flow, reset = await caller.open(self.ROUTES[service])
+            if flow is None:
+                self.counts["refused" if reset else "unanswered"] += 1
+                if reset is not None and request in self.runs:
+                    self.fail(f"{request} was refused and run")
+            else:
+                answer = await caller.request(flow, request, CALL_LIMIT)
+                caller.close(flow)
+                if answer is None:
+                    self.counts["unanswered"] += 1
+                else:
+                    self.check(request, answer, service)
+            await asyncio.sleep(self.random.uniform(0.01, 0.1))
+
+    async def feed(self, caller):
+        """A flow that is kept as long as it works."""
+        while not self.over:
+            flow, _ = await caller.open(self.ROUTES["orders"])
+            if flow is None:
+                await asyncio.sleep(0.1)
+                continue
+            self.counts["feeds"] += 1
+            while not self.over:
+                self.number_of_request = getattr(self, "number_of_request", 0) + 1
+                request = f"feed/orders/{self.number_of_request}"
+                self.counts["sent"] += 1
+                answer = await caller.request(flow, request, CALL_LIMIT)
+                if answer is None:
+                    self.counts["unanswered"] += 1
+                    server = next(it for it in self.servers if it.host == flow["server"])
+                    if self.planned_only and server.alive:
+                        self.fail(f"a feed to {server.name} broke under planned work")
+                    caller.close(flow)
+                    break
+                self.check(request, answer, "orders")
+                await asyncio.sleep(self.random.uniform(0.05, 0.4))
+
+    # Faults and planned work.
+    async def lapse_later(self, server):
+        await asyncio.sleep(2.1 + self.random.uniform(0, 0.7))
+        self.registry.remove(f"servers/{server.name}")
+
+    async def replace(self, server, planned):
+        await self.add_server(server.service, server.zone)
+        if planned:
+            server.drain()
+            await asyncio.sleep(CHANGE_BOUND + self.random.uniform(1, 3))
+            server.end()
+        else:
+            server.crash()
+            await self.lapse_later(server)
+
+    async def outage(self, mode, seconds):
+        self.registry.set_mode(mode)
+        await asyncio.sleep(seconds)
+        self.registry.set_mode("up")
+
+    def event(self):
+        host = self.random.choice(self.hosts)
+        live = [it for it in self.servers if it.alive and not it.draining_since]
+        server = self.random.choice(live)
+        planned = [("stop", host.name, lambda: host.stop()),
+                   ("drain", server.name, lambda: self.replace(server, True)),
+                   ("publish", "", None), ("reload", host.name, None)]
+        faults = [("kill", host.name, lambda: host.kill()),
+                  ("pause", host.name, lambda: host.pause(self.random.uniform(0.7, 3))),
+                  ("crash", server.name, lambda: self.replace(server, False)),
+                  ("registry down", "", lambda: self.outage("down", self.random.uniform(1, 4))),
+                  ("registry silent", "", lambda: self.outage("silent", self.random.uniform(1, 4)))]
+        name, what, action = self.random.choice(planned if self.planned_only else planned + faults)
+        # One event at a time for each host and server; the registry recovers.
+        subject = what or name.split()[0]
+        if subject in self.busy or (name != "publish" and host.process.returncode is not None):
+            return
+        self.note(f"{name} {what}")
+        if name == "publish":
+            self.publish(self.random.random() < 0.5)
+            return
+        if name == "reload":
+            host.process.send_signal(signal.SIGHUP)
+            return
+        self.busy.add(subject)
+        task = asyncio.ensure_future(action())
+        task.add_done_callback(lambda it: (self.busy.discard(subject), it.exception() and self.fail(str(it.exception()))))
+        self.tasks.append(task)
+
+    async def run(self, seconds, planned_only):
+        self.planned_only = planned_only
+        self.over, self.busy, self.tasks = False, set(), []
+        await self.start()
+        self.note("ready")
+        load = [asyncio.ensure_future(it) for caller in self.callers
+                for it in (self.short_calls(caller), self.feed(caller), self.feed(caller))]
+        end = now() + seconds
+        while now() < end:
+            await asyncio.sleep(self.random.uniform(0.3, 1.5))
+            self.event()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        # After the last fault everything is served again.
+        await asyncio.sleep(STABLE)
+        before = dict(self.counts)
+        await asyncio.sleep(2)
+        self.over = True
+        await asyncio.wait(load, timeout=CALL_LIMIT + 2)
+        lost = self.counts["unanswered"] + self.counts["refused"] - before["unanswered"] - before["refused"]
+        if lost or self.counts["answered"] - before["answered"] < 20:
+            self.fail(f"{lost} requests were lost in calm, "
+                      f"{self.counts['answered'] - before['answered']} answered")
+        for host in self.hosts:
+            host.process.kill()
+            await host.process.wait()
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("bin_dir")
+    parser.add_argument("--seed", type=int, required=True)
+    parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument("--calm", action="store_true", help="planned work only, no faults")
+    parser.add_argument("--logs", help="folder for the logs; kept")
+    options = parser.parse_args()
+    folder = options.logs or tempfile.mkdtemp(prefix="edge-fleet-")
+    os.makedirs(folder, exist_ok=True)
+    random.seed(options.seed)
+    fleet = Fleet(options.bin_dir, options.seed, folder)
+    try:
+        asyncio.run(fleet.run(options.seconds, options.calm))
+    finally:
+        for host in fleet.hosts:
+            if host.process is not None and host.process.returncode is None:
+                try:
+                    host.process.kill()
+                except ProcessLookupError:
+                    pass
+    print(json.dumps({"seed": options.seed, "planned_only": options.calm, **fleet.counts,
+                      "registry_calls": fleet.registry.calls, "faults": fleet.faults}))
+    if fleet.faults:
+        print("\n".join(fleet.log), file=sys.stderr)
+        print(f"logs: {folder}", file=sys.stderr)
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
