Bound what callers can make a host remember, and inject more faults

Cause: a caller chooses its addresses, its tags and the number of its SYN copies; each grew a table or a list without bound until it was cleared after seconds.

Change: bounds, with a test that fills all three. The soak cuts zones, loses packets, silences open connections and slows or resets the registry.

--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -2,6 +2,8 @@
 
 #include "absl/hash/hash.h"
 
+#include <span>
+
 namespace auburnroute::routing {
 
 using common::TimePoint;
@@ -96,14 +98,19 @@
 RoutingOutcome PacketRouter::onSyn(const Route &route, const FlowPacket &packet,
                                    TimePoint now) {
   const FlowId id{packet.Source, packet.Destination};
-  auto &attempts = Attempts[id];
-  if (packet.Acknowledgement == 0 || now - attempts.LastSent > SynLifetime)
+  SynAttempts unremembered;
+  auto &attempts = Attempts.size() < MaxAttempts || Attempts.contains(id)
+                       ? Attempts[id]
+                       : unremembered;
+  if (packet.Acknowledgement == 0 || attempts.Tried.size() == MaxTried ||
+      now - attempts.LastSent > SynLifetime)
     attempts.Tried.clear();
   else if (const auto *flow = Flows.find(id);
            flow != nullptr && flow->Phase == FlowPhase::Opening)
     suspect(flow->Server, Suspicion::SynUnanswered, id, flow->LastSeen, now);
-  const auto server =
-      Placement.choose(serviceOf(route, id), attempts.Tried, UseLapsed, now);
+  const auto server = Placement.choose(
+      serviceOf(route, id), std::span<const ServerId>(attempts.Tried),
+      UseLapsed, now);
   if (!server) {
     Attempts.erase(id);
     return refuse(id, Refusal::NoServer, false);
@@ -169,6 +176,9 @@
   // The flow existed when the tag was seen first, so its server had been
   // registered by then. It is not registered any more if a directory that was
   // complete later does not hold it.
+  if (UnknownTags.size() >= MaxUnknownTags &&
+      !UnknownTags.contains(packet.Echo))
+    return refuse(id, Refusal::UnknownServer, true);
   const auto [it, added] = UnknownTags.try_emplace(packet.Echo, now);
   const bool ended = packet.Echo != ServerTag::None && !packet.Rst &&
                      DirectoryCompleteAt > it->second;
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -8,8 +8,7 @@
 #include "Routing/ServerPlacement.h"
 
 #include "absl/container/flat_hash_map.h"
-
-#include <vector>
+#include "absl/container/inlined_vector.h"
 
 namespace auburnroute::routing {
 
@@ -42,11 +41,18 @@
   }
 
   std::size_t flowCount() const { return Flows.size(); }
+  /// SYNs and tags that are remembered beside the flows.
+  std::size_t rememberedCount() const {
+    return Attempts.size() + UnknownTags.size();
+  }
 
 private:
+  static constexpr std::size_t MaxTried = 4;
+
   /// Servers that got the SYN of a flow that is not open yet.
   struct SynAttempts {
-    std::vector<ServerId> Tried;
+    /// The last few; callers send three SYNs.
+    absl::InlinedVector<ServerId, MaxTried> Tried;
     common::TimePoint LastSent;
   };
 
@@ -74,6 +80,9 @@
   ServerPlacement Placement;
   RoutingObserver &Observer;
   absl::flat_hash_map<FlowId, SynAttempts> Attempts;
+  // Callers choose tags and addresses, so both tables are bounded.
+  static constexpr std::size_t MaxAttempts = 16384;
+  static constexpr std::size_t MaxUnknownTags = 4096;
   /// When a packet with a tag that names no server came first.
   absl::flat_hash_map<std::uint32_t, common::TimePoint> UnknownTags;
   common::TimePoint DirectoryCompleteAt;
--- a/Source/UnitTests/Process/edge_fleet.py
+++ b/Source/UnitTests/Process/edge_fleet.py
@@ -81,6 +81,11 @@
         self.changed = asyncio.Event()
         self.calls = 0
         self.disturbed_at = -100.0
+        self.silenced_before = -100.0
+
+    def silence_connections(self):
+        """What is open now goes silent for good; new connections work."""
+        self.silenced_before = self.disturbed_at = now()
 
     def set_mode(self, mode):
         self.mode = mode
@@ -104,6 +109,7 @@
         self.changed = asyncio.Event()
 
     async def serve(self, reader, writer):
+        opened = now()
         try:
             while True:
                 request = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -112,8 +118,13 @@
                 path, _, query = target.partition("?")
                 words = dict(it.partition("=")[::2] for it in query.split("&"))
                 status, body = await self.answer(path, words)
-                if self.mode == "silent":
+                if self.mode == "silent" or opened < self.silenced_before:
                     await asyncio.sleep(30)
+                if self.mode == "slow":
+                    await asyncio.sleep(random.uniform(0.2, 0.6))
+                if self.mode == "reset":
+                    writer.transport.abort()
+                    return
                 text = json.dumps(body)
                 writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n\r\n{text}".encode())
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
@@ -179,7 +190,7 @@
             self.transport.sendto(packet.encode(), (host, port))
 
     def on_datagram(self, data, addr):
-        if not self.alive:
+        if not self.alive or self.fleet.is_cut(self, addr[0]) or random.random() < self.fleet.loss:
             return
         identity = struct.unpack(">Q", data[:8])[0]
         if identity not in (0, self.identity):
@@ -305,7 +316,7 @@
 
     def send(self, packet):
         host = self.fleet.route(self.zone, packet)
-        if host is not None:
+        if random.random() >= self.fleet.loss:
             self.transport.sendto(packet.encode(), (host.ip, PACKET_PORT))
 
     def on_datagram(self, data, addr):
@@ -382,6 +393,8 @@
         self.version, self.idle_route_dropped_at = 0, None
         self.number = 0
         self.planned_only = True
+        self.loss = 0.0  # share of the packets that are lost
+        self.cut_zone = None  # its hosts and servers do not reach those of other zones
         self.log = []
 
     def fail(self, text):
@@ -399,6 +412,12 @@
         if kind == "order" and self.runs[request] > 1:
             self.fail(f"{request} was run twice")
 
+    def is_cut(self, server, source):
+        if self.cut_zone is None:
+            return False
+        host = next((it for it in self.hosts if it.ip == source), None)
+        return host is not None and host.zone != server.zone and self.cut_zone in (host.zone, server.zone)
+
     def calm_for(self, *times):
         return all(now() - it > STABLE for it in (*times, self.registry.disturbed_at))
 
@@ -415,7 +434,8 @@
     def on_reset(self, flow, packet, source):
         self.counts["resets"] += 1
         server = next((it for it in self.servers if it.host == flow["server"]), None)
-        if packet.keyed == 0 and server is not None and server.alive and now() - server.disturbed_at > STABLE:
+        if packet.keyed == 0 and server is not None and server.alive and now() - server.disturbed_at > STABLE \
+                and self.cut_zone is None and not self.loss:
             self.fail(f"{source} reset a flow of the living {server.name}")
 
     def route(self, zone, packet):
@@ -535,6 +555,20 @@
             server.crash()
             await self.lapse_later(server)
 
+    async def cut(self, zone, seconds):
+        self.cut_zone = zone
+        await asyncio.sleep(seconds)
+        self.cut_zone = None
+        for it in self.servers + self.hosts:
+            it.disturbed_at = now()
+
+    async def lose(self, share, seconds):
+        self.loss = share
+        await asyncio.sleep(seconds)
+        self.loss = 0.0
+        for it in self.servers + self.hosts:
+            it.disturbed_at = now()
+
     async def outage(self, mode, seconds):
         self.registry.set_mode(mode)
         await asyncio.sleep(seconds)
@@ -550,17 +584,23 @@
         faults = [("kill", host.name, lambda: host.kill()),
                   ("pause", host.name, lambda: host.pause(self.random.uniform(0.7, 3))),
                   ("crash", server.name, lambda: self.replace(server, False)),
-                  ("registry down", "", lambda: self.outage("down", self.random.uniform(1, 4))),
-                  ("registry silent", "", lambda: self.outage("silent", self.random.uniform(1, 4)))]
+                  ("links cut", host.zone, lambda: self.cut(host.zone, self.random.uniform(1, 5))),
+                  ("links lossy", "", lambda: self.lose(0.03, self.random.uniform(1, 4))),
+                  ("silence", "", None)]
+        faults += [(f"registry {mode}", "", lambda mode=mode: self.outage(mode, self.random.uniform(1, 4)))
+                   for mode in ("down", "silent", "slow", "reset")]
         name, what, action = self.random.choice(planned if self.planned_only else planned + faults)
         # One event at a time for each host and server; the registry recovers.
-        subject = what or name.split()[0]
+        subject = name.split()[0] if " " in name else what or name
         if subject in self.busy or (name != "publish" and host.process.returncode is not None):
             return
         self.note(f"{name} {what}")
         if name == "publish":
             self.publish(self.random.random() < 0.5)
             return
+        if name == "silence":
+            self.registry.silence_connections()
+            return
         if name == "reload":
             host.process.send_signal(signal.SIGHUP)
             return
--- a/Source/UnitTests/Routing/PacketRouterTest.cpp
+++ b/Source/UnitTests/Routing/PacketRouterTest.cpp
@@ -206,6 +206,29 @@
       std::holds_alternative<ResetFlow>(it.data(1, 77, 1000, 5000, 100)));
 }
 
+// Guards against memory that callers fill at will: addresses, tags and numbers
+// of copies are theirs to choose.
+BOOST_AUTO_TEST_CASE(HostileCallersFillNoMemory) {
+  RoutingFixture it;
+  it.add(1);
+  it.add(2);
+  for (std::uint32_t n = 0; n < 100000; ++n) {
+    auto syn = it.packet(7);
+    syn.Syn = true;
+    syn.Source = {n, 7};
+    syn.Acknowledgement = n;
+    BOOST_TEST(std::holds_alternative<ForwardPacket>(
+        it.Router.onPacket(syn, it.Clock.now())));
+    it.syn(9, 1);
+    it.data(8, 0x10000 + n, 1000, 5000, 100);
+  }
+  BOOST_TEST(it.Router.flowCount() <= routing::FlowTable::MaxFlows);
+  BOOST_TEST(it.Router.rememberedCount() <= 20480U);
+  it.Clock.advance(30s);
+  it.Router.onTick(it.Clock.now());
+  BOOST_TEST(it.Router.rememberedCount() == 0U);
+}
+
 // Guards against a dropped route whose flows go on, and against new flows on
 // it; open flows of other routes stay.
 BOOST_AUTO_TEST_CASE(DroppedRouteEndsItsFlows) {
