--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -98,6 +98,8 @@
   Registry = std::make_unique<RegistryClient>(
       Loop, Settings.Registry, Reader, Clock, Log, Recorder.metrics(), [this] {
         updateReadiness();
+        if (Reader.failures() > 0)
+          Exchange->onRegistryFailure();
         Exchange->poll();
         updateDuty(Clock.now());
         Registry->poll();
@@ -106,20 +108,23 @@
 }
 
 absl::Status EdgeNode::serveHttp() {
-  ReadyServer.serve("/readiness", "application/json", [this] {
+  ReadyServer.serve("/readiness", "application/json", [this](std::string_view) {
     return reactor::HttpAnswer{Ready ? StatusOk : StatusUnavailable, "{}"};
   });
-  ControlServer.serve("/status", "application/json", [this] {
+  ControlServer.serve("/status", "application/json", [this](std::string_view) {
     return reactor::HttpAnswer{StatusOk, status()};
   });
   for (auto *server : {&ControlServer, &MetricsServer})
-    server->serve("/metrics", "text/plain; version=0.0.4", [this] {
-      return reactor::HttpAnswer{StatusOk, metrics()};
-    });
-  PeerServer.serve("/view", "application/x-protobuf", [this] {
-    return reactor::HttpAnswer{View.isComplete() ? StatusOk : StatusUnavailable,
-                               Exchange->snapshot()};
-  });
+    server->serve("/metrics", "text/plain; version=0.0.4",
+                  [this](std::string_view) {
+                    return reactor::HttpAnswer{StatusOk, metrics()};
+                  });
+  PeerServer.serve("/view", "application/x-protobuf",
+                   [this](std::string_view query) {
+                     return reactor::HttpAnswer{
+                         View.isComplete() ? StatusOk : StatusUnavailable,
+                         Exchange->snapshot(query)};
+                   });
   if (auto status = ReadyServer.listen(Settings.Ready); !status.ok())
     return status;
   if (auto status = ControlServer.listen(Settings.Control); !status.ok())
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -3,9 +3,12 @@
 #include "Common/Text.h"
 #include "Fleet/GossipCodec.h"
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburnroute::edge {
 
@@ -38,8 +41,9 @@
 
 void PeerExchange::start(const std::vector<common::Endpoint> &seeds) {
   setSeeds(seeds);
+  StartedAt = Clock.now();
   Socket.start([this] { onReadable(); });
-  sendTo(Seeds, true);
+  sendTo(Seeds, true, 0, true);
 }
 
 void PeerExchange::setSeeds(const std::vector<common::Endpoint> &seeds) {
@@ -64,10 +68,12 @@
   else if (!Seeds.empty() && SeedCursor % 8 == 0)
     to.push_back(Seeds[SeedCursor / 8 % Seeds.size()]);
   ++SeedCursor;
-  sendTo(to, !View.isComplete() || Peers.aliveCount(now) == 0);
+  sendTo(to, !View.isComplete() || Peers.aliveCount(now) == 0, 0, true);
 }
 
 void PeerExchange::relay() {
+  if (Clock.now() < NextAnnounce)
+    return;
   if (View.changeCount() != AnnouncedChange ||
       (View.isComplete() && View.freshAt() - RelayedFreshAt >= FreshnessStep))
     announce();
@@ -77,19 +83,23 @@
   AnnouncedChange = View.changeCount();
   RelayedFreshAt = View.freshAt();
   const auto now = Clock.now();
+  NextAnnounce = now + AnnouncePause;
   const auto all = Peers.aliveCount(now);
-  sendTo(Peers.choose(all <= SmallFleet ? all : FanOut + 1, now), false);
+  sendTo(Peers.choose(all <= SmallFleet ? all : FanOut + 1, now), false,
+         std::exchange(AnnouncedRevision, View.revision()), false);
 }
 
 void PeerExchange::sendTo(const std::vector<std::uint32_t> &addresses,
-                          bool wantsAnswer) {
+                          bool wantsAnswer, std::uint64_t since,
+                          bool withHosts) {
   if (addresses.empty())
     return;
   const auto now = Clock.now();
   GossipMessage message;
   message.Sender = Peers.self();
-  message.Hosts = Peers.sample(GossipCodec::MaxHosts, now);
-  message.Changes = View.recentChanges(GossipCodec::MaxChanges);
+  if (withHosts)
+    message.Hosts = Peers.sample(GossipCodec::MaxHosts, now);
+  message.Changes = View.recentChanges(GossipCodec::MaxChanges, since);
   message.ViewAge = View.age(now);
   message.ConfigurationVersion = View.configurationVersion();
   message.Suspects = suspects(now);
@@ -140,6 +150,13 @@
   OnNews();
 }
 
+void PeerExchange::onRegistryFailure() {
+  if (View.isComplete() || StartedAt == TimePoint())
+    return;
+  StartedAt = TimePoint();
+  sendTo(Seeds, true, 0, true);
+}
+
 void PeerExchange::discardBacklog() {
   for (int i = 0; i < MaxBatches; ++i)
     if (Socket.socket().receive(milliseconds(0)).size() <
@@ -178,16 +195,18 @@
       fetchSnapshot(from);
   }
   if (message.WantsAnswer)
-    sendTo({from}, false);
+    sendTo({from}, false, 0, true);
 }
 
 void PeerExchange::fetchSnapshot(std::uint32_t address) {
-  if (Fetching)
+  if (Fetching || (!View.isComplete() && Clock.now() - StartedAt < OwnListTime))
     return;
   Fetching = true;
   Fetcher = std::make_unique<reactor::AsyncHttpClient>(
       Loop, common::Endpoint{address, Self.Port});
-  Fetcher->get("/view", SnapshotTime, [this](const auto &result) {
+  const auto target = absl::StrCat("/view?after=", View.revision(),
+                                   "&version=", View.configurationVersion());
+  Fetcher->get(target, SnapshotTime, [this](const auto &result) {
     Fetching = false;
     if (!result.ok() || result->Status != 200)
       return; // The next message of a peer leads to the next try.
@@ -202,9 +221,21 @@
   });
 }
 
-std::string PeerExchange::snapshot() const {
-  return GossipCodec::encode(
-      fleet::AgedSnapshot{View.snapshot(), View.age(Clock.now())});
+std::string PeerExchange::snapshot(std::string_view query) const {
+  std::uint64_t after = 0;
+  std::uint64_t version = 0;
+  for (const auto part : absl::StrSplit(common::toAbsl(query), '&')) {
+    const std::pair<absl::string_view, absl::string_view> pair =
+        absl::StrSplit(part, absl::MaxSplits('=', 1));
+    // A value that is no number stands for a host that has nothing.
+    if (auto *value = pair.first == "after"     ? &after
+                      : pair.first == "version" ? &version
+                                                : nullptr;
+        value != nullptr && !absl::SimpleAtoi(pair.second, value))
+      *value = 0;
+  }
+  return GossipCodec::encode(fleet::AgedSnapshot{
+      View.snapshotSince(after, version), View.age(Clock.now())});
 }
 
 } // namespace auburnroute::edge
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -24,6 +24,12 @@
   static constexpr std::size_t FanOut = 3;
   /// Fleets up to this size are told of changes directly.
   static constexpr std::size_t SmallFleet = 10;
+  /// Shortest time between two announcements, which bounds their bytes when
+  /// many servers change at once.
+  static constexpr std::chrono::milliseconds AnnouncePause{100};
+  /// A host without a view that hears of one fetches it only after this time:
+  /// its own list is under way until then.
+  static constexpr std::chrono::milliseconds OwnListTime{400};
 
   /// References must outlive the object. \p onNews is called after the view
   /// may have changed.
@@ -42,15 +48,19 @@
   void announce();
   /// Drops what waits in the socket, as after a pause: its ages are wrong.
   void discardBacklog();
-  /// The snapshot for GET /view.
-  std::string snapshot() const;
+  /// The registry did not answer: a host without a view turns to its peers.
+  void onRegistryFailure();
+  /// The answer to GET /view?after=REVISION&version=VERSION.
+  std::string snapshot(std::string_view query) const;
 
 private:
   void onReadable();
   void onMessage(const fleet::GossipMessage &message, std::uint32_t from);
   void learnHosts(const fleet::GossipMessage &message);
   void learnSuspects(const fleet::GossipMessage &message);
-  void sendTo(const std::vector<std::uint32_t> &addresses, bool wantsAnswer);
+  /// Sends the changes after revision \p since, with news of hosts in a round.
+  void sendTo(const std::vector<std::uint32_t> &addresses, bool wantsAnswer,
+              std::uint64_t since, bool withHosts);
   /// Tells other hosts of changes, or that the view is more current than it
   /// was when they were told last.
   void relay();
@@ -72,6 +82,9 @@
   common::TimePoint NextRound;
   std::size_t SeedCursor = 0;
   std::uint64_t AnnouncedChange = 0;
+  std::uint64_t AnnouncedRevision = 0;
+  common::TimePoint NextAnnounce;
+  common::TimePoint StartedAt;
   common::TimePoint RelayedFreshAt;
   bool Fetching = false;
   std::unique_ptr<reactor::AsyncHttpClient> Fetcher;
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -59,20 +59,25 @@
   advance(page.Revision, askedAt);
 }
 
-void FleetView::finishList(const std::set<std::string> &listed,
-                           std::uint64_t baseRevision, TimePoint askedAt,
-                           TimePoint now) {
+void FleetView::lapseMissing(const std::set<std::string> &present,
+                             std::uint64_t revision, TimePoint now) {
   std::vector<ServerRegistration> missing;
   for (const auto &it : Directory.all())
     if (it.Used && it.Registration.State != ServerState::Lapsed &&
-        it.Registration.Revision < baseRevision &&
-        !listed.contains(it.Registration.Name)) {
+        it.Registration.Revision < revision &&
+        !present.contains(it.Registration.Name)) {
       missing.push_back(it.Registration);
       missing.back().State = ServerState::Lapsed;
-      missing.back().Revision = baseRevision;
+      missing.back().Revision = revision;
     }
   for (const auto &it : missing)
     applyServer(it, now);
+}
+
+void FleetView::finishList(const std::set<std::string> &listed,
+                           std::uint64_t baseRevision, TimePoint askedAt,
+                           TimePoint now) {
+  lapseMissing(listed, baseRevision, now);
   // Peers with an older view cannot follow by changes.
   if (baseRevision > Revision)
     HistoryFrom = std::max(HistoryFrom, baseRevision);
@@ -96,9 +101,14 @@
     applyServer(it, now);
   if (snapshot.Configuration.Version != 0)
     applyConfiguration(snapshot.Configuration);
-  if (snapshot.Revision <= Revision)
+  if (snapshot.Revision < Revision || snapshot.From > Revision)
     return;
-  HistoryFrom = std::max(HistoryFrom, snapshot.Revision);
+  if (snapshot.From == 0) {
+    std::set<std::string> present;
+    for (const auto &it : snapshot.Servers)
+      present.insert(it.Name);
+    lapseMissing(present, snapshot.Revision, now);
+  }
   advance(snapshot.Revision, now - age - TransitTime);
 }
 
@@ -115,13 +125,14 @@
   return std::chrono::duration_cast<milliseconds>(now - FreshAt);
 }
 
-ViewChanges FleetView::recentChanges(std::size_t most) const {
+ViewChanges FleetView::recentChanges(std::size_t most,
+                                     std::uint64_t since) const {
   ViewChanges changes;
-  changes.From = HistoryFrom;
+  changes.From = std::max(HistoryFrom, since);
   changes.To = Revision;
   std::set<std::string_view> seen;
   for (auto it = History.rbegin(); it != History.rend(); ++it) {
-    if (!seen.insert(it->Name).second)
+    if (it->Revision <= since || !seen.insert(it->Name).second)
       continue;
     if (changes.Servers.size() == most) {
       // The receiver must know all that is left out. Changes come in any order.
@@ -134,12 +145,17 @@
   return changes;
 }
 
-ViewSnapshot FleetView::snapshot() const {
+ViewSnapshot FleetView::snapshotSince(std::uint64_t after,
+                                      std::uint64_t version) const {
   ViewSnapshot snapshot;
   snapshot.Revision = Revision;
-  snapshot.Configuration = Routes.configuration();
+  // A removal that was forgotten would be missing in a part.
+  if (after >= ForgottenRevision)
+    snapshot.From = after;
+  if (version < Routes.version())
+    snapshot.Configuration = Routes.configuration();
   for (const auto &it : Directory.all())
-    if (it.Used)
+    if (it.Used && it.Registration.Revision > snapshot.From)
       snapshot.Servers.push_back(it.Registration);
   return snapshot;
 }
@@ -149,7 +165,7 @@
     HistoryFrom = std::max(HistoryFrom, History.front().Revision);
     History.pop_front();
   }
-  Directory.expire(now);
+  ForgottenRevision = std::max(ForgottenRevision, Directory.expire(now));
 }
 
 } // namespace auburnroute::fleet
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -21,10 +21,12 @@
   std::vector<routing::ServerRegistration> Servers;
 };
 
-/// Everything a view holds, for a host that has nothing.
+/// What a view holds, for a host that changes alone do not bring up to date.
 struct ViewSnapshot {
+  /// 0: everything. Otherwise all that changed after this revision.
+  std::uint64_t From = 0;
   std::uint64_t Revision = 0;
-  routing::RoutingConfiguration Configuration;
+  routing::RoutingConfiguration Configuration; ///< Version 0: left out.
   std::vector<routing::ServerRegistration> Servers;
 };
 
@@ -69,9 +71,12 @@
   void applySnapshot(const ViewSnapshot &snapshot,
                      std::chrono::milliseconds age, common::TimePoint now);
 
-  /// All changes that are kept, newest last, at most \p most servers.
-  ViewChanges recentChanges(std::size_t most) const;
-  ViewSnapshot snapshot() const;
+  /// The changes after revision \p since as far as they are kept, at most
+  /// \p most servers.
+  ViewChanges recentChanges(std::size_t most, std::uint64_t since = 0) const;
+  /// What a host lacks that is complete to \p after and has configuration
+  /// \p version; everything if that can't be told.
+  ViewSnapshot snapshotSince(std::uint64_t after, std::uint64_t version) const;
 
   /// The view is complete up to this revision; 0 if it is empty.
   std::uint64_t revision() const { return Revision; }
@@ -108,6 +113,10 @@
   std::uint64_t Unreadable = 0;
   std::deque<Change> History;
   std::uint64_t HistoryFrom = 0; ///< History has all changes after it.
+  /// Highest revision of the removed entries that were forgotten.
+  std::uint64_t ForgottenRevision = 0;
+  void lapseMissing(const std::set<std::string> &present,
+                    std::uint64_t revision, common::TimePoint now);
 };
 
 } // namespace auburnroute::fleet
--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -159,6 +159,7 @@
 std::string GossipCodec::encode(const AgedSnapshot &snapshot) {
   wire::Snapshot out;
   out.set_revision(snapshot.View.Revision);
+  out.set_from(snapshot.View.From);
   out.set_age_ms(countOf(snapshot.Age));
   write(snapshot.View.Configuration, *out.mutable_configuration());
   for (const auto &it : snapshot.View.Servers)
@@ -173,6 +174,7 @@
     return std::nullopt;
   AgedSnapshot snapshot;
   snapshot.View.Revision = in.revision();
+  snapshot.View.From = in.from();
   snapshot.Age = milliseconds(in.age_ms());
   if (auto configuration = read(in.configuration()))
     snapshot.View.Configuration = *std::move(configuration);
--- a/Source/Reactor/AsyncHttpServer.cpp
+++ b/Source/Reactor/AsyncHttpServer.cpp
@@ -57,7 +57,9 @@
   void answer() {
     const auto &request = Parser->get();
     const auto target = request.target();
-    const std::string path(target.substr(0, target.find('?')));
+    const auto mark = std::min(target.find('?'), target.size());
+    const std::string path(target.substr(0, mark));
+    const std::string query(target.substr(std::min(mark + 1, target.size())));
     Response = {};
     Response.version(request.version());
     Response.keep_alive(request.keep_alive());
@@ -67,7 +69,7 @@
     } else if (it == Table->end()) {
       Response.result(http::status::not_found);
     } else {
-      auto answer = it->second.Answer();
+      auto answer = it->second.Answer(query);
       Response.result(answer.Status);
       Response.set(http::field::content_type, it->second.ContentType);
       Response.body() = std::move(answer.Body);
--- a/Source/Reactor/AsyncHttpServer.h
+++ b/Source/Reactor/AsyncHttpServer.h
@@ -11,13 +11,15 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace auburnroute::reactor {
 
 /// HTTP/1.1 server for GET requests on an event loop.
 class AsyncHttpServer {
 public:
-  using Handler = std::function<HttpAnswer()>;
+  /// Gets what follows '?' in the target.
+  using Handler = std::function<HttpAnswer(std::string_view query)>;
 
   explicit AsyncHttpServer(boost::asio::io_context &loop);
   ~AsyncHttpServer();
--- a/Source/Routing/ServerDirectory.cpp
+++ b/Source/Routing/ServerDirectory.cpp
@@ -74,17 +74,20 @@
   return DirectoryChange::Lapsed;
 }
 
-void ServerDirectory::expire(TimePoint now) {
+std::uint64_t ServerDirectory::expire(TimePoint now) {
+  std::uint64_t highest = 0;
   for (ServerId id = 0; id < Servers.size(); ++id) {
     auto &server = Servers[id];
     if (!server.Used || server.Registration.State != ServerState::Lapsed ||
         now - server.LapsedAt < Retention)
       continue;
+    highest = std::max(highest, server.Registration.Revision);
     unlink(id);
     ByName.erase(server.Registration.Name);
     server = KnownServer{};
     Free.push_back(id);
   }
+  return highest;
 }
 
 ServerId ServerDirectory::place() {
--- a/Source/Routing/ServerDirectory.h
+++ b/Source/Routing/ServerDirectory.h
@@ -60,8 +60,9 @@
   /// names that are not known, so that an older entry does not add them.
   DirectoryChange remove(std::string_view name, std::uint64_t revision,
                          common::TimePoint now);
-  /// Forgets lapsed servers after the retention.
-  void expire(common::TimePoint now);
+  /// Forgets lapsed servers after the retention. Returns the highest revision
+  /// of those that it forgot, 0 if there are none.
+  std::uint64_t expire(common::TimePoint now);
 
   /// The server that \p tag names; ties are broken in favour of \p service,
   /// then of the server that was known first, since the writer of the tag did
--- a/Source/UnitTests/Fleet/FleetViewTest.cpp
+++ b/Source/UnitTests/Fleet/FleetViewTest.cpp
@@ -35,7 +35,7 @@
   load(it, clock.now());
   it.View.applyChanges(samplePage(12, {}, 5), clock.now(), clock.now());
   it.View.applyChanges(samplePage(11, {}, 2), clock.now(), clock.now());
-  it.View.applySnapshot({20, sampleConfiguration(4), {}}, 0ms, clock.now());
+  it.View.applySnapshot({11, 20, sampleConfiguration(4), {}}, 0ms, clock.now());
   BOOST_TEST(it.Routes.version() == 5U);
   BOOST_TEST((it.Observer.Versions == std::vector<std::uint64_t>{1, 5}));
 }
@@ -94,6 +94,31 @@
   BOOST_TEST(changes.To == 20U);
 }
 
+// Guards against servers that a host keeps for good because their removal was
+// forgotten by the peer that it asks.
+BOOST_AUTO_TEST_CASE(ForgottenRemovalsMakeASnapshotWhole) {
+  common::ManualClock clock;
+  ViewFixture peer;
+  ViewFixture late;
+  load(peer, clock.now());
+  load(late, clock.now());
+  fleet::RegistryPage page;
+  page.Revision = 12;
+  page.Removed.push_back({"s1", 12});
+  peer.View.applyChanges(page, clock.now(), clock.now());
+  auto part = peer.View.snapshotSince(late.View.revision(), 1);
+  BOOST_TEST(part.From == 10U);
+  BOOST_TEST(part.Servers.size() == 1U);
+  BOOST_TEST(part.Configuration.Version == 0U);
+  clock.advance(70s);
+  peer.View.expire(clock.now());
+  const auto whole = peer.View.snapshotSince(late.View.revision(), 0);
+  BOOST_TEST(whole.From == 0U);
+  late.View.applySnapshot(whole, 0ms, clock.now());
+  BOOST_TEST((late.stateOf("s1") == ServerState::Lapsed));
+  BOOST_TEST((late.stateOf("s2") == ServerState::Ready));
+}
+
 // Random changes at a registry that some views read and that pass to others in
 // any order, with losses. Views never go back and hold no server against the
 // registry once they are complete to its revision.
@@ -153,7 +178,9 @@
           const auto changes = b.View.recentChanges(1 + random() % 8);
           if (!a.View.applyPeerChanges(changes, 0ms, clock.now()) &&
               random() % 2 == 0)
-            a.View.applySnapshot(b.View.snapshot(), 0ms, clock.now());
+            a.View.applySnapshot(
+                b.View.snapshotSince(a.View.revision(), a.Routes.version()),
+                0ms, clock.now());
           break;
         }
         default:
--- a/Source/UnitTests/Fleet/RegistryReaderTest.cpp
+++ b/Source/UnitTests/Fleet/RegistryReaderTest.cpp
@@ -118,7 +118,7 @@
 BOOST_AUTO_TEST_CASE(AViewFromPeersNeedsNoList) {
   Fixture it;
   it.View.View.applySnapshot(
-      {20, unittests::sampleConfiguration(3), {sampleServer(1, 3)}}, 0ms,
+      {0, 20, unittests::sampleConfiguration(3), {sampleServer(1, 3)}}, 0ms,
       it.Clock.now());
   const auto call = it.call();
   BOOST_TEST((call.Kind == RegistryCallKind::Watch));
--- a/Source/UnitTests/Reactor/AsyncHttpTest.cpp
+++ b/Source/UnitTests/Reactor/AsyncHttpTest.cpp
@@ -47,7 +47,7 @@
   const auto at = freeEndpoint(loop);
   AsyncHttpServer server(loop);
   int calls = 0;
-  server.serve("/x", "text/plain", [&] {
+  server.serve("/x", "text/plain", [&](std::string_view) {
     return HttpAnswer{200, "call " + std::to_string(++calls)};
   });
   BOOST_REQUIRE(server.listen(at).ok());
@@ -87,7 +87,7 @@
   boost::asio::io_context loop;
   const auto at = freeEndpoint(loop);
   AsyncHttpServer server(loop);
-  server.serve("/x", "text/plain", [] {
+  server.serve("/x", "text/plain", [](std::string_view) {
     return HttpAnswer{200, std::string(5 * 1024 * 1024, 'x')};
   });
   BOOST_REQUIRE(server.listen(at).ok());
@@ -102,7 +102,9 @@
   boost::asio::io_context loop;
   const auto at = freeEndpoint(loop);
   AsyncHttpServer server(loop);
-  server.serve("/x", "text/plain", [] { return HttpAnswer{200, "ok"}; });
+  server.serve("/x", "text/plain", [](std::string_view) {
+    return HttpAnswer{200, "ok"};
+  });
   BOOST_REQUIRE(server.listen(at).ok());
   std::vector<tcp::socket> rude;
   for (const std::string text :
@@ -122,7 +124,9 @@
   boost::asio::io_context loop;
   const auto at = freeEndpoint(loop);
   AsyncHttpServer server(loop);
-  server.serve("/x", "text/plain", [] { return HttpAnswer{200, "ok"}; });
+  server.serve("/x", "text/plain", [](std::string_view) {
+    return HttpAnswer{200, "ok"};
+  });
   BOOST_REQUIRE(server.listen(at).ok());
   std::vector<tcp::socket> idle;
   for (int i = 0; i < 100; ++i) {
