Clear the evidence on a server that starts again, and log no cold countdown

Cause: a read-through. Nothing called ServerEvidence::reset, so a server that started again under its name stayed suspected or dead for what its earlier start did. Each write of a cold server counted as a change, was announced to all and logged; each start of a host logged every server.

Change: ViewListener clears the evidence when a server is added or starts again, with a test; the countdown is no change; the first view is not logged server by server.

--- a/Source/Edge/EdgeNode.h
+++ b/Source/Edge/EdgeNode.h
@@ -4,6 +4,7 @@
 #include "Edge/PacketPump.h"
 #include "Edge/PeerExchange.h"
 #include "Edge/RegistryClient.h"
+#include "Edge/ViewListener.h"
 #include "Reactor/AsyncHttpServer.h"
 #include "State/EdgeSettings.h"
 
@@ -58,6 +59,7 @@
   routing::ServerDirectory Directory;
   routing::ServerEvidence Evidence;
   EventRecorder Recorder;
+  ViewListener Listener;
   fleet::FleetView View;
   fleet::RegistryReader Reader;
   fleet::PeerTable Peers;
--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -108,15 +108,17 @@
                          ",\"busy\":", Evidence.activity(server).Busy));
 }
 
-void EventRecorder::onConfiguration(std::uint64_t version) {
+void EventRecorder::recordConfiguration(std::uint64_t version) {
   if (Log.admits(LogEvent::Configuration))
     Log.write(LogEvent::Configuration,
               absl::StrCat("\"version\":", version, viewFields()));
 }
 
-void EventRecorder::onServer(const routing::ServerRegistration &server,
-                             DirectoryChange change) {
-  if (!Log.admits(LogEvent::Server))
+void EventRecorder::recordServer(const routing::ServerRegistration &server,
+                                 DirectoryChange change) {
+  const bool first = View != nullptr && View->revision() == 0 &&
+                     change == DirectoryChange::Added;
+  if (first || !Log.admits(LogEvent::Server))
     return;
   Log.write(LogEvent::Server,
             absl::StrCat("\"server\":\"", server.Name, "\",\"service\":\"",
--- a/Source/Edge/EventRecorder.h
+++ b/Source/Edge/EventRecorder.h
@@ -11,8 +11,7 @@
 namespace auburnroute::edge {
 
 /// Turns decisions into log lines and counts.
-class EventRecorder final : public routing::RoutingObserver,
-                            public fleet::ViewObserver {
+class EventRecorder final : public routing::RoutingObserver {
 public:
   EventRecorder(EventLog &log, const common::Clock &clock,
                 const routing::ServerDirectory &directory,
@@ -30,9 +29,11 @@
   void onAnswered(const routing::FlowId &flow, routing::ServerId server,
                   std::chrono::milliseconds time,
                   std::chrono::milliseconds objective) override;
-  void onConfiguration(std::uint64_t version) override;
-  void onServer(const routing::ServerRegistration &server,
-                routing::DirectoryChange change) override;
+  void recordConfiguration(std::uint64_t version);
+  /// Servers of the first view are not logged one by one; the line on readiness
+  /// counts them.
+  void recordServer(const routing::ServerRegistration &server,
+                    routing::DirectoryChange change);
 
   /// The view that decisions are taken on, for the lines.
   void setView(const fleet::FleetView *view) { View = view; }
--- a/Source/Routing/ServerDirectory.cpp
+++ b/Source/Routing/ServerDirectory.cpp
@@ -41,9 +41,10 @@
     return DirectoryChange::Draining;
   if (it.Lifetime != before.Lifetime)
     return DirectoryChange::Restarted;
+  // The time that it stays slow counts down with each write; hosts do so too.
   const bool same = before.State == it.State && before.Address == it.Address &&
                     before.Service == it.Service && before.Zone == it.Zone &&
-                    before.Slots == it.Slots && before.ColdLeft == it.ColdLeft;
+                    before.Slots == it.Slots;
   return same ? DirectoryChange::Refreshed : DirectoryChange::Updated;
 }
 
--- a/Source/Routing/ServerEvidence.h
+++ b/Source/Routing/ServerEvidence.h
@@ -99,7 +99,7 @@
   /// A peer saw no answer since \p since. Returns whether a suspicion was
   /// raised.
   bool onReport(ServerId id, common::TimePoint since, common::TimePoint now);
-  /// The place \p id is used for another server now.
+  /// The place \p id is used for another server, or another start of it, now.
   void reset(ServerId id);
 
   bool isSuspect(ServerId id, common::TimePoint now) const;
--- /dev/null
+++ b/Source/UnitTests/Edge/ViewListenerTest.cpp
@@ -0,0 +1,50 @@
+#include "Edge/ViewListener.h"
+#include "Common/ManualClock.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(ViewListenerTest)
+
+// Guards against a server that starts again under its name and stays suspected,
+// or dead, for what its earlier start did.
+BOOST_AUTO_TEST_CASE(ARestartClearsTheEvidence) {
+  common::ManualClock clock;
+  edge::EventLog log(clock);
+  routing::RouteTable routes;
+  routing::ServerDirectory directory(60s);
+  routing::ServerEvidence evidence;
+  edge::EventRecorder recorder(log, clock, directory, evidence);
+  edge::ViewListener listener(recorder, directory, evidence);
+  fleet::FleetView view(routes, directory, listener);
+  recorder.setView(&view);
+
+  fleet::RegistryPage page;
+  page.Revision = 1;
+  routing::ServerRegistration server;
+  server.Name = "s-1";
+  server.Identity = 1;
+  server.Service = "orders";
+  server.Lifetime = 100;
+  server.Revision = 1;
+  page.Servers.push_back(server);
+  view.applyEntries(page, clock.now());
+  const auto id = directory.idOf(*directory.findByName("s-1"));
+  const auto sent = clock.now();
+  clock.advance(200ms);
+  evidence.onSilence(id, routing::Suspicion::SynUnanswered, 1, sent,
+                     clock.now());
+  BOOST_TEST(evidence.isSuspect(id, clock.now()));
+
+  page.Servers.front().Revision = 2;
+  view.applyEntries(page, clock.now());
+  BOOST_TEST(evidence.isSuspect(id, clock.now()));
+  page.Servers.front().Lifetime = 200;
+  page.Servers.front().Revision = 3;
+  view.applyEntries(page, clock.now());
+  BOOST_TEST(!evidence.isSuspect(id, clock.now()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
