--- a/Source/UnitTests/Coordination/AdmissionRandomTest.cpp
+++ b/Source/UnitTests/Coordination/AdmissionRandomTest.cpp
@@ -1,4 +1,5 @@
 #include "UnitTests/Coordination/AdmissionFixture.h"
+#include "UnitTests/Seeds.h"
 
 #include <cstdlib>
 #include <map>
@@ -13,12 +14,6 @@
 
 namespace {
 
-std::vector<std::uint64_t> seeds() {
-  const char *text = std::getenv("AUBURN_TEST_SEEDS");
-  std::istringstream in(text != nullptr ? text : "1 2 3 4");
-  return {std::istream_iterator<std::uint64_t>(in), {}};
-}
-
 /// Random events against a model of what is placed and held.
 struct Run : AdmissionFixture {
   std::mt19937_64 Random;
@@ -140,7 +135,7 @@
 // Guards against rules that hold alone and break together: double placement,
 // a SYN that is lost or answered twice, a flow on a draining server.
 BOOST_AUTO_TEST_CASE(RulesHoldUnderRandomEvents) {
-  for (const auto seed : seeds()) {
+  for (const auto seed : unittests::seeds({1, 2, 3, 4})) {
     BOOST_TEST_CONTEXT("seed " << seed) {
       Run run(seed);
       for (int i = 0; i < 20'000; ++i)
@@ -155,7 +150,7 @@
 // Guards against two admission owners that cost more than quality: flows are
 // refused, lost or left waiting although the servers could take them.
 BOOST_AUTO_TEST_CASE(TwoOwnersOnlyCostQuality) {
-  for (const auto seed : seeds()) {
+  for (const auto seed : unittests::seeds({1, 2, 3, 4})) {
     BOOST_TEST_CONTEXT("seed " << seed) {
       Run owners[2] = {Run(seed), Run(seed + 1)};
       for (int i = 0; i < 5'000; ++i) {
--- a/Source/UnitTests/Coordination/DoubtTest.cpp
+++ b/Source/UnitTests/Coordination/DoubtTest.cpp
@@ -1,6 +1,7 @@
 #include "Coordination/Membership.h"
 
 #include "Bench/ZoneSimulation.h"
+#include "UnitTests/Seeds.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -15,12 +16,6 @@
 
 namespace {
 
-std::vector<std::uint64_t> seeds() {
-  const char *text = std::getenv("AUBURN_TEST_SEEDS");
-  std::istringstream words(text != nullptr ? text : "1 2 3");
-  return {std::istream_iterator<std::uint64_t>(words), {}};
-}
-
 ZoneSimulation settledZone(std::size_t hosts, std::uint64_t seed) {
   ZoneSimulation zone(hosts, seed);
   zone.startAll();
@@ -50,7 +45,7 @@
 // Guards against moving the services of a host that answers, however often it
 // is doubted, and against more than one probe per interval.
 BOOST_AUTO_TEST_CASE(AnsweringHostStaysLive) {
-  for (const auto seed : seeds()) {
+  for (const auto seed : unittests::seeds({1, 2, 3})) {
     auto zone = settledZone(3, seed);
     const auto probes = probesOf(zone, 0);
     for (int i = 0; i < 1000; ++i) {
@@ -66,7 +61,7 @@
 // Guards against waiting for the heartbeats to miss: a killed and a paused host
 // are suspect soon after a doubt, for all hosts of a small zone.
 BOOST_AUTO_TEST_CASE(SilentHostIsSuspectSooner) {
-  for (const auto seed : seeds())
+  for (const auto seed : unittests::seeds({1, 2, 3}))
     for (const bool paused : {false, true}) {
       auto zone = settledZone(3, seed);
       if (paused)
@@ -88,7 +83,7 @@
 
 // Guards against a suspicion that stems from a late tick of the doubting host.
 BOOST_AUTO_TEST_CASE(LateTickIsNoSilence) {
-  for (const auto seed : seeds())
+  for (const auto seed : unittests::seeds({1, 2, 3}))
     for (const auto pause : {150ms, 190ms, 300ms, 1500ms}) {
       auto zone = settledZone(3, seed);
       zone.doubt(0, 1);
@@ -101,7 +96,7 @@
 // Guards against a host of a large zone that all others probe at once, and
 // against a suspicion that does not reach the others.
 BOOST_AUTO_TEST_CASE(OnlyNeighboursProbe) {
-  for (const auto seed : seeds()) {
+  for (const auto seed : unittests::seeds({1, 2, 3})) {
     auto zone = settledZone(100, seed);
     const auto neighbours = zone.Nodes[1].Members->neighbours().size();
     BOOST_REQUIRE(neighbours < 20U);
--- a/Source/UnitTests/Coordination/MembershipTest.cpp
+++ b/Source/UnitTests/Coordination/MembershipTest.cpp
@@ -1,6 +1,7 @@
 #include "Coordination/Membership.h"
 
 #include "Bench/ZoneSimulation.h"
+#include "UnitTests/Seeds.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -17,14 +18,6 @@
 
 namespace {
 
-std::vector<std::uint64_t> seeds(std::vector<std::uint64_t> usual) {
-  const char *text = std::getenv("AUBURN_TEST_SEEDS");
-  if (text == nullptr)
-    return usual;
-  std::istringstream in(text);
-  return {std::istream_iterator<std::uint64_t>(in), {}};
-}
-
 // A zone that has settings and is confirmed throughout.
 ZoneSimulation settledZone(std::size_t hosts, std::uint64_t seed,
                            bench::NetworkOptions network = {}) {
@@ -103,7 +96,7 @@
 // owner, and against false alarms, which move services about.
 BOOST_DATA_TEST_CASE(KilledHostIsDetected,
                      boost::unit_test::data::make(LossShares), loss) {
-  for (const auto seed : seeds({1, 2, 3})) {
+  for (const auto seed : unittests::seeds({1, 2, 3})) {
     auto zone = settledZone(32, seed, {loss, 500us, 2000us});
     for (auto &node : zone.Nodes)
       node.Transitions.clear();
@@ -126,7 +119,7 @@
 
 // Guards against a host that places new flows by what it knew before a pause.
 BOOST_AUTO_TEST_CASE(WokenHostIsUnconfirmedUntilAnswered) {
-  for (const auto seed : seeds({1, 2, 3}))
+  for (const auto seed : unittests::seeds({1, 2, 3}))
     for (const auto length : {100ms, 2000ms, 30000ms}) {
       auto zone = settledZone(8, seed);
       zone.pause(2, length);
@@ -224,7 +217,7 @@
 // Guards against divergence under any mix of failures: after quiescence all
 // running hosts are live for all, and each service has one live owner.
 BOOST_AUTO_TEST_CASE(RandomFailuresConverge) {
-  for (const auto seed : seeds({11, 12, 13, 14, 15, 16, 17, 18})) {
+  for (const auto seed : unittests::seeds({11, 12, 13, 14, 15, 16, 17, 18})) {
     std::mt19937_64 random(seed);
     const auto hosts = 3 + random() % 30;
     auto zone = settledZone(hosts, seed, {0.01, 500us, 20000us});
--- a/Source/UnitTests/Coordination/OwnerWatchTest.cpp
+++ b/Source/UnitTests/Coordination/OwnerWatchTest.cpp
@@ -1,4 +1,5 @@
 #include "Coordination/OwnerWatch.h"
+#include "UnitTests/Seeds.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -13,12 +14,6 @@
 
 namespace {
 
-std::vector<std::uint64_t> seeds() {
-  const char *text = std::getenv("AUBURN_TEST_SEEDS");
-  std::istringstream words(text != nullptr ? text : "1 2 3");
-  return {std::istream_iterator<std::uint64_t>(words), {}};
-}
-
 /// One host that sees SYNs and signs of service 0 at random times.
 struct WatchedService {
   explicit WatchedService(std::uint64_t seed) : Random(seed) { Watch.reset(1); }
@@ -66,7 +61,7 @@
 // Guards against probes of healthy owners: none at rates where the heartbeats
 // are as quick, and none at high rates, where signs never pause.
 BOOST_AUTO_TEST_CASE(NoDoubtAboutAHealthyOwner) {
-  for (const auto seed : seeds()) {
+  for (const auto seed : unittests::seeds({1, 2, 3})) {
     BOOST_TEST(WatchedService(seed).run(1, 1, 1h) == 0);
     BOOST_TEST(WatchedService(seed).run(5000, 5000, 30s) == 0);
   }
@@ -75,7 +70,7 @@
 // Guards against frequent probes at the rates between, where a row of SYNs
 // without a sign arises by chance.
 BOOST_AUTO_TEST_CASE(DoubtAboutAHealthyOwnerIsRare) {
-  for (const auto seed : seeds())
+  for (const auto seed : unittests::seeds({1, 2, 3}))
     for (const auto rate : {10, 30, 100, 300})
       BOOST_TEST_CONTEXT("seed " << seed << ", " << rate << " SYNs a second") {
         BOOST_TEST(WatchedService(seed).run(rate, rate, 1h) <= 60);
@@ -85,7 +80,7 @@
 // Guards against doubt while all slots are busy: SYNs are held then, and signs
 // come only as slots free up.
 BOOST_AUTO_TEST_CASE(SlowSignsOfBusySlotsAreNoSilence) {
-  for (const auto seed : seeds())
+  for (const auto seed : unittests::seeds({1, 2, 3}))
     for (const auto signs : {2, 5, 10, 30, 100})
       BOOST_TEST_CONTEXT("seed " << seed << ", " << signs
                                  << " signs a second") {
@@ -99,7 +94,7 @@
     double Rate;
     std::chrono::milliseconds Limit;
   };
-  for (const auto seed : seeds())
+  for (const auto seed : unittests::seeds({1, 2, 3}))
     for (const auto [rate, limit] :
          {Case{30, 800ms}, Case{100, 300ms}, Case{5000, 110ms}}) {
       WatchedService service(seed);
--- a/Source/UnitTests/StandIns/SecondPlacementTest.cpp
+++ b/Source/UnitTests/StandIns/SecondPlacementTest.cpp
@@ -4,6 +4,7 @@
 #include "Protocol/PacketRewriter.h"
 #include "StandIns/TcpEndpoint.h"
 #include "UnitTests/Coordination/ForwardingSettings.h"
+#include "UnitTests/Seeds.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -26,12 +27,6 @@
 constexpr common::Endpoint Service{CounterAddress, 7001};
 const FlowKey Key{Caller, Service};
 
-std::vector<std::uint64_t> seeds() {
-  const char *text = std::getenv("AUBURN_TEST_SEEDS");
-  std::istringstream words(text != nullptr ? text : "1 2 3 4 5");
-  return {std::istream_iterator<std::uint64_t>(words), {}};
-}
-
 /// One flow that the lost owner placed on server 0, whose SYN a host then
 /// repeats to the new owner, which places it on server 1.
 class RepeatedSyn {
@@ -191,7 +186,7 @@
 // second server's SYN-ACKs, repeated by its TCP, must reach neither the
 // client's application nor lead the flow's packets to the second server.
 BOOST_AUTO_TEST_CASE(EstablishedFlowGoesOn) {
-  for (const auto seed : seeds()) {
+  for (const auto seed : unittests::seeds({1, 2, 3, 4, 5})) {
     RepeatedSyn it(seed);
     BOOST_REQUIRE(it.Accepted.size() == 1U);
     it.exchange();
@@ -214,7 +209,7 @@
 // Guards against a slot that a half-open second placement holds: the end of
 // the flow frees it, though it ends on another server.
 BOOST_AUTO_TEST_CASE(EndOfTheFlowFreesTheSlot) {
-  for (const auto seed : seeds()) {
+  for (const auto seed : unittests::seeds({1, 2, 3, 4, 5})) {
     RepeatedSyn it(seed);
     it.repeatSyn();
     it.run(100ms);
@@ -227,7 +222,7 @@
 // Guards against the same slot being lost for good if the flow had ended before
 // its SYN was repeated: the load reports free it.
 BOOST_AUTO_TEST_CASE(LoadReportsFreeTheSlotOfAnEndedFlow) {
-  for (const auto seed : seeds()) {
+  for (const auto seed : unittests::seeds({1, 2, 3, 4, 5})) {
     RepeatedSyn it(seed);
     it.close();
     it.repeatSyn();
--- a/Source/UnitTests/StandIns/TcpEndpointTest.cpp
+++ b/Source/UnitTests/StandIns/TcpEndpointTest.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/ManualClock.h"
 #include "Protocol/PacketBuilder.h"
+#include "UnitTests/Seeds.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -19,12 +20,6 @@
 constexpr common::Endpoint Client{0xCB007101, 20000};
 constexpr common::Endpoint Server{0xC000020B, 9002};
 
-std::vector<std::uint64_t> seeds() {
-  const char *text = std::getenv("AUBURN_TEST_SEEDS");
-  std::istringstream words(text != nullptr ? text : "1 2 3 4 5");
-  return {std::istream_iterator<std::uint64_t>(words), {}};
-}
-
 /// Two endpoints joined by a network with faults, on a virtual clock.
 class Network {
 public:
@@ -194,7 +189,7 @@
 // Guards against lost, repeated or reordered payload when the network loses,
 // duplicates and reorders packets in both directions.
 BOOST_AUTO_TEST_CASE(PayloadSurvivesNetworkFaults) {
-  for (const auto seed : seeds()) {
+  for (const auto seed : unittests::seeds({1, 2, 3, 4, 5})) {
     BOOST_TEST_CONTEXT("seed " << seed) {
       Network net(seed, 0.1);
       const auto up = pattern(20000, seed);
@@ -317,7 +312,7 @@
 // Guards against answers crossing between flows: segments of the earlier flow
 // that arrive after the port was reused are dropped and counted.
 BOOST_AUTO_TEST_CASE(LateSegmentOnReusedPortIsDropped) {
-  for (const auto seed : seeds()) {
+  for (const auto seed : unittests::seeds({1, 2, 3, 4, 5})) {
     BOOST_TEST_CONTEXT("seed " << seed) {
       Network net(seed);
       const auto first = net.A.connect(net.now(), Client, Server);
