Order no starts of a host by the wall clock

The incarnation of a host was its wall time at start, and a lower one counted as old news. After a step back of the clock a restarted host stayed dead for its peers for up to 30 s: nobody told it changes, and it read the registry for itself.

Change: the incarnation is a random number, compared for equality. What a host says of itself counts at once; news of it by others with another incarnation only once the known one is gone. The test of the step back fails on the former table, which ignored the lower number.

--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -1,6 +1,5 @@
 #include "Edge/EdgeNode.h"
 
-#include "Common/Epoch.h"
 #include "Common/Files.h"
 #include "Common/Text.h"
 
@@ -55,9 +54,7 @@
       Listener(Recorder, Directory, Evidence),
       View(Routes, Directory, Listener),
       Reader(View, fleet::RegistryPace::forBound(Settings.ChangeBound)),
-      Peers({Settings.Peers.Address, Settings.Zone,
-             static_cast<std::uint64_t>(
-                 common::millisecondsOf(clock.wallTime()))},
+      Peers({Settings.Peers.Address, Settings.Zone, randomSeed()},
             randomSeed()),
       Router(Routes, Directory, Evidence,
              Directory.zoneNames().idOf(Settings.Zone), randomSeed(), Recorder),
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -166,14 +166,14 @@
 
 void PeerExchange::learnHosts(const GossipMessage &message) {
   const auto now = Clock.now();
-  if (Peers.learn(message.Sender, now) && Log.admits(LogEvent::Peer))
+  if (Peers.learnDirect(message.Sender, now) && Log.admits(LogEvent::Peer))
     Log.write(
         LogEvent::Peer,
         absl::StrCat("\"change\":\"joined\",\"host\":\"",
                      common::toString({message.Sender.Address, Self.Port}),
                      "\",\"incarnation\":", message.Sender.Incarnation));
   for (const auto &it : message.Hosts)
-    Peers.learn(it, now);
+    Peers.learnRelayed(it, now);
 }
 
 void PeerExchange::learnSuspects(const GossipMessage &message) {
--- a/Source/Fleet/PeerTable.cpp
+++ b/Source/Fleet/PeerTable.cpp
@@ -10,23 +10,42 @@
   return now - peer.HeardAt < Limits.GoneAfter;
 }
 
-bool PeerTable::learn(const PeerInfo &peer, TimePoint now) {
+PeerTable::Peer *PeerTable::entryOf(const PeerInfo &peer, TimePoint now,
+                                    bool &added) {
   if (peer.Address == Self.Address || peer.Address == 0)
-    return false;
+    return nullptr;
   const auto it = Peers.find(peer.Address);
-  if (it == Peers.end()) {
-    if (Peers.size() < Limits.MaxPeers)
-      Peers.emplace(peer.Address, Peer{peer, now});
-    return true;
-  }
-  auto &known = it->second;
-  const bool newer = std::pair(peer.Incarnation, peer.Heartbeat) >
-                     std::pair(known.Info.Incarnation, known.Info.Heartbeat);
-  if (!newer)
+  added = it == Peers.end();
+  if (!added)
+    return &it->second;
+  if (Peers.size() >= Limits.MaxPeers)
+    return nullptr;
+  return &Peers.emplace(peer.Address, Peer{peer, now}).first->second;
+}
+
+bool PeerTable::learnDirect(const PeerInfo &peer, TimePoint now) {
+  bool added = false;
+  auto *known = entryOf(peer, now, added);
+  if (known == nullptr || added)
+    return added;
+  const bool restarted = peer.Incarnation != known->Info.Incarnation;
+  if (!restarted && peer.Heartbeat <= known->Info.Heartbeat)
     return false;
-  const bool wasAlive = isAlive(known, now);
-  known = {peer, now};
-  return !wasAlive;
+  const bool wasAlive = isAlive(*known, now);
+  *known = {peer, now};
+  return restarted || !wasAlive;
+}
+
+void PeerTable::learnRelayed(const PeerInfo &peer, TimePoint now) {
+  bool added = false;
+  auto *known = entryOf(peer, now, added);
+  if (known == nullptr || added)
+    return;
+  const bool newer = peer.Incarnation == known->Info.Incarnation
+                         ? peer.Heartbeat > known->Info.Heartbeat
+                         : !isAlive(*known, now);
+  if (newer)
+    *known = {peer, now};
 }
 
 void PeerTable::beat(TimePoint now) {
--- a/Source/Fleet/PeerTable.h
+++ b/Source/Fleet/PeerTable.h
@@ -16,7 +16,8 @@
 struct PeerInfo {
   std::uint32_t Address = 0; ///< IPv4, host byte order; identifies the host.
   std::string Zone;
-  /// Start of its process, ms since the epoch by its own clock.
+  /// Random number of its process. Compared for equality only: wall clocks
+  /// jump, and a host keeps nothing over a restart that could order its starts.
   std::uint64_t Incarnation = 0;
   std::uint64_t Heartbeat = 0; ///< Rises while the process runs.
   bool Leaving = false;
@@ -39,9 +40,12 @@
   PeerTable(PeerInfo self, std::uint64_t seed, MembershipLimits limits = {})
       : Self(std::move(self)), Random(seed), Limits(limits) {}
 
-  /// Takes over what a host says of itself or of another. Returns whether the
-  /// host was not known to run before.
-  bool learn(const PeerInfo &peer, common::TimePoint now);
+  /// Takes over what a host says of itself. Returns whether it was not known to
+  /// run before.
+  bool learnDirect(const PeerInfo &peer, common::TimePoint now);
+  /// Takes over what a host says of another. An incarnation other than the
+  /// known one counts only once that one is gone: the news may be old.
+  void learnRelayed(const PeerInfo &peer, common::TimePoint now);
   /// Raises the own heartbeat; once a round.
   void beat(common::TimePoint now);
   void setLeaving() { Self.Leaving = true; }
@@ -67,6 +71,9 @@
     common::TimePoint HeardAt; ///< When the heartbeat rose last.
   };
   bool isAlive(const Peer &peer, common::TimePoint now) const;
+  /// The entry of a host, added if it is new; nullptr if there is no room or it
+  /// is this host.
+  Peer *entryOf(const PeerInfo &peer, common::TimePoint now, bool &added);
 
   PeerInfo Self;
   std::mt19937_64 Random;
--- a/Source/UnitTests/Fleet/PeerTableTest.cpp
+++ b/Source/UnitTests/Fleet/PeerTableTest.cpp
@@ -18,17 +18,34 @@
 BOOST_AUTO_TEST_CASE(OnlyANewHeartbeatShowsLife) {
   common::ManualClock clock;
   PeerTable table({1, "a", 1}, 1);
-  BOOST_TEST(table.learn({2, "a", 100, 5}, clock.now()));
+  BOOST_TEST(table.learnDirect({2, "a", 100, 5}, clock.now()));
   clock.advance(3s);
-  BOOST_TEST(!table.learn({2, "a", 100, 5}, clock.now()));
+  BOOST_TEST(!table.learnDirect({2, "a", 100, 5}, clock.now()));
+  table.learnRelayed({2, "a", 100, 4}, clock.now());
   clock.advance(2s);
   BOOST_TEST(table.aliveCount(clock.now()) == 0U);
-  BOOST_TEST(!table.learn({2, "a", 99, 50}, clock.now()));
+  table.learnRelayed({2, "a", 100, 5}, clock.now());
   BOOST_TEST(table.aliveCount(clock.now()) == 0U);
-  BOOST_TEST(table.learn({2, "a", 101, 1}, clock.now()));
+  table.learnRelayed({2, "a", 100, 6}, clock.now());
   BOOST_TEST(table.aliveCount(clock.now()) == 1U);
 }
 
+// Guards against a host that others take for dead after a restart because its
+// wall clock was set back: its starts have no order.
+BOOST_AUTO_TEST_CASE(ARestartCountsWhateverItsNumber) {
+  common::ManualClock clock;
+  PeerTable table({1, "a", 1}, 1);
+  table.learnDirect({2, "a", 100, 50}, clock.now());
+  clock.advance(1s);
+  BOOST_TEST(table.learnDirect({2, "a", 7, 1}, clock.now()));
+  // News of the former start is on its way for a while.
+  table.learnRelayed({2, "a", 100, 51}, clock.now());
+  clock.advance(3500ms);
+  BOOST_TEST(!table.learnDirect({2, "a", 7, 1}, clock.now()));
+  clock.advance(1s);
+  BOOST_TEST(table.aliveCount(clock.now()) == 0U);
+}
+
 // Guards against a fleet without a reader, or with many: exactly one host that
 // is not leaving comes first.
 BOOST_AUTO_TEST_CASE(OneHostComesFirst) {
@@ -38,7 +55,7 @@
     tables.emplace_back(PeerInfo{n, n < 3 ? "a" : "b", 1}, n);
   for (auto &it : tables)
     for (std::uint32_t n = 1; n <= 5; ++n)
-      it.learn({n, n < 3 ? "a" : "b", 1, 1, n == 1}, clock.now());
+      it.learnRelayed({n, n < 3 ? "a" : "b", 1, 1, n == 1}, clock.now());
   BOOST_TEST(std::ranges::count_if(tables, [&](const PeerTable &it) {
                return it.isFirst(clock.now()) && it.self().Address != 1;
              }) == 1);
@@ -52,7 +69,7 @@
   for (const auto seed : unittests::seeds({1, 2, 3})) {
     PeerTable table({1, "a", 1}, seed);
     for (std::uint32_t n = 2; n <= 41; ++n)
-      table.learn({n, n % 2 == 0 ? "a" : "b", 1, 1}, clock.now());
+      table.learnRelayed({n, n % 2 == 0 ? "a" : "b", 1, 1}, clock.now());
     const auto chosen = table.choose(4, clock.now());
     BOOST_TEST(chosen.size() == 4U);
     BOOST_TEST(std::ranges::count_if(chosen,
@@ -67,11 +84,11 @@
   limits.MaxPeers = 100;
   PeerTable table({1, "a", 1}, 1, limits);
   for (std::uint32_t n = 2; n <= 1000; ++n)
-    table.learn({n, "a", 1, 1}, clock.now());
+    table.learnRelayed({n, "a", 1, 1}, clock.now());
   BOOST_TEST(table.aliveCount(clock.now()) == 100U);
   clock.advance(limits.ForgottenAfter + 1s);
   table.beat(clock.now());
-  BOOST_TEST(table.learn({2000, "a", 1, 1}, clock.now()));
+  BOOST_TEST(table.learnDirect({2000, "a", 1, 1}, clock.now()));
   BOOST_TEST(table.aliveCount(clock.now()) == 1U);
 }
 
