--- a/Source/UnitTests/Process/edge_fleet.py
+++ b/Source/UnitTests/Process/edge_fleet.py
@@ -286,6 +286,13 @@
         self.process.send_signal(signal.SIGCONT)
         self.mark()
 
+    async def metrics(self):
+        reader, writer = await asyncio.open_connection(self.ip, CONTROL_PORT)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        text = (await reader.read()).decode()
+        writer.close()
+        return {it.split()[0]: float(it.split()[1]) for it in text.splitlines() if it.startswith("auburnedge_")}
+
     async def probe(self):
         """The routers' view: out after two misses, back with one answer."""
         while True:
@@ -354,6 +361,7 @@
         if p is None or p.flags & RST:
             self.flows.pop(me[1], None)
             return None, p
+        self.fleet.counts["opened"] += 1
         flow = {"me": me, "to": to, "queue": queue, "seq": seq + 1, "ack": p.seq + 1, "echo": p.echo,
                 "server": source}
         self.send(Packet(me, to, ACK, flow["seq"], flow["ack"], flow["echo"]))
@@ -389,7 +397,7 @@
         self.registry = Registry()
         self.hosts, self.servers, self.callers = [], [], []
         self.runs, self.faults = {}, []
-        self.counts = {"sent": 0, "answered": 0, "unanswered": 0, "refused": 0, "feeds": 0, "resets": 0}
+        self.counts = {"sent": 0, "answered": 0, "unanswered": 0, "refused": 0, "feeds": 0, "opened": 0, "resets": 0}
         self.version, self.idle_route_dropped_at = 0, None
         self.number = 0
         self.planned_only = True
@@ -609,6 +617,10 @@
         task.add_done_callback(lambda it: (self.busy.discard(subject), it.exception() and self.fail(str(it.exception()))))
         self.tasks.append(task)
 
+    async def flows_placed(self):
+        all_metrics = [await it.metrics() for it in self.hosts]
+        return sum(it["auburnedge_flows_placed_total"] - it["auburnedge_syns_repeated_total"] for it in all_metrics)
+
     async def run(self, seconds, planned_only):
         self.planned_only = planned_only
         self.over, self.busy, self.tasks = False, set(), []
@@ -624,7 +636,13 @@
         # After the last fault everything is served again.
         await asyncio.sleep(STABLE)
         before = dict(self.counts)
+        placed = await self.flows_placed()
         await asyncio.sleep(2)
+        placed = await self.flows_placed() - placed
+        opened = self.counts["opened"] - before["opened"]
+        # Flows that were being opened at either moment may count on one side only.
+        if abs(placed - opened) > 2 * 3 * len(self.callers):
+            self.fail(f"the metrics tell of {placed:.0f} new flows, the callers of {opened}")
         self.over = True
         await asyncio.wait(load, timeout=CALL_LIMIT + 2)
         lost = self.counts["unanswered"] + self.counts["refused"] - before["unanswered"] - before["refused"]
