--- a/Source/UnitTests/Edge/EventLogTest.cpp
+++ b/Source/UnitTests/Edge/EventLogTest.cpp
@@ -110,8 +110,8 @@
   metrics.addAnswerTime(60s);
   const auto text = metrics.text({});
   for (const std::string part :
-       {"# TYPE auburnedge_flows_placed_total counter\n"
-        "auburnedge_flows_placed_total 3\n",
+       {"# TYPE auburnedge_flows_placed_total counter\n",
+        "\nauburnedge_flows_placed_total 3\n",
         "auburnedge_answer_time_ms_bucket{le=\"5\"} 0\n",
         "auburnedge_answer_time_ms_bucket{le=\"10\"} 1\n",
         "auburnedge_answer_time_ms_bucket{le=\"20\"} 2\n",
--- a/Source/UnitTests/Reactor/AsyncHttpTest.cpp
+++ b/Source/UnitTests/Reactor/AsyncHttpTest.cpp
@@ -88,7 +88,7 @@
   const auto at = freeEndpoint(loop);
   AsyncHttpServer server(loop);
   server.serve("/x", "text/plain", [](std::string_view) {
-    return HttpAnswer{200, std::string(5 * 1024 * 1024, 'x')};
+    return HttpAnswer{200, std::string(std::size_t{5} * 1024 * 1024, 'x')};
   });
   BOOST_REQUIRE(server.listen(at).ok());
   AsyncHttpClient client(loop, at);
--- a/Source/UnitTests/State/EdgeSettingsTest.cpp
+++ b/Source/UnitTests/State/EdgeSettingsTest.cpp
@@ -23,7 +23,7 @@
 }
 )";
 
-std::string with(std::string from, const std::string &to) {
+std::string with(const std::string &from, const std::string &to) {
   auto text = Good;
   const auto at = text.find(from);
   BOOST_REQUIRE(at != std::string::npos);
--- a/Source/UnitTests/platform/StoreCodecTest.cpp
+++ b/Source/UnitTests/platform/StoreCodecTest.cpp
@@ -123,10 +123,11 @@
   for (const auto *key : {"servers/", "servers/i-", "servers/i-xyz",
                           "servers/i-0", "servers/i-11112222333344445"})
     BOOST_TEST(decode(list({item(key, Server, 5)})).Servers.empty(), key);
-  const auto bytes = decode(list({item("servers/i-01", "\xff\x00\x01", 5),
-                                  R"({"key":"servers/i-02","value":"%%",)"
-                                  R"("revision":6})",
-                                  "7", R"({"key":5})"}));
+  const auto bytes =
+      decode(list({item("servers/i-01", std::string("\xff\0\1", 3), 5),
+                   R"({"key":"servers/i-02","value":"%%",)"
+                   R"("revision":6})",
+                   "7", R"({"key":5})"}));
   BOOST_TEST(bytes.Servers.empty());
   BOOST_TEST(bytes.Unreadable == 4U);
 }
