Share the dropping of a socket's backlog, and remove what nothing calls

PacketPump and PeerExchange each had the loop that drops what waits on a socket; AsyncHttpClient and RegistryReader had a query that nothing calls, and the state behind it.

Change: ReadableSocket::discard serves both; the two queries are gone. Behaviour stays as it is.

--- a/Source/Edge/PacketPump.cpp
+++ b/Source/Edge/PacketPump.cpp
@@ -34,12 +34,8 @@
 }
 
 void PacketPump::discardBacklog() {
-  for (int i = 0; i < MaxBatches; ++i) {
-    const auto n = Input.socket().receive(std::chrono::milliseconds(0)).size();
-    Recorder.metrics().add(EdgeCounter::StalePacketsDropped, n);
-    if (n < UdpSocket::BatchSize)
-      return;
-  }
+  Recorder.metrics().add(EdgeCounter::StalePacketsDropped,
+                         Input.discard(MaxBatches));
 }
 
 void PacketPump::onReadable() {
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -157,12 +157,7 @@
   sendTo(Seeds, true, 0, true);
 }
 
-void PeerExchange::discardBacklog() {
-  for (int i = 0; i < MaxBatches; ++i)
-    if (Socket.socket().receive(milliseconds(0)).size() <
-        transport::UdpSocket::BatchSize)
-      return;
-}
+void PeerExchange::discardBacklog() { Socket.discard(MaxBatches); }
 
 void PeerExchange::learnHosts(const GossipMessage &message) {
   const auto now = Clock.now();
--- a/Source/Edge/ReadableSocket.h
+++ b/Source/Edge/ReadableSocket.h
@@ -24,6 +24,18 @@
     wait();
   }
   transport::UdpSocket &socket() { return Socket; }
+  /// Drops the datagrams that wait, at most \p batches of them. Returns how
+  /// many it dropped.
+  std::size_t discard(int batches) {
+    std::size_t total = 0;
+    for (int i = 0; i < batches; ++i) {
+      const auto n = Socket.receive(std::chrono::milliseconds(0)).size();
+      total += n;
+      if (n < transport::UdpSocket::BatchSize)
+        break;
+    }
+    return total;
+  }
 
 private:
   void wait() {
--- a/Source/Fleet/RegistryReader.cpp
+++ b/Source/Fleet/RegistryReader.cpp
@@ -50,7 +50,6 @@
 void RegistryReader::onPage(const RegistryPage &page, TimePoint now) {
   UnderWay = false;
   Failures = 0;
-  Answered = true;
   NextAt = now;
   View.countUnreadable(page.Unreadable);
   if (Next == Step::Watch) {
--- a/Source/Fleet/RegistryReader.h
+++ b/Source/Fleet/RegistryReader.h
@@ -58,7 +58,6 @@
   /// Makes the next call due at once, as after a pause of the process.
   void hurry(common::TimePoint now);
 
-  bool isReachable() const { return Failures == 0 && Answered; }
   bool isAway() const { return Failures >= 2; }
   std::uint32_t failures() const { return Failures; }
 
@@ -72,7 +71,6 @@
   bool ListNeeded = false; ///< The history after the view's revision is gone.
   bool Active = true;
   bool UnderWay = false;
-  bool Answered = false;
   std::uint32_t Failures = 0;
   common::TimePoint NextAt;
   common::TimePoint CalledAt;
--- a/Source/Reactor/AsyncHttpClient.cpp
+++ b/Source/Reactor/AsyncHttpClient.cpp
@@ -30,7 +30,6 @@
       : Stream(loop), Server(server) {}
 
   bool isIdle() const { return !OnDone && !Broken; }
-  bool isBroken() const { return Broken; }
 
   void get(const std::string &target, std::chrono::milliseconds timeout,
            Handler handler) {
