--- a/Source/Bench/AdmissionCostBench.cpp
+++ b/Source/Bench/AdmissionCostBench.cpp
@@ -5,7 +5,7 @@
 
 #include "Bench/Figure.h"
 #include "Common/ManualClock.h"
-#include "Coordination/AdmissionController.h"
+#include "Coordination/Placement/AdmissionController.h"
 #include "Protocol/HandOverCodec.h"
 #include "Protocol/LoadReportCodec.h"
 #include "Transport/HttpClient.h"
@@ -27,7 +27,8 @@
 #include <unistd.h>
 
 using namespace auburnroute;
-using namespace auburnroute::coordination;
+using namespace auburnroute::forwarding;
+using namespace auburnroute::placement;
 
 namespace {
 
--- a/Source/Bench/ControlBench.cpp
+++ b/Source/Bench/ControlBench.cpp
@@ -83,7 +83,7 @@
   std::uint64_t HeartbeatBytes = 0;
 
 private:
-  void count(std::size_t from, const coordination::PeerMessage &message) {
+  void count(std::size_t from, const messages::PeerMessage &message) {
     const auto frame = Codec.encode(message).value();
     // Copies of one sequence to several receivers are refused as old after
     // everything else was checked, so the cost is that of a frame taken.
@@ -91,7 +91,7 @@
     const auto n = bytesOnWire(frame.size());
     Bytes[from] += n;
     ++Frames;
-    if (std::holds_alternative<coordination::Heartbeat>(message.Body)) {
+    if (std::holds_alternative<messages::Heartbeat>(message.Body)) {
       ++Heartbeats;
       HeartbeatBytes += n;
     }
@@ -219,8 +219,8 @@
 /// A follower that takes deltas of a document of almost 1 MB.
 void measurePlanDocument() {
   const auto before = allocatedMegabytes();
-  coordination::SettingsFollower source;
-  coordination::SettingsFollower follower;
+  distribution::SettingsFollower source;
+  distribution::SettingsFollower follower;
   const auto text = document(1, PlanServices);
   source.onPlatformDocument(text);
   follower.onPlatformDocument(text);
--- a/Source/Bench/ForwardingBench.cpp
+++ b/Source/Bench/ForwardingBench.cpp
@@ -4,8 +4,8 @@
 
 #include "Bench/Figure.h"
 #include "Bench/PacketPathCounters.h"
-#include "Coordination/FlowTag.h"
-#include "Coordination/ForwardingEngine.h"
+#include "Coordination/Forwarding/FlowTag.h"
+#include "Coordination/Forwarding/ForwardingEngine.h"
 #include "Protocol/PacketBuilder.h"
 #include "Protocol/PacketRewriter.h"
 
@@ -20,7 +20,7 @@
 #include <vector>
 
 using namespace auburnroute;
-using namespace auburnroute::coordination;
+using namespace auburnroute::forwarding;
 
 namespace {
 
--- a/Source/Bench/FullTableCandidate.h
+++ b/Source/Bench/FullTableCandidate.h
@@ -83,8 +83,8 @@
   struct Host {
     RevisionPtr InForce;
     std::vector<std::size_t> Members;
-    absl::flat_hash_map<coordination::FlowKey, std::uint16_t> Flows;
-    std::vector<std::pair<coordination::FlowKey, std::uint16_t>> Outgoing;
+    absl::flat_hash_map<forwarding::FlowKey, std::uint16_t> Flows;
+    std::vector<std::pair<forwarding::FlowKey, std::uint16_t>> Outgoing;
     bool Alive = true;
   };
 
--- a/Source/Bench/PlacementCandidate.h
+++ b/Source/Bench/PlacementCandidate.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Coordination/FlowKey.h"
-#include "Coordination/HashPlacement.h"
+#include "Coordination/Forwarding/FlowKey.h"
+#include "Coordination/Forwarding/HashPlacement.h"
 #include "State/ServiceTable.h"
 
 #include <cstddef>
@@ -19,7 +19,7 @@
   std::vector<state::BackendServerEntry> Active; ///< Without draining servers.
 
   std::uint16_t choose(std::uint64_t flowHash) const {
-    const auto *it = coordination::HashPlacement::choose(Active, flowHash);
+    const auto *it = forwarding::HashPlacement::choose(Active, flowHash);
     return it == nullptr ? 0 : it->Number;
   }
 };
@@ -27,7 +27,7 @@
 
 /// A flow with the state that its endpoints hold.
 struct Flow {
-  coordination::FlowKey Key;
+  forwarding::FlowKey Key;
   std::uint16_t Server = 0; ///< Number of the backend server that has it.
   std::uint32_t Echo = 0;   ///< Last timestamp that the caller got.
   std::uint64_t hash() const { return Key.hash(7321); }
--- a/Source/Bench/PlacementPolicies.h
+++ b/Source/Bench/PlacementPolicies.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Bench/QueueingModel.h"
-#include "Coordination/AdmissionController.h"
+#include "Coordination/Placement/AdmissionController.h"
 
 #include <memory>
 #include <unordered_map>
@@ -95,7 +95,7 @@
   void onSyn(QueueingModel &model, std::uint32_t request) override {
     model.at(model.time() + HandOverDelay, [this, &model, request] {
       // A new try of a caller has a new port.
-      const coordination::FlowKey key = keyOf(NextKey++);
+      const forwarding::FlowKey key = keyOf(NextKey++);
       RequestOf[key.Caller.key()] = request;
       decide(model, key, Controller.onSyn(model.now(), key));
       release(model);
@@ -106,14 +106,14 @@
     const auto key = KeyOfRequest.at(request);
     model.at(model.time() + HandOverDelay, [this, &model, key, refused] {
       Controller.onFinish(model.now(), key,
-                          refused ? coordination::FinishKind::SynRefused
-                                  : coordination::FinishKind::Ended);
+                          refused ? placement::FinishKind::SynRefused
+                                  : placement::FinishKind::Ended);
       release(model);
     });
   }
   void onReport(QueueingModel &model, unsigned server,
                 const ReportedLoad &load) override {
-    coordination::LoadReport report;
+    health::LoadReport report;
     report.Service = "service";
     report.Slots = model.scenario().Slots;
     report.Busy = load.Busy;
@@ -127,7 +127,7 @@
 private:
   static constexpr common::Endpoint Address{0xC6336401, 7002};
 
-  static coordination::FlowKey keyOf(std::uint32_t n) {
+  static forwarding::FlowKey keyOf(std::uint32_t n) {
     return {
         {0xCB007100 + n / 60000, static_cast<std::uint16_t>(1024 + n % 60000)},
         Address};
@@ -168,23 +168,23 @@
       decide(model, it.Key, it.Decision);
   }
 
-  void decide(QueueingModel &model, const coordination::FlowKey &key,
-              const coordination::AdmissionDecision &decision) {
+  void decide(QueueingModel &model, const forwarding::FlowKey &key,
+              const placement::AdmissionDecision &decision) {
     const auto request = RequestOf.at(key.Caller.key());
-    if (const auto *to = std::get_if<coordination::Place>(&decision)) {
+    if (const auto *to = std::get_if<placement::Place>(&decision)) {
       KeyOfRequest[request] = key;
       model.place(request, to->Number - 1U);
-    } else if (std::holds_alternative<coordination::RefuseFlow>(decision)) {
+    } else if (std::holds_alternative<placement::RefuseFlow>(decision)) {
       model.refuse(request);
     }
   }
 
-  coordination::AdmissionController Controller{"zone"};
+  placement::AdmissionController Controller{"zone"};
   unsigned FirstServer = 0;
   std::uint64_t Revision = 0;
   std::uint32_t NextKey = 0;
   std::unordered_map<std::uint64_t, std::uint32_t> RequestOf;
-  std::unordered_map<std::uint32_t, coordination::FlowKey> KeyOfRequest;
+  std::unordered_map<std::uint32_t, forwarding::FlowKey> KeyOfRequest;
 };
 
 } // namespace auburnroute::bench
--- a/Source/Bench/RelayBench.cpp
+++ b/Source/Bench/RelayBench.cpp
@@ -5,7 +5,7 @@
 
 #include "Bench/Figure.h"
 #include "Common/SystemClock.h"
-#include "Coordination/FlowTag.h"
+#include "Coordination/Forwarding/FlowTag.h"
 #include "Daemon/TrafficWorker.h"
 #include "Protocol/PacketBuilder.h"
 #include "State/SettingsLoader.h"
@@ -120,14 +120,14 @@
   packets.reserve(FlowCount);
   for (std::uint32_t i = 0; i < FlowCount; ++i) {
     const auto &server = servers[i % servers.size()];
-    const coordination::FlowKey key{
+    const forwarding::FlowKey key{
         {0xCB007100 + i / Ports, static_cast<std::uint16_t>(1024 + i % Ports)},
         server.Listener};
     std::vector<std::byte> payload(PayloadBytes);
     payload[0] = static_cast<std::byte>(server.Address);
-    const auto echo = coordination::FlowTag::tagValue(
+    const auto echo = forwarding::FlowTag::tagValue(
         5'000'000 + i,
-        coordination::FlowTag::encode(key, server.Number, FlowSeed));
+        forwarding::FlowTag::encode(key, server.Number, FlowSeed));
     packets.push_back(protocol::buildPacket(
         {key.Caller, key.Service, protocol::PacketView::AckFlag, 1, 2,
          protocol::Timestamps{7, echo}, payload}));
--- a/Source/Bench/TagCandidate.h
+++ b/Source/Bench/TagCandidate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Bench/PlacementCandidate.h"
-#include "Coordination/ForwardingEngine.h"
+#include "Coordination/Forwarding/ForwardingEngine.h"
 
 #include "absl/container/flat_hash_map.h"
 
@@ -52,14 +52,14 @@
   }
 
   bool onSynAck(std::size_t host, Flow &flow) override {
-    coordination::PacketSummary packet;
+    forwarding::PacketSummary packet;
     // A server that this host does not know yet has an address of its table.
     packet.Source = {ServerAddress + flow.Server, BackendPort};
     packet.Destination = flow.Key.Caller;
     packet.SynAck = packet.Ack = packet.HasTimestamps = true;
     packet.TimestampValue = 5'000'000;
     const auto outcome = Hosts[host].Engine.onBackendServerPacket(packet);
-    const auto *forward = std::get_if<coordination::ForwardToCaller>(&outcome);
+    const auto *forward = std::get_if<forwarding::ForwardToCaller>(&outcome);
     if (forward == nullptr)
       return false;
     flow.Echo = forward->TimestampValue;
@@ -67,14 +67,14 @@
   }
 
   Decision onPacket(std::size_t host, const Flow &flow) override {
-    coordination::PacketSummary packet;
+    forwarding::PacketSummary packet;
     packet.Source = flow.Key.Caller;
     packet.Destination = flow.Key.Service;
     packet.Ack = packet.HasTimestamps = true;
     packet.TimestampEcho = flow.Echo;
     const auto outcome = Hosts[host].Engine.onCallerPacket(packet);
     const auto *forward =
-        std::get_if<coordination::ForwardToBackendServer>(&outcome);
+        std::get_if<forwarding::ForwardToBackendServer>(&outcome);
     if (forward == nullptr)
       return {};
     return {static_cast<std::uint16_t>(forward->Destination.Address -
@@ -105,9 +105,9 @@
   struct Host {
     RevisionPtr InForce;
     std::vector<std::size_t> Members;
-    coordination::ForwardingEngine Engine;
+    forwarding::ForwardingEngine Engine;
     std::vector<std::uint32_t> Open; ///< By server number.
-    absl::flat_hash_map<coordination::FlowKey, std::uint16_t> Admitted;
+    absl::flat_hash_map<forwarding::FlowKey, std::uint16_t> Admitted;
     bool Alive = true;
   };
 
--- a/Source/Bench/ZoneSimulation.h
+++ b/Source/Bench/ZoneSimulation.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Coordination/Membership.h"
-#include "Coordination/SettingsFollower.h"
+#include "Coordination/Distribution/SettingsFollower.h"
+#include "Coordination/Membership/Membership.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -34,14 +34,14 @@
 
   struct Node {
     std::string Name;
-    std::unique_ptr<coordination::Membership> Members;
-    std::unique_ptr<coordination::SettingsFollower> Follower;
+    std::unique_ptr<membership::Membership> Members;
+    std::unique_ptr<distribution::SettingsFollower> Follower;
     std::uint32_t Life = 0; ///< Counts starts; 0 if it never ran.
     int Side = 0;           ///< Hosts on different sides are cut off.
     bool Running = false;
     TimePoint PausedUntil;
-    std::vector<coordination::HostTransition> Transitions;
-    coordination::SettingsStamp HighestStamp;
+    std::vector<membership::HostTransition> Transitions;
+    messages::SettingsStamp HighestStamp;
     bool Lowered = false; ///< Its settings went back at some point.
   };
 
@@ -59,11 +59,11 @@
   NetworkOptions Network;
   TimePoint Now{std::chrono::hours(1)};
   /// Sees each message that is sent.
-  std::function<void(std::size_t, const coordination::PeerMessage &)> OnSend;
+  std::function<void(std::size_t, const messages::PeerMessage &)> OnSend;
   /// Services that hosts know; set before start().
   std::vector<std::string> Services;
   /// Applied to hosts that start.
-  coordination::MembershipOptions Options;
+  membership::MembershipOptions Options;
 
   common::Endpoint peerOf(std::size_t i) const {
     return {0x7F000001, static_cast<std::uint16_t>(20000 + i)};
@@ -77,13 +77,13 @@
     node.PausedUntil = Now;
     node.HighestStamp = {};
     node.Transitions.clear();
-    node.Members = std::make_unique<coordination::Membership>(
+    node.Members = std::make_unique<membership::Membership>(
         Now,
-        coordination::HostIdentity{
+        membership::HostIdentity{
             node.Name, "zone", {{}, {}, peerOf(i), {}}, incarnation()},
         Options);
     node.Members->setServices(Services);
-    node.Follower = std::make_unique<coordination::SettingsFollower>();
+    node.Follower = std::make_unique<distribution::SettingsFollower>();
     schedule(Now + randomDelay(Nanoseconds(0), Tick), i, std::nullopt);
   }
 
@@ -103,7 +103,7 @@
 
   /// The platform's list with these hosts reaches host \p to.
   void list(std::size_t to, const std::vector<std::size_t> &hosts) {
-    coordination::HostList list;
+    messages::HostList list;
     for (const auto i : hosts)
       list.Hosts.push_back(
           {Nodes[i].Name, "zone", false, {{}, {}, peerOf(i), {}}});
@@ -122,7 +122,7 @@
   }
 
   /// The platform delivers a document to a host.
-  coordination::FollowOutcome publish(std::size_t to, std::string_view text) {
+  distribution::FollowOutcome publish(std::size_t to, std::string_view text) {
     const auto outcome = Nodes[to].Follower->onPlatformDocument(text);
     afterSettings(Nodes[to]);
     return outcome;
@@ -153,7 +153,7 @@
   }
 
   /// Whether all running hosts have these settings in force.
-  bool allHave(coordination::SettingsStamp stamp) const {
+  bool allHave(messages::SettingsStamp stamp) const {
     for (const auto &it : Nodes)
       if (it.Running && it.Follower->stamp() != stamp)
         return false;
@@ -185,7 +185,7 @@
     std::uint64_t Order = 0;
     std::size_t To = 0;
     std::uint32_t Life = 0;
-    std::shared_ptr<const coordination::PeerMessage> Message; ///< Or a tick.
+    std::shared_ptr<const messages::PeerMessage> Message; ///< Or a tick.
 
     bool operator>(const Event &other) const {
       return std::pair(At, Order) > std::pair(other.At, other.Order);
@@ -207,15 +207,15 @@
   }
 
   void schedule(TimePoint at, std::size_t to,
-                std::optional<coordination::PeerMessage> message) {
+                std::optional<messages::PeerMessage> message) {
     Events.push({at, ++Order, to, Nodes[to].Life,
-                 message ? std::make_shared<const coordination::PeerMessage>(
+                 message ? std::make_shared<const messages::PeerMessage>(
                                std::move(*message))
                          : nullptr});
   }
 
   void send(std::size_t from, common::Endpoint to,
-            coordination::PeerMessage message) {
+            messages::PeerMessage message) {
     if (OnSend)
       OnSend(from, message);
     const auto target = static_cast<std::size_t>(to.Port - peerOf(0).Port);
@@ -228,7 +228,7 @@
   }
 
   void request(std::size_t from,
-               std::optional<coordination::AddressedRequest> request) {
+               std::optional<distribution::AddressedRequest> request) {
     if (!request)
       return;
     auto &members = *Nodes[from].Members;
@@ -264,20 +264,20 @@
     schedule(Now + Tick, i, std::nullopt);
   }
 
-  void deliver(std::size_t i, const coordination::PeerMessage &message) {
+  void deliver(std::size_t i, const messages::PeerMessage &message) {
     auto &node = Nodes[i];
-    if (const auto *it = std::get_if<coordination::Heartbeat>(&message.Body)) {
+    if (const auto *it = std::get_if<messages::Heartbeat>(&message.Body)) {
       node.Members->onHeartbeat(Now, message);
       request(i,
               node.Follower->onPeerDigest(Now, message.Sender, it->Settings));
     } else if (const auto *want =
-                   std::get_if<coordination::SettingsRequest>(&message.Body)) {
+                   std::get_if<messages::SettingsRequest>(&message.Body)) {
       auto reply = node.Follower->onSettingsRequest(*want);
       const auto to = node.Members->peerEndpoint(message.Sender);
       if (reply && to)
         send(i, *to, node.Members->stamp(std::move(*reply)));
     } else if (const auto *reply =
-                   std::get_if<coordination::SettingsReply>(&message.Body)) {
+                   std::get_if<messages::SettingsReply>(&message.Body)) {
       request(i,
               node.Follower->onSettingsReply(Now, message.Sender, *reply).Next);
       afterSettings(node);
--- a/Source/Coordination/MergePatch.cpp
+++ b/Source/Coordination/Distribution/MergePatch.cpp
@@ -1,8 +1,8 @@
-#include "Coordination/MergePatch.h"
+#include "Coordination/Distribution/MergePatch.h"
 
 #include <nlohmann/json.hpp>
 
-namespace auburnroute::coordination {
+namespace auburnroute::distribution {
 
 namespace {
 
@@ -44,4 +44,4 @@
   return patchOf(from, to);
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::distribution
--- a/Source/Coordination/MergePatch.h
+++ b/Source/Coordination/Distribution/MergePatch.h
@@ -4,11 +4,11 @@
 
 #include <optional>
 
-namespace auburnroute::coordination {
+namespace auburnroute::distribution {
 
 /// The JSON merge patch (RFC 7386) that turns \p from into \p to, or nothing
 /// if there is none, which is so when \p to has a null value to be set.
 std::optional<nlohmann::json> makeMergePatch(const nlohmann::json &from,
                                              const nlohmann::json &to);
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::distribution
--- a/Source/Coordination/RelayPolicy.cpp
+++ b/Source/Coordination/Distribution/RelayPolicy.cpp
@@ -1,6 +1,6 @@
-#include "Coordination/RelayPolicy.h"
+#include "Coordination/Distribution/RelayPolicy.h"
 
-namespace auburnroute::coordination {
+namespace auburnroute::distribution {
 
 using state::Cause;
 
@@ -15,4 +15,4 @@
   return Used++ < PacketsPerInterval;
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::distribution
--- a/Source/Coordination/RelayPolicy.h
+++ b/Source/Coordination/Distribution/RelayPolicy.h
@@ -6,7 +6,7 @@
 #include <chrono>
 #include <cstdint>
 
-namespace auburnroute::coordination {
+namespace auburnroute::distribution {
 
 /// Decides which packets that the settings here do not know are given to a
 /// host that may have newer settings, so that a flow on a backend server that
@@ -29,4 +29,4 @@
   std::uint32_t Used = 0;
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::distribution
--- a/Source/Coordination/SettingsFollower.cpp
+++ b/Source/Coordination/Distribution/SettingsFollower.cpp
@@ -1,4 +1,4 @@
-#include "Coordination/SettingsFollower.h"
+#include "Coordination/Distribution/SettingsFollower.h"
 
 #include "State/SettingsLoader.h"
 
@@ -7,7 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
-namespace auburnroute::coordination {
+namespace auburnroute::distribution {
 
 namespace {
 
@@ -64,8 +64,8 @@
 
 // Identifies a document that has not passed the checker, as far as it can be
 // read.
-SettingsStamp stampOf(const Json &document, std::string_view text) {
-  SettingsStamp stamp;
+messages::SettingsStamp stampOf(const Json &document, std::string_view text) {
+  messages::SettingsStamp stamp;
   if (document.is_object()) {
     const auto it = document.find("revision");
     if (it != document.end() && it->is_number_unsigned())
@@ -96,7 +96,7 @@
 
 std::optional<AddressedRequest>
 SettingsFollower::onPeerDigest(common::TimePoint now, std::string_view peer,
-                               SettingsStamp stamp) {
+                               messages::SettingsStamp stamp) {
   const auto it = Candidates.find(peer);
   if (stamp <= Stamp || isRefused(stamp)) {
     if (it != Candidates.end())
@@ -112,24 +112,24 @@
   return requestNext(now);
 }
 
-std::optional<SettingsReply>
-SettingsFollower::onSettingsRequest(const SettingsRequest &request) {
+std::optional<messages::SettingsReply>
+SettingsFollower::onSettingsRequest(const messages::SettingsRequest &request) {
   if (InForce == nullptr || request.Have >= Stamp)
     return std::nullopt;
   if (request.Have.Revision != 0) {
     auto patch = History.patchFrom(request.Have);
     if (patch && patch->size() < Text.size()) {
       ++Counters.DeltasSent;
-      return SettingsReply{Stamp, request.Have, std::move(*patch)};
+      return messages::SettingsReply{Stamp, request.Have, std::move(*patch)};
     }
   }
   ++Counters.DocumentsSent;
-  return SettingsReply{Stamp, {}, Text};
+  return messages::SettingsReply{Stamp, {}, Text};
 }
 
-ReplyOutcome SettingsFollower::onSettingsReply(common::TimePoint now,
-                                               std::string_view peer,
-                                               const SettingsReply &reply) {
+ReplyOutcome
+SettingsFollower::onSettingsReply(common::TimePoint now, std::string_view peer,
+                                  const messages::SettingsReply &reply) {
   if (Request && Request->Peer == peer)
     Request.reset();
   if (reply.Stamp <= Stamp) {
@@ -142,7 +142,7 @@
   ++Counters.Mismatches;
   // A delta that does not fit is made up for by the document; a document that
   // is not what it claims to be comes from a faulty peer.
-  if (reply.Base != SettingsStamp{} && !Request)
+  if (reply.Base != messages::SettingsStamp{} && !Request)
     return {outcome, request(now, peer, {})};
   const auto it = Candidates.find(peer);
   if (it != Candidates.end())
@@ -164,14 +164,14 @@
 
 FollowOutcome
 SettingsFollower::accept(std::string_view text,
-                         std::optional<SettingsStamp> announced,
+                         std::optional<messages::SettingsStamp> announced,
                          std::shared_ptr<const nlohmann::json> document) {
   if (text.size() > Options.MaxDocumentBytes)
-    return refuse(announced.value_or(SettingsStamp{}),
+    return refuse(announced.value_or(messages::SettingsStamp{}),
                   std::string(DocumentName) + ":1: document exceeds " +
                       std::to_string(Options.MaxDocumentBytes) + " bytes");
   if (nestsTooDeep(text))
-    return refuse(announced.value_or(SettingsStamp{}),
+    return refuse(announced.value_or(messages::SettingsStamp{}),
                   std::string(DocumentName) + ":1: document nests too deep");
   auto settings = state::loadSettings(text, DocumentName);
   if (!settings.ok()) {
@@ -180,7 +180,7 @@
       return FollowOutcome::Mismatch;
     return refuse(stamp, std::string(settings.status().message()));
   }
-  const SettingsStamp stamp{settings->Revision, settings->Digest};
+  const messages::SettingsStamp stamp{settings->Revision, settings->Digest};
   if (announced && *announced != stamp)
     return FollowOutcome::Mismatch;
   if (stamp <= Stamp) {
@@ -198,7 +198,7 @@
   return FollowOutcome::InForce;
 }
 
-FollowOutcome SettingsFollower::refuse(SettingsStamp stamp,
+FollowOutcome SettingsFollower::refuse(messages::SettingsStamp stamp,
                                        std::string errors) {
   ++Counters.Refused;
   if (isRefused(stamp))
@@ -209,14 +209,15 @@
   return FollowOutcome::Refused;
 }
 
-bool SettingsFollower::isRefused(SettingsStamp stamp) const {
+bool SettingsFollower::isRefused(messages::SettingsStamp stamp) const {
   return std::any_of(
       Refusals.begin(), Refusals.end(),
       [&](const SettingsRefusal &it) { return it.Stamp == stamp; });
 }
 
-FollowOutcome SettingsFollower::acceptReply(const SettingsReply &reply) {
-  if (reply.Base == SettingsStamp{})
+FollowOutcome
+SettingsFollower::acceptReply(const messages::SettingsReply &reply) {
+  if (reply.Base == messages::SettingsStamp{})
     return accept(reply.Text, reply.Stamp, nullptr);
   if (reply.Base != Stamp || History.last() == nullptr ||
       nestsTooDeep(reply.Text))
@@ -245,10 +246,10 @@
 
 AddressedRequest SettingsFollower::request(common::TimePoint now,
                                            std::string_view peer,
-                                           SettingsStamp have) {
+                                           messages::SettingsStamp have) {
   ++Counters.Requests;
   Request = Outstanding{std::string(peer), now};
   return {std::string(peer), {have}};
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::distribution
--- a/Source/Coordination/SettingsFollower.h
+++ b/Source/Coordination/Distribution/SettingsFollower.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "Coordination/PeerMessage.h"
-#include "Coordination/SettingsHistory.h"
-#include "Coordination/SettingsStamp.h"
+#include "Coordination/Distribution/SettingsHistory.h"
+#include "Coordination/Messages/PeerMessage.h"
+#include "Coordination/Messages/SettingsStamp.h"
 #include "State/Settings.h"
 
 #include <chrono>
@@ -15,7 +15,7 @@
 #include <string>
 #include <string_view>
 
-namespace auburnroute::coordination {
+namespace auburnroute::distribution {
 
 /// Bounds of settings distribution.
 struct SettingsFollowerOptions {
@@ -29,7 +29,7 @@
 
 /// A document that was refused; for status.
 struct SettingsRefusal {
-  SettingsStamp Stamp;
+  messages::SettingsStamp Stamp;
   std::string Errors; ///< One line per fault.
 };
 
@@ -44,7 +44,7 @@
 /// A request and the peer that it goes to.
 struct AddressedRequest {
   std::string Peer;
-  SettingsRequest Request;
+  messages::SettingsRequest Request;
 };
 
 /// Outcome of a reply, and the request that it makes necessary.
@@ -82,12 +82,12 @@
   /// A heartbeat of \p peer said what it has in force.
   std::optional<AddressedRequest> onPeerDigest(common::TimePoint now,
                                                std::string_view peer,
-                                               SettingsStamp stamp);
+                                               messages::SettingsStamp stamp);
   /// Answers a peer; nothing if there is nothing newer here.
-  std::optional<SettingsReply>
-  onSettingsRequest(const SettingsRequest &request);
+  std::optional<messages::SettingsReply>
+  onSettingsRequest(const messages::SettingsRequest &request);
   ReplyOutcome onSettingsReply(common::TimePoint now, std::string_view peer,
-                               const SettingsReply &reply);
+                               const messages::SettingsReply &reply);
   /// Repeats a request that timed out, to another peer if there is one.
   std::optional<AddressedRequest> onTick(common::TimePoint now);
 
@@ -95,7 +95,7 @@
   const std::shared_ptr<const state::Settings> &settings() const {
     return InForce;
   }
-  SettingsStamp stamp() const { return Stamp; }
+  messages::SettingsStamp stamp() const { return Stamp; }
   /// The last accepted document as it came in, or canonical after a delta.
   const std::string &text() const { return Text; }
   /// The last refusals, oldest first.
@@ -109,25 +109,25 @@
   };
 
   FollowOutcome accept(std::string_view text,
-                       std::optional<SettingsStamp> announced,
+                       std::optional<messages::SettingsStamp> announced,
                        std::shared_ptr<const nlohmann::json> document);
-  FollowOutcome acceptReply(const SettingsReply &reply);
-  FollowOutcome refuse(SettingsStamp stamp, std::string errors);
-  bool isRefused(SettingsStamp stamp) const;
+  FollowOutcome acceptReply(const messages::SettingsReply &reply);
+  FollowOutcome refuse(messages::SettingsStamp stamp, std::string errors);
+  bool isRefused(messages::SettingsStamp stamp) const;
   std::optional<AddressedRequest> requestNext(common::TimePoint now);
   AddressedRequest request(common::TimePoint now, std::string_view peer,
-                           SettingsStamp have);
+                           messages::SettingsStamp have);
 
   SettingsFollowerOptions Options;
   std::shared_ptr<const state::Settings> InForce;
-  SettingsStamp Stamp;
+  messages::SettingsStamp Stamp;
   std::string Text;
   SettingsHistory History;
   std::uint64_t LastRefusedText = 0; ///< Hash, to check it once only.
   std::deque<SettingsRefusal> Refusals;
-  std::map<std::string, SettingsStamp, std::less<>> Candidates;
+  std::map<std::string, messages::SettingsStamp, std::less<>> Candidates;
   std::optional<Outstanding> Request;
   SettingsFollowerCounters Counters;
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::distribution
--- a/Source/Coordination/SettingsHistory.cpp
+++ b/Source/Coordination/Distribution/SettingsHistory.cpp
@@ -1,12 +1,12 @@
-#include "Coordination/SettingsHistory.h"
+#include "Coordination/Distribution/SettingsHistory.h"
 
-#include "Coordination/MergePatch.h"
+#include "Coordination/Distribution/MergePatch.h"
 
 #include <algorithm>
 
 #include <nlohmann/json.hpp>
 
-namespace auburnroute::coordination {
+namespace auburnroute::distribution {
 
 namespace {
 
@@ -26,7 +26,7 @@
 
 } // namespace
 
-void SettingsHistory::add(SettingsStamp stamp,
+void SettingsHistory::add(messages::SettingsStamp stamp,
                           std::shared_ptr<const nlohmann::json> document) {
   if (Previous != nullptr)
     keepText();
@@ -46,7 +46,8 @@
   }
 }
 
-std::optional<std::string> SettingsHistory::patchFrom(SettingsStamp base) {
+std::optional<std::string>
+SettingsHistory::patchFrom(messages::SettingsStamp base) {
   const auto it =
       std::find_if(Patches.begin(), Patches.end(),
                    [&](const Patch &patch) { return patch.Base == base; });
@@ -57,7 +58,8 @@
   return Patches.emplace_back(Patch{base, build(base)}).Text;
 }
 
-std::optional<std::string> SettingsHistory::build(SettingsStamp base) const {
+std::optional<std::string>
+SettingsHistory::build(messages::SettingsStamp base) const {
   if (Last == nullptr)
     return std::nullopt;
   if (Previous != nullptr && base == PreviousStamp)
@@ -70,4 +72,4 @@
   return deltaOf(nlohmann::json::parse(it->Canonical), *Last);
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::distribution
--- a/Source/Coordination/EndedFlows.cpp
+++ b/Source/Coordination/Forwarding/EndedFlows.cpp
@@ -1,6 +1,6 @@
-#include "Coordination/EndedFlows.h"
+#include "Coordination/Forwarding/EndedFlows.h"
 
-namespace auburnroute::coordination {
+namespace auburnroute::forwarding {
 
 bool EndedFlows::noteEnd(common::TimePoint now, const FlowKey &key) {
   forgetOld(now);
@@ -22,4 +22,4 @@
   }
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::forwarding
--- a/Source/Coordination/EndedFlows.h
+++ b/Source/Coordination/Forwarding/EndedFlows.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "Coordination/FlowKey.h"
+#include "Coordination/Forwarding/FlowKey.h"
 
 #include "absl/container/flat_hash_map.h"
 
@@ -9,7 +9,7 @@
 #include <cstddef>
 #include <deque>
 
-namespace auburnroute::coordination {
+namespace auburnroute::forwarding {
 
 /// Remembers the flows that ended lately, so that each end counts once.
 ///
@@ -42,4 +42,4 @@
   std::deque<End> Order; ///< Oldest first; may hold ends that were erased.
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::forwarding
--- a/Source/Coordination/FlowKey.h
+++ b/Source/Coordination/Forwarding/FlowKey.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace auburnroute::coordination {
+namespace auburnroute::forwarding {
 
 /// Identity of a flow as callers see it.
 struct FlowKey {
@@ -21,4 +21,4 @@
   }
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::forwarding
--- a/Source/Coordination/FlowTag.cpp
+++ b/Source/Coordination/Forwarding/FlowTag.cpp
@@ -1,6 +1,6 @@
-#include "Coordination/FlowTag.h"
+#include "Coordination/Forwarding/FlowTag.h"
 
-namespace auburnroute::coordination {
+namespace auburnroute::forwarding {
 
 namespace {
 
@@ -68,4 +68,4 @@
   return value;
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::forwarding
--- a/Source/Coordination/FlowTag.h
+++ b/Source/Coordination/Forwarding/FlowTag.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "Coordination/FlowKey.h"
+#include "Coordination/Forwarding/FlowKey.h"
 
 #include <cstdint>
 
-namespace auburnroute::coordination {
+namespace auburnroute::forwarding {
 
 /// Carries the number of a flow's backend server in the TCP timestamps that
 /// the caller echoes (RFC 7323), so that any host can forward any packet
@@ -47,4 +47,4 @@
   static std::uint32_t restoreEcho(std::uint32_t echo, std::uint32_t lastValue);
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::forwarding
--- a/Source/Coordination/ForwardingEngine.cpp
+++ b/Source/Coordination/Forwarding/ForwardingEngine.cpp
@@ -1,12 +1,12 @@
-#include "Coordination/ForwardingEngine.h"
+#include "Coordination/Forwarding/ForwardingEngine.h"
 
 #include "Common/Invariant.h"
-#include "Coordination/FlowTag.h"
-#include "Coordination/HashPlacement.h"
+#include "Coordination/Forwarding/FlowTag.h"
+#include "Coordination/Forwarding/HashPlacement.h"
 
 #include <unordered_map>
 
-namespace auburnroute::coordination {
+namespace auburnroute::forwarding {
 
 using state::Cause;
 
@@ -157,4 +157,4 @@
                                key.hash(Table->flowSeed()));
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::forwarding
--- a/Source/Coordination/ForwardingEngine.h
+++ b/Source/Coordination/Forwarding/ForwardingEngine.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include "Coordination/FlowKey.h"
-#include "Coordination/Outcome.h"
-#include "Coordination/PacketSummary.h"
+#include "Coordination/Forwarding/FlowKey.h"
+#include "Coordination/Forwarding/Outcome.h"
+#include "Coordination/Forwarding/PacketSummary.h"
 #include "State/ServiceTable.h"
 
 #include <memory>
 #include <optional>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::forwarding {
 
 /// Decides what happens to each packet. One per traffic thread.
 ///
@@ -63,4 +63,4 @@
   std::vector<std::optional<std::uint32_t>> LastTimestamp;
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::forwarding
--- a/Source/Coordination/HashPlacement.cpp
+++ b/Source/Coordination/Forwarding/HashPlacement.cpp
@@ -1,8 +1,8 @@
-#include "Coordination/HashPlacement.h"
+#include "Coordination/Forwarding/HashPlacement.h"
 
 #include "State/RendezvousHash.h"
 
-namespace auburnroute::coordination {
+namespace auburnroute::forwarding {
 
 const state::BackendServerEntry *
 HashPlacement::choose(std::span<const state::BackendServerEntry> servers,
@@ -20,4 +20,4 @@
   return best;
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::forwarding
--- a/Source/Coordination/HashPlacement.h
+++ b/Source/Coordination/Forwarding/HashPlacement.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <span>
 
-namespace auburnroute::coordination {
+namespace auburnroute::forwarding {
 
 /// Names the backend server of packets without a tag, for services whose
 /// `timestamps` mode is `hash`: weighted rendezvous hashing (the logarithmic
@@ -31,4 +31,4 @@
          std::uint64_t flowHash);
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::forwarding
--- a/Source/Coordination/Outcome.h
+++ b/Source/Coordination/Forwarding/Outcome.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <variant>
 
-namespace auburnroute::coordination {
+namespace auburnroute::forwarding {
 
 /// Send the packet to a backend server.
 struct ForwardToBackendServer {
@@ -49,4 +49,4 @@
 using Outcome = std::variant<ForwardToBackendServer, ForwardToCaller, HandOver,
                              Refuse, Drop>;
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::forwarding
--- a/Source/Coordination/PacketSummary.h
+++ b/Source/Coordination/Forwarding/PacketSummary.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace auburnroute::coordination {
+namespace auburnroute::forwarding {
 
 /// The part of a packet's headers that decisions look at.
 struct PacketSummary {
@@ -20,4 +20,4 @@
   std::uint32_t TimestampEcho = 0;
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::forwarding
--- a/Source/Coordination/SynRing.cpp
+++ b/Source/Coordination/Forwarding/SynRing.cpp
@@ -1,8 +1,8 @@
-#include "Coordination/SynRing.h"
+#include "Coordination/Forwarding/SynRing.h"
 
 #include <algorithm>
 
-namespace auburnroute::coordination {
+namespace auburnroute::forwarding {
 
 namespace {
 
@@ -49,4 +49,4 @@
     it.State = EntryState::Free;
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::forwarding
--- a/Source/Coordination/SynRing.h
+++ b/Source/Coordination/Forwarding/SynRing.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "Coordination/FlowKey.h"
+#include "Coordination/Forwarding/FlowKey.h"
 
 #include <array>
 #include <chrono>
@@ -10,7 +10,7 @@
 #include <span>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::forwarding {
 
 /// The SYNs that a traffic thread handed over lately, so that they can be
 /// handed over again if the admission owner was lost.
@@ -89,4 +89,4 @@
   std::uint64_t Next = 0; ///< Entries that were ever added.
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::forwarding
--- a/Source/Coordination/BackendServerHealth.cpp
+++ b/Source/Coordination/Health/BackendServerHealth.cpp
@@ -1,9 +1,9 @@
-#include "Coordination/BackendServerHealth.h"
+#include "Coordination/Health/BackendServerHealth.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace auburnroute::coordination {
+namespace auburnroute::health {
 
 using state::Cause;
 
@@ -154,4 +154,4 @@
   return static_cast<std::uint32_t>(usable);
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::health
--- a/Source/Coordination/BackendServerHealth.h
+++ b/Source/Coordination/Health/BackendServerHealth.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "Coordination/LoadReport.h"
+#include "Coordination/Health/LoadReport.h"
 #include "State/Cause.h"
 #include "State/Settings.h"
 
@@ -10,7 +10,7 @@
 #include <optional>
 #include <string_view>
 
-namespace auburnroute::coordination {
+namespace auburnroute::health {
 
 /// What new flows a backend server may get.
 enum class HealthState {
@@ -110,4 +110,4 @@
   std::optional<common::TimePoint> StartedAt; ///< Begin of slow start.
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::health
--- a/Source/Coordination/BackendServerLoad.cpp
+++ b/Source/Coordination/Health/BackendServerLoad.cpp
@@ -1,8 +1,8 @@
-#include "Coordination/BackendServerLoad.h"
+#include "Coordination/Health/BackendServerLoad.h"
 
 #include <algorithm>
 
-namespace auburnroute::coordination {
+namespace auburnroute::health {
 
 namespace {
 
@@ -87,4 +87,4 @@
   return HasReport && sum(Last.Busy, Last.Queued) >= requests;
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::health
--- a/Source/Coordination/BackendServerLoad.h
+++ b/Source/Coordination/Health/BackendServerLoad.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "Coordination/LoadReport.h"
+#include "Coordination/Health/LoadReport.h"
 
 #include <array>
 #include <chrono>
 #include <cstdint>
 
-namespace auburnroute::coordination {
+namespace auburnroute::health {
 
 /// Own flows of a backend server that were placed before the window that its
 /// report can lag behind.
@@ -86,4 +86,4 @@
   std::uint32_t OtherConnections = 0;
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::health
--- a/Source/Coordination/LoadReport.h
+++ b/Source/Coordination/Health/LoadReport.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string>
 
-namespace auburnroute::coordination {
+namespace auburnroute::health {
 
 /// What a backend server says of itself (GET /load).
 struct LoadReport {
@@ -18,4 +18,4 @@
   bool Shedding = false; ///< State "shedding": it refuses new work for now.
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::health
--- a/Source/Coordination/ByteBudget.cpp
+++ b/Source/Coordination/Membership/ByteBudget.cpp
@@ -1,8 +1,8 @@
-#include "Coordination/ByteBudget.h"
+#include "Coordination/Membership/ByteBudget.h"
 
 #include <algorithm>
 
-namespace auburnroute::coordination {
+namespace auburnroute::membership {
 
 ByteBudget::ByteBudget(common::TimePoint now, std::size_t bytesPerSecond,
                        std::chrono::seconds burst)
@@ -28,4 +28,4 @@
   Bytes = std::min(Bytes + passed.count() * BytesPerSecond, Most);
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::membership
--- a/Source/Coordination/ByteBudget.h
+++ b/Source/Coordination/Membership/ByteBudget.h
@@ -6,7 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace auburnroute::coordination {
+namespace auburnroute::membership {
 
 /// A token bucket of bytes. Messages that must go out spend from it even if it
 /// is empty; those that can wait ask first.
@@ -30,4 +30,4 @@
   common::TimePoint LastFill;
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::membership
--- a/Source/Coordination/Confirmation.cpp
+++ b/Source/Coordination/Membership/Confirmation.cpp
@@ -1,8 +1,8 @@
-#include "Coordination/Confirmation.h"
+#include "Coordination/Membership/Confirmation.h"
 
 #include <algorithm>
 
-namespace auburnroute::coordination {
+namespace auburnroute::membership {
 
 std::string_view toString(ConfirmationState state) {
   switch (state) {
@@ -24,14 +24,15 @@
   Highest = {};
 }
 
-void Confirmation::onEcho(std::uint64_t sequence, SettingsStamp settings) {
+void Confirmation::onEcho(std::uint64_t sequence,
+                          messages::SettingsStamp settings) {
   if (sequence < FirstSequence)
     return;
   PeerAnswered = true;
   Highest = std::max(Highest, settings);
 }
 
-bool Confirmation::update(common::TimePoint now, SettingsStamp own) {
+bool Confirmation::update(common::TimePoint now, messages::SettingsStamp own) {
   const auto state = next(now, own);
   const bool changed = state != State;
   State = state;
@@ -39,7 +40,7 @@
 }
 
 ConfirmationState Confirmation::next(common::TimePoint now,
-                                     SettingsStamp own) const {
+                                     messages::SettingsStamp own) const {
   if (State == ConfirmationState::ByPeer || own.Revision == 0)
     return State;
   const bool timedOut = now - Since >= JoinTimeout;
@@ -48,4 +49,4 @@
   return timedOut ? ConfirmationState::Alone : State;
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::membership
--- a/Source/Coordination/Confirmation.h
+++ b/Source/Coordination/Membership/Confirmation.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "Coordination/SettingsStamp.h"
+#include "Coordination/Messages/SettingsStamp.h"
 
 #include <chrono>
 #include <cstdint>
 #include <string_view>
 
-namespace auburnroute::coordination {
+namespace auburnroute::membership {
 
 /// Whether this host knows that it is up to date.
 enum class ConfirmationState : std::uint8_t {
@@ -32,22 +32,23 @@
   /// Starts over; only echoes of \p firstSequence or later count.
   void restart(common::TimePoint now, std::uint64_t firstSequence);
   /// A peer echoed \p sequence and has \p settings in force.
-  void onEcho(std::uint64_t sequence, SettingsStamp settings);
+  void onEcho(std::uint64_t sequence, messages::SettingsStamp settings);
   /// Returns whether the state changed. \p own are the settings in force here.
-  bool update(common::TimePoint now, SettingsStamp own);
+  bool update(common::TimePoint now, messages::SettingsStamp own);
 
   ConfirmationState state() const { return State; }
   bool confirmed() const { return State != ConfirmationState::Unconfirmed; }
 
 private:
-  ConfirmationState next(common::TimePoint now, SettingsStamp own) const;
+  ConfirmationState next(common::TimePoint now,
+                         messages::SettingsStamp own) const;
 
   std::chrono::milliseconds JoinTimeout;
   ConfirmationState State = ConfirmationState::Unconfirmed;
   common::TimePoint Since;
   std::uint64_t FirstSequence = 0;
   bool PeerAnswered = false;
-  SettingsStamp Highest; ///< Of the peers that answered.
+  messages::SettingsStamp Highest; ///< Of the peers that answered.
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::membership
--- a/Source/Coordination/Membership.cpp
+++ b/Source/Coordination/Membership/Membership.cpp
@@ -1,6 +1,6 @@
-#include "Coordination/Membership.h"
+#include "Coordination/Membership/Membership.h"
 
-#include "Coordination/NeighbourRing.h"
+#include "Coordination/Membership/NeighbourRing.h"
 
 #include <algorithm>
 #include <array>
@@ -8,7 +8,7 @@
 
 #include <xxhash.h>
 
-namespace auburnroute::coordination {
+namespace auburnroute::membership {
 
 using common::TimePoint;
 using state::Host;
@@ -42,11 +42,11 @@
   return std::tuple(host.Incarnation, host.Sequence, rank(host.State));
 }
 
-auto position(const HostUpdate &update) {
+auto position(const messages::HostUpdate &update) {
   return std::tuple(update.Incarnation, update.Sequence, rank(update.State));
 }
 
-HostUpdate updateOf(const Host &host) {
+messages::HostUpdate updateOf(const Host &host) {
   return {host.Name,  host.Incarnation, host.Sequence,
           host.State, host.Leaving,     host.Addresses};
 }
@@ -74,7 +74,7 @@
 
 // --- Events ---
 
-void Membership::onHostList(TimePoint now, const HostList &list) {
+void Membership::onHostList(TimePoint now, const messages::HostList &list) {
   for (auto &[name, host] : Hosts)
     host.Listed = false;
   for (const auto &it : list.Hosts)
@@ -87,7 +87,8 @@
   refresh(now);
 }
 
-void Membership::onListedHost(TimePoint now, const ListedHost &listed) {
+void Membership::onListedHost(TimePoint now,
+                              const messages::ListedHost &listed) {
   const bool isNew = Hosts.find(listed.Name) == nullptr;
   auto *host = addHost(now, listed.Name);
   if (host == nullptr)
@@ -105,8 +106,9 @@
   peer.ListedLeaving = listed.Leaving;
 }
 
-void Membership::onHeartbeat(TimePoint now, const PeerMessage &message) {
-  const auto *body = std::get_if<Heartbeat>(&message.Body);
+void Membership::onHeartbeat(TimePoint now,
+                             const messages::PeerMessage &message) {
+  const auto *body = std::get_if<messages::Heartbeat>(&message.Body);
   const bool otherZone = body != nullptr && body->Intro.has_value() &&
                          body->Intro->Zone != Self.Zone;
   if (body == nullptr || otherZone || message.Sender == Self.Name ||
@@ -154,7 +156,7 @@
   refresh(now);
 }
 
-void Membership::onUpdate(TimePoint now, const HostUpdate &update) {
+void Membership::onUpdate(TimePoint now, const messages::HostUpdate &update) {
   if (update.Host == Self.Name)
     return onUpdateOfSelf(now, update);
   auto *host = Hosts.find(update.Host);
@@ -187,7 +189,8 @@
     markLeaving(now, *host);
 }
 
-void Membership::onUpdateOfSelf(TimePoint now, const HostUpdate &update) {
+void Membership::onUpdateOfSelf(TimePoint now,
+                                const messages::HostUpdate &update) {
   if (update.Incarnation > Self.Incarnation) {
     // An earlier process of this name had a clock that ran ahead. Its peers
     // would ignore this one as the older of the two.
@@ -207,9 +210,9 @@
     announceLeaving(now);
 }
 
-std::vector<OutgoingMessage> Membership::onDoubt(TimePoint now,
-                                                 std::string_view name) {
-  std::vector<OutgoingMessage> out;
+std::vector<messages::OutgoingMessage>
+Membership::onDoubt(TimePoint now, std::string_view name) {
+  std::vector<messages::OutgoingMessage> out;
   auto *host = Hosts.find(name);
   const auto it = Peers.find(name);
   if (host == nullptr || it == Peers.end() || !it->second.Watched ||
@@ -226,7 +229,7 @@
   return out;
 }
 
-void Membership::onSettings(TimePoint now, SettingsStamp stamp) {
+void Membership::onSettings(TimePoint now, messages::SettingsStamp stamp) {
   if (stamp == Settings)
     return;
   Settings = stamp;
@@ -279,7 +282,7 @@
   return it->Addresses.Peer;
 }
 
-PeerMessage Membership::stamp(PeerBody body) {
+messages::PeerMessage Membership::stamp(messages::PeerBody body) {
   return {Self.Name, Self.Incarnation, ++Sequence, std::move(body)};
 }
 
@@ -348,7 +351,7 @@
 
 // --- Time ---
 
-std::vector<OutgoingMessage> Membership::onTick(TimePoint now) {
+std::vector<messages::OutgoingMessage> Membership::onTick(TimePoint now) {
   if (now - LastTick > Options.PauseLimit)
     onWake(now);
   // Answers may be waiting behind a late tick.
@@ -360,7 +363,7 @@
   if (Confirmed.update(now, Settings))
     EarlyWanted = Changed = true;
   refresh(now);
-  std::vector<OutgoingMessage> out;
+  std::vector<messages::OutgoingMessage> out;
   if (now >= NextRound ||
       (EarlyWanted && now - LastRound >= Options.EarlyInterval)) {
     sendRound(now, out);
@@ -506,7 +509,8 @@
 
 // --- Sending ---
 
-void Membership::sendRound(TimePoint now, std::vector<OutgoingMessage> &out) {
+void Membership::sendRound(TimePoint now,
+                           std::vector<messages::OutgoingMessage> &out) {
   LastRound = now;
   NextRound = now + Options.HeartbeatInterval;
   const auto news = newsOfRound();
@@ -520,7 +524,8 @@
   sendToLost(out);
 }
 
-void Membership::sendAnswers(TimePoint now, std::vector<OutgoingMessage> &out) {
+void Membership::sendAnswers(TimePoint now,
+                             std::vector<messages::OutgoingMessage> &out) {
   if (now - LastRound < Options.EarlyInterval)
     return;
   std::uint64_t sequence = 0;
@@ -533,7 +538,8 @@
   }
 }
 
-void Membership::sendProbes(TimePoint now, std::vector<OutgoingMessage> &out) {
+void Membership::sendProbes(TimePoint now,
+                            std::vector<messages::OutgoingMessage> &out) {
   for (const auto &name : Neighbours) {
     auto &host = *Hosts.find(name);
     auto &peer = Peers[name];
@@ -550,7 +556,7 @@
 // Dead hosts and seeds that no living host answers for take turns, one per
 // round: after a partition both sides hold each other for dead. A host that
 // knows nobody yet tries all seeds.
-void Membership::sendToLost(std::vector<OutgoingMessage> &out) {
+void Membership::sendToLost(std::vector<messages::OutgoingMessage> &out) {
   std::vector<common::Endpoint> lost;
   std::vector<common::Endpoint> found{Self.Addresses.Peer};
   for (const auto &[name, host] : Hosts) {
@@ -573,8 +579,9 @@
 }
 
 void Membership::sendTo(Host &host, std::uint64_t sequence,
-                        const std::vector<HostUpdate> &news, bool probe,
-                        std::vector<OutgoingMessage> &out) {
+                        const std::vector<messages::HostUpdate> &news,
+                        bool probe,
+                        std::vector<messages::OutgoingMessage> &out) {
   auto &peer = Peers[host.Name];
   peer.AnswerDue = false;
   if (!known(host.Addresses.Peer))
@@ -593,8 +600,8 @@
                  {Self.Name, Self.Incarnation, sequence, std::move(body)}});
 }
 
-std::vector<HostUpdate> Membership::newsOfRound() {
-  std::vector<HostUpdate> out;
+std::vector<messages::HostUpdate> Membership::newsOfRound() {
+  std::vector<messages::HostUpdate> out;
   for (const auto &name : News.takeRound(Options.MaxUpdates))
     if (const auto *host = Hosts.find(name); host != nullptr)
       out.push_back(updateOf(*host));
@@ -602,7 +609,7 @@
 }
 
 void Membership::addView(Peer &peer, HostState peerState,
-                         Heartbeat &heartbeat) {
+                         messages::Heartbeat &heartbeat) {
   const auto limit = std::min(Hosts.size(), peerState == HostState::Joining
                                                 ? Options.MaxJoinUpdates
                                                 : Options.MaxViewUpdates);
@@ -617,12 +624,12 @@
   }
 }
 
-Heartbeat Membership::heartbeat() const {
-  Heartbeat body;
+messages::Heartbeat Membership::heartbeat() const {
+  messages::Heartbeat body;
   body.State = selfState();
   body.Settings = Settings;
   body.ViewDigest = ViewDigest;
   return body;
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::membership
--- a/Source/Coordination/Membership.h
+++ b/Source/Coordination/Membership/Membership.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "Coordination/Confirmation.h"
-#include "Coordination/HostList.h"
-#include "Coordination/OwnerTable.h"
-#include "Coordination/PeerMessage.h"
-#include "Coordination/UpdateQueue.h"
+#include "Coordination/Membership/Confirmation.h"
+#include "Coordination/Membership/OwnerTable.h"
+#include "Coordination/Membership/UpdateQueue.h"
+#include "Coordination/Messages/HostList.h"
+#include "Coordination/Messages/PeerMessage.h"
 #include "State/HostTable.h"
 
 #include <chrono>
@@ -16,7 +16,7 @@
 #include <string_view>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::membership {
 
 /// Who this host is.
 struct HostIdentity {
@@ -85,21 +85,21 @@
 
   /// The platform's list. Adds hosts and marks leaving ones; never revives a
   /// dead host, and a host that is not on it but sends heartbeats stays.
-  void onHostList(common::TimePoint now, const HostList &list);
+  void onHostList(common::TimePoint now, const messages::HostList &list);
   /// A heartbeat that PeerCodec has accepted. Other bodies are ignored.
-  void onHeartbeat(common::TimePoint now, const PeerMessage &message);
+  void onHeartbeat(common::TimePoint now, const messages::PeerMessage &message);
   /// Packets suggest that \p host does not admit new flows. Returns a probe of
   /// the host, which becomes suspect if it does not answer within DoubtTimeout.
   /// Only neighbours are probed, since a probe by each host of a large zone
   /// would exceed the byte budget of the answering one; the suspicion spreads
   /// from them.
-  std::vector<OutgoingMessage> onDoubt(common::TimePoint now,
-                                       std::string_view host);
+  std::vector<messages::OutgoingMessage> onDoubt(common::TimePoint now,
+                                                 std::string_view host);
   /// Call at least every 100 ms; a gap longer than the pause limit makes this
   /// host unconfirmed. Returns the heartbeats to send.
-  std::vector<OutgoingMessage> onTick(common::TimePoint now);
+  std::vector<messages::OutgoingMessage> onTick(common::TimePoint now);
   /// The settings in force here changed, or are there for the first time.
-  void onSettings(common::TimePoint now, SettingsStamp stamp);
+  void onSettings(common::TimePoint now, messages::SettingsStamp stamp);
   /// The services that admissionOwner answers for.
   void setServices(const std::vector<std::string> &services);
   /// Announces that this host is stopping. Lasts for this incarnation.
@@ -127,7 +127,7 @@
   std::optional<common::Endpoint> peerEndpoint(std::string_view host) const;
 
   /// Numbers a message of this host.
-  PeerMessage stamp(PeerBody body);
+  messages::PeerMessage stamp(messages::PeerBody body);
   /// State changes of other hosts since the last call, at most 1024.
   std::vector<HostTransition> takeTransitions();
   /// Hosts that were forgotten since the last call, for PeerCodec::forget.
@@ -153,9 +153,10 @@
 
   state::Host *addHost(common::TimePoint now, std::string_view name);
   bool takeNewIncarnation(state::Host &host, std::uint64_t incarnation);
-  void onUpdate(common::TimePoint now, const HostUpdate &update);
-  void onUpdateOfSelf(common::TimePoint now, const HostUpdate &update);
-  void onListedHost(common::TimePoint now, const ListedHost &listed);
+  void onUpdate(common::TimePoint now, const messages::HostUpdate &update);
+  void onUpdateOfSelf(common::TimePoint now,
+                      const messages::HostUpdate &update);
+  void onListedHost(common::TimePoint now, const messages::ListedHost &listed);
   void markLeaving(common::TimePoint now, state::Host &host);
   void setState(common::TimePoint now, state::Host &host,
                 state::HostState state);
@@ -170,17 +171,23 @@
   void refreshReaders();
   std::uint32_t viewDigest() const;
 
-  void sendRound(common::TimePoint now, std::vector<OutgoingMessage> &out);
-  void sendAnswers(common::TimePoint now, std::vector<OutgoingMessage> &out);
-  void sendProbes(common::TimePoint now, std::vector<OutgoingMessage> &out);
-  void sendToLost(std::vector<OutgoingMessage> &out);
+  void sendRound(common::TimePoint now,
+                 std::vector<messages::OutgoingMessage> &out);
+  void sendAnswers(common::TimePoint now,
+                   std::vector<messages::OutgoingMessage> &out);
+  void sendProbes(common::TimePoint now,
+                  std::vector<messages::OutgoingMessage> &out);
+  void sendToLost(std::vector<messages::OutgoingMessage> &out);
   void sendTo(state::Host &host, std::uint64_t sequence,
-              const std::vector<HostUpdate> &news, bool probe,
-              std::vector<OutgoingMessage> &out);
-  std::vector<HostUpdate> newsOfRound();
-  void addView(Peer &peer, state::HostState peerState, Heartbeat &heartbeat);
-  Heartbeat heartbeat() const;
-  Introduction introduction() const { return {Self.Zone, Self.Addresses}; }
+              const std::vector<messages::HostUpdate> &news, bool probe,
+              std::vector<messages::OutgoingMessage> &out);
+  std::vector<messages::HostUpdate> newsOfRound();
+  void addView(Peer &peer, state::HostState peerState,
+               messages::Heartbeat &heartbeat);
+  messages::Heartbeat heartbeat() const;
+  messages::Introduction introduction() const {
+    return {Self.Zone, Self.Addresses};
+  }
 
   HostIdentity Self;
   MembershipOptions Options;
@@ -191,7 +198,7 @@
   OwnerTable Owners;
   UpdateQueue News;
   Confirmation Confirmed;
-  SettingsStamp Settings;
+  messages::SettingsStamp Settings;
   MembershipCounters Counters;
   std::vector<HostTransition> Transitions;
   std::vector<std::string> Forgotten;
@@ -208,4 +215,4 @@
   bool Changed = true; ///< Neighbours, owners and digest are out of date.
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::membership
--- a/Source/Coordination/NeighbourRing.cpp
+++ b/Source/Coordination/Membership/NeighbourRing.cpp
@@ -1,8 +1,8 @@
-#include "Coordination/NeighbourRing.h"
+#include "Coordination/Membership/NeighbourRing.h"
 
 #include <algorithm>
 
-namespace auburnroute::coordination {
+namespace auburnroute::membership {
 
 std::vector<std::string> neighboursOf(const std::vector<std::string> &ring,
                                       std::string_view self) {
@@ -24,4 +24,4 @@
   return out;
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::membership
--- a/Source/Coordination/NeighbourRing.h
+++ b/Source/Coordination/Membership/NeighbourRing.h
@@ -5,7 +5,7 @@
 #include <string_view>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::membership {
 
 /// Zones of up to this many hosts are a full mesh.
 inline constexpr std::size_t FullMeshHosts = 16;
@@ -19,4 +19,4 @@
 std::vector<std::string> neighboursOf(const std::vector<std::string> &ring,
                                       std::string_view self);
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::membership
--- a/Source/Coordination/OwnerTable.cpp
+++ b/Source/Coordination/Membership/OwnerTable.cpp
@@ -1,4 +1,4 @@
-#include "Coordination/OwnerTable.h"
+#include "Coordination/Membership/OwnerTable.h"
 
 #include "Common/Text.h"
 
@@ -9,7 +9,7 @@
 
 #include <xxhash.h>
 
-namespace auburnroute::coordination {
+namespace auburnroute::membership {
 
 namespace {
 
@@ -90,4 +90,4 @@
   }
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::membership
--- a/Source/Coordination/OwnerTable.h
+++ b/Source/Coordination/Membership/OwnerTable.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::membership {
 
 /// Weight of (key, host) in rendezvous hashing; the highest one is first.
 std::uint64_t rendezvousWeight(std::uint64_t keyHash, std::uint64_t hostHash);
@@ -45,4 +45,4 @@
   std::vector<std::string> Hosts;
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::membership
--- a/Source/Coordination/OwnerWatch.cpp
+++ b/Source/Coordination/Membership/OwnerWatch.cpp
@@ -1,8 +1,8 @@
-#include "Coordination/OwnerWatch.h"
+#include "Coordination/Membership/OwnerWatch.h"
 
 #include <algorithm>
 
-namespace auburnroute::coordination {
+namespace auburnroute::membership {
 
 namespace {
 
@@ -49,4 +49,4 @@
   it.Pause = FirstPause;
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::membership
--- a/Source/Coordination/OwnerWatch.h
+++ b/Source/Coordination/Membership/OwnerWatch.h
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::membership {
 
 /// Notices from the packets that a service's admission owner places no flows.
 /// One per traffic thread.
@@ -71,4 +71,4 @@
   std::vector<Entry> Entries; ///< By service.
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::membership
--- a/Source/Coordination/UpdateQueue.cpp
+++ b/Source/Coordination/Membership/UpdateQueue.cpp
@@ -1,8 +1,8 @@
-#include "Coordination/UpdateQueue.h"
+#include "Coordination/Membership/UpdateQueue.h"
 
 #include <algorithm>
 
-namespace auburnroute::coordination {
+namespace auburnroute::membership {
 
 void UpdateQueue::push(std::string_view host) {
   const auto it =
@@ -26,4 +26,4 @@
   return out;
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::membership
--- a/Source/Coordination/UpdateQueue.h
+++ b/Source/Coordination/Membership/UpdateQueue.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::membership {
 
 /// Names of hosts of which there is news to spread. Each one goes into a
 /// bounded number of heartbeat rounds; what is lost anyway is made up for when
@@ -32,4 +32,4 @@
   std::deque<Item> Items; ///< At most one per host of the table.
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::membership
--- a/Source/Coordination/HostList.h
+++ b/Source/Coordination/Messages/HostList.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::messages {
 
 /// A host as the platform lists it.
 struct ListedHost {
@@ -29,4 +29,4 @@
   std::vector<LeavingBackendServer> LeavingBackendServers;
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::messages
--- a/Source/Coordination/PeerMessage.h
+++ b/Source/Coordination/Messages/PeerMessage.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Coordination/SettingsStamp.h"
+#include "Coordination/Messages/SettingsStamp.h"
 #include "State/CauseLedger.h"
 #include "State/HostTable.h"
 
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::messages {
 
 /// News of a third host (a join, a suspicion, a death), spread by its peers.
 struct HostUpdate {
@@ -90,4 +90,4 @@
   PeerMessage Message;
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::messages
--- a/Source/Coordination/SettingsStamp.h
+++ b/Source/Coordination/Messages/SettingsStamp.h
@@ -3,7 +3,7 @@
 #include <compare>
 #include <cstdint>
 
-namespace auburnroute::coordination {
+namespace auburnroute::messages {
 
 /// Identity of a settings document. Documents are ordered by revision, then
 /// digest, so that two documents with one revision still have one winner.
@@ -14,4 +14,4 @@
   auto operator<=>(const SettingsStamp &) const = default;
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::messages
--- a/Source/Coordination/AdmissionController.cpp
+++ b/Source/Coordination/Placement/AdmissionController.cpp
@@ -1,4 +1,4 @@
-#include "Coordination/AdmissionController.h"
+#include "Coordination/Placement/AdmissionController.h"
 
 #include "Common/Invariant.h"
 
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace auburnroute::coordination {
+namespace auburnroute::placement {
 
 using state::Cause;
 using state::ListenerKind;
@@ -131,7 +131,7 @@
 }
 
 AdmissionDecision AdmissionController::onSyn(common::TimePoint now,
-                                             const FlowKey &key) {
+                                             const forwarding::FlowKey &key) {
   if (!Table)
     return refuse(now, key, std::nullopt, Cause::NoSettings);
   const auto *listener = Table->findListener(key.Service);
@@ -149,14 +149,14 @@
   return admit(now, key, *listener);
 }
 
-bool AdmissionController::decided(const FlowKey &key) const {
+bool AdmissionController::decided(const forwarding::FlowKey &key) const {
   return std::any_of(Released.begin(), Released.end(),
                      [&](const auto &it) { return it.Key == key; });
 }
 
 std::optional<Place>
 AdmissionController::repeatedPlacement(common::TimePoint now,
-                                       const FlowKey &key) {
+                                       const forwarding::FlowKey &key) {
   auto *flow = Flows.find(key);
   if (flow == nullptr)
     return std::nullopt;
@@ -165,7 +165,8 @@
   if (recent && !std::exchange(flow->Repeated, true))
     record(now, Servers[id].Health.onSynUnanswered(now, policyOf(id)), id);
   const auto state = Servers[id].Health.state(now, policyOf(id));
-  if (recent && state != HealthState::Draining && state != HealthState::Ejected)
+  if (recent && state != health::HealthState::Draining &&
+      state != health::HealthState::Ejected)
     return Place{Servers[id].Service, Servers[id].Settings->Number};
   // A second server may get the SYN now. Only one handshake completes, and a
   // reset sent for this SYN is not acceptable to a caller whose handshake with
@@ -175,7 +176,8 @@
 }
 
 AdmissionDecision
-AdmissionController::admit(common::TimePoint now, const FlowKey &key,
+AdmissionController::admit(common::TimePoint now,
+                           const forwarding::FlowKey &key,
                            const state::ListenerEntry &listener) {
   if (Flows.full())
     return refuse(now, key, listener.Service, Cause::ConnectionLimit);
@@ -224,7 +226,7 @@
   it.Id = id;
   it.Local = server.Settings->Zone == Zone;
   it.Barred = server.Health.barred();
-  it.Ejected = server.Health.state(now, policy) == HealthState::Ejected;
+  it.Ejected = server.Health.state(now, policy) == health::HealthState::Ejected;
   it.Resting = server.Health.resting(now);
   // Load by others is believed as far as most servers of the service report
   // it: a second host that places flows loads all of them, a wrong report
@@ -240,7 +242,8 @@
   return it;
 }
 
-Place AdmissionController::place(common::TimePoint now, const FlowKey &key,
+Place AdmissionController::place(common::TimePoint now,
+                                 const forwarding::FlowKey &key,
                                  std::uint32_t id, ListenerKind kind) {
   auto &server = Servers[id];
   auto &service = Services[server.Service];
@@ -256,7 +259,7 @@
 }
 
 RefuseFlow AdmissionController::refuse(common::TimePoint now,
-                                       const FlowKey &key,
+                                       const forwarding::FlowKey &key,
                                        std::optional<std::uint32_t> service,
                                        Cause why) {
   common::invariant(Flows.find(key) == nullptr, "a refused flow is not placed");
@@ -264,7 +267,8 @@
   return RefuseFlow{service.value_or(0), why};
 }
 
-void AdmissionController::onFinish(common::TimePoint now, const FlowKey &key,
+void AdmissionController::onFinish(common::TimePoint now,
+                                   const forwarding::FlowKey &key,
                                    FinishKind kind, std::uint16_t number) {
   const auto *flow = Flows.find(key);
   if (flow == nullptr) {
@@ -286,7 +290,7 @@
   }
 }
 
-void AdmissionController::onOtherFinish(const FlowKey &key,
+void AdmissionController::onOtherFinish(const forwarding::FlowKey &key,
                                         std::uint16_t number) {
   const auto *listener = Table ? Table->findListener(key.Service) : nullptr;
   if (listener == nullptr)
@@ -297,7 +301,7 @@
 }
 
 void AdmissionController::onLoadReport(common::TimePoint now, std::uint32_t id,
-                                       const LoadReport &report) {
+                                       const health::LoadReport &report) {
   if (id >= Servers.size())
     return;
   auto &server = Servers[id];
@@ -368,7 +372,7 @@
   const auto since = now - service.UsualDuration.value();
   for (auto &it : Candidates)
     if (Servers[it.Id].Health.state(now, service.Policy) ==
-        HealthState::Healthy)
+        health::HealthState::Healthy)
       it.Ahead =
           Flows.countSince(it.Id, ListenerKind::Request, since, it.Slots);
 }
@@ -453,7 +457,7 @@
   return server.Load.slots(now, server.Settings->Slots, policyOf(id).ReportTtl);
 }
 
-OldFlows AdmissionController::oldFlows(std::uint32_t id) const {
+health::OldFlows AdmissionController::oldFlows(std::uint32_t id) const {
   const auto before = Servers[id].Load.oldBefore();
   return {Flows.countBefore(id, ListenerKind::Request, before, UINT32_MAX),
           Flows.countBefore(id, ListenerKind::Feed, before, UINT32_MAX)};
@@ -468,9 +472,10 @@
   return Flows.count(backendServer, kind);
 }
 
-HealthState AdmissionController::health(common::TimePoint now,
-                                        std::uint32_t backendServer) const {
+health::HealthState
+AdmissionController::health(common::TimePoint now,
+                            std::uint32_t backendServer) const {
   return Servers[backendServer].Health.state(now, policyOf(backendServer));
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::placement
--- a/Source/Coordination/AdmissionController.h
+++ b/Source/Coordination/Placement/AdmissionController.h
@@ -1,15 +1,15 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "Coordination/AdmissionEvents.h"
-#include "Coordination/BackendServerHealth.h"
-#include "Coordination/BackendServerLoad.h"
-#include "Coordination/FlowKey.h"
-#include "Coordination/FlowRecords.h"
-#include "Coordination/HeldQueue.h"
-#include "Coordination/LoadReport.h"
-#include "Coordination/QuantileEstimate.h"
-#include "Coordination/ServerChooser.h"
+#include "Coordination/Forwarding/FlowKey.h"
+#include "Coordination/Health/BackendServerHealth.h"
+#include "Coordination/Health/BackendServerLoad.h"
+#include "Coordination/Health/LoadReport.h"
+#include "Coordination/Placement/AdmissionEvents.h"
+#include "Coordination/Placement/FlowRecords.h"
+#include "Coordination/Placement/HeldQueue.h"
+#include "Coordination/Placement/QuantileEstimate.h"
+#include "Coordination/Placement/ServerChooser.h"
 #include "State/Cause.h"
 #include "State/ServiceTable.h"
 #include "State/Settings.h"
@@ -25,7 +25,7 @@
 #include <variant>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::placement {
 
 /// Send the SYN to this backend server.
 struct Place {
@@ -46,7 +46,7 @@
 
 /// A decision on a flow that was held.
 struct ReleasedFlow {
-  FlowKey Key;
+  forwarding::FlowKey Key;
   AdmissionDecision Decision; ///< Place or RefuseFlow.
 };
 
@@ -95,14 +95,15 @@
                  const absl::flat_hash_set<std::uint32_t> &backendServers);
   /// A SYN. A repeated SYN of a flow that was placed goes to the same server
   /// while that takes new flows; one of a flow that is held stays held.
-  AdmissionDecision onSyn(common::TimePoint now, const FlowKey &key);
+  AdmissionDecision onSyn(common::TimePoint now,
+                          const forwarding::FlowKey &key);
   /// A flow ended. \p number is that of the backend server if known, else 0;
   /// it serves to count flows that another host placed.
-  void onFinish(common::TimePoint now, const FlowKey &key,
+  void onFinish(common::TimePoint now, const forwarding::FlowKey &key,
                 FinishKind kind = FinishKind::Ended, std::uint16_t number = 0);
   /// A load report of the backend server with this table id.
   void onLoadReport(common::TimePoint now, std::uint32_t backendServer,
-                    const LoadReport &report);
+                    const health::LoadReport &report);
   /// The load report could not be had.
   void onReportFailure(common::TimePoint now, std::uint32_t backendServer);
   /// Decisions on held flows that are due: slots that are free, deadlines that
@@ -120,7 +121,8 @@
   /// Placed flows of this kind that have not been seen to end.
   std::uint32_t outstanding(std::uint32_t backendServer,
                             state::ListenerKind kind) const;
-  HealthState health(common::TimePoint now, std::uint32_t backendServer) const;
+  health::HealthState health(common::TimePoint now,
+                             std::uint32_t backendServer) const;
 
 private:
   struct Server {
@@ -128,8 +130,8 @@
     std::string ServiceName; ///< Identifies it across revisions, with the
                              ///< address.
     std::uint32_t Service = 0;
-    BackendServerHealth Health;
-    BackendServerLoad Load;
+    health::BackendServerHealth Health;
+    health::BackendServerLoad Load;
     double Turn = 0; ///< Virtual time at which it is due again.
   };
   struct ServiceState {
@@ -149,22 +151,22 @@
   void holdAgain(common::TimePoint now, const std::vector<HeldSyn> &syns);
   /// Whether the next poll() returns a decision on this flow. A SYN that is
   /// repeated before that must not lead to another one.
-  bool decided(const FlowKey &key) const;
+  bool decided(const forwarding::FlowKey &key) const;
   std::optional<Place> repeatedPlacement(common::TimePoint now,
-                                         const FlowKey &key);
-  AdmissionDecision admit(common::TimePoint now, const FlowKey &key,
+                                         const forwarding::FlowKey &key);
+  AdmissionDecision admit(common::TimePoint now, const forwarding::FlowKey &key,
                           const state::ListenerEntry &listener);
   ServerChoice choose(common::TimePoint now, std::uint32_t service,
                       state::ListenerKind kind);
   ServerCandidate candidate(common::TimePoint now, std::uint32_t id) const;
-  Place place(common::TimePoint now, const FlowKey &key, std::uint32_t id,
-              state::ListenerKind kind);
-  RefuseFlow refuse(common::TimePoint now, const FlowKey &key,
+  Place place(common::TimePoint now, const forwarding::FlowKey &key,
+              std::uint32_t id, state::ListenerKind kind);
+  RefuseFlow refuse(common::TimePoint now, const forwarding::FlowKey &key,
                     std::optional<std::uint32_t> service, state::Cause why);
   void refuseExpired(common::TimePoint now, std::uint32_t service);
   void placeHeld(common::TimePoint now, std::uint32_t service);
   bool placeFirstHeld(common::TimePoint now, std::uint32_t service);
-  void onOtherFinish(const FlowKey &key, std::uint16_t number);
+  void onOtherFinish(const forwarding::FlowKey &key, std::uint16_t number);
   void onRestart(common::TimePoint now, std::uint32_t id);
   void updateMedians(std::uint32_t service);
   void allowAhead(common::TimePoint now, const ServiceState &service);
@@ -173,7 +175,7 @@
               std::uint64_t count = 1);
   const state::ServicePolicy &policyOf(std::uint32_t id) const;
   std::uint32_t slotsOf(common::TimePoint now, std::uint32_t id) const;
-  OldFlows oldFlows(std::uint32_t id) const;
+  health::OldFlows oldFlows(std::uint32_t id) const;
 
   std::string Zone;
   std::shared_ptr<const state::Settings> InForce;
@@ -189,4 +191,4 @@
   common::TimePoint NextAgeCheck;
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::placement
--- a/Source/Coordination/AdmissionEvents.cpp
+++ b/Source/Coordination/Placement/AdmissionEvents.cpp
@@ -1,6 +1,6 @@
-#include "Coordination/AdmissionEvents.h"
+#include "Coordination/Placement/AdmissionEvents.h"
 
-namespace auburnroute::coordination {
+namespace auburnroute::placement {
 
 void AdmissionEvents::add(common::TimePoint now, state::Cause why,
                           std::string_view service,
@@ -26,4 +26,4 @@
   return std::exchange(Events, {});
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::placement
--- a/Source/Coordination/AdmissionEvents.h
+++ b/Source/Coordination/Placement/AdmissionEvents.h
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::placement {
 
 /// A refusal, an ejection or another change with its cause. Equal ones since
 /// the last take are one event. Names, as ids change with each revision.
@@ -45,4 +45,4 @@
   std::uint64_t Dropped = 0;
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::placement
--- a/Source/Coordination/FlowRecords.cpp
+++ b/Source/Coordination/Placement/FlowRecords.cpp
@@ -1,8 +1,8 @@
-#include "Coordination/FlowRecords.h"
+#include "Coordination/Placement/FlowRecords.h"
 
 #include "Common/Invariant.h"
 
-namespace auburnroute::coordination {
+namespace auburnroute::placement {
 
 void FlowRecords::remap(std::span<const std::uint32_t> newIds,
                         std::size_t servers) {
@@ -24,7 +24,7 @@
       }
 }
 
-PlacedFlow *FlowRecords::find(const FlowKey &key) {
+PlacedFlow *FlowRecords::find(const forwarding::FlowKey &key) {
   const auto it = Index.find(key);
   return it == Index.end() ? nullptr : &Nodes[it->second].Flow;
 }
@@ -44,7 +44,7 @@
   append(n);
 }
 
-void FlowRecords::remove(const FlowKey &key) {
+void FlowRecords::remove(const forwarding::FlowKey &key) {
   const auto it = Index.find(key);
   common::invariant(it != Index.end(), "only a placed flow ends");
   unlink(it->second);
@@ -91,7 +91,7 @@
     const auto first = listOf(server, kind).First;
     if (first == None || Nodes[first].Flow.Since >= time)
       break;
-    remove(FlowKey(Nodes[first].Flow.Key));
+    remove(forwarding::FlowKey(Nodes[first].Flow.Key));
     ++removed;
   }
   return removed;
@@ -125,4 +125,4 @@
   --list.Count;
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::placement
--- a/Source/Coordination/FlowRecords.h
+++ b/Source/Coordination/Placement/FlowRecords.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "Coordination/FlowKey.h"
+#include "Coordination/Forwarding/FlowKey.h"
 #include "State/Settings.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -12,11 +12,11 @@
 #include <span>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::placement {
 
 /// A flow that was placed and has not been seen to end.
 struct PlacedFlow {
-  FlowKey Key;
+  forwarding::FlowKey Key;
   common::TimePoint Since; ///< When it was placed.
   std::uint32_t BackendServer = 0;
   state::ListenerKind Kind = state::ListenerKind::Request;
@@ -39,11 +39,11 @@
   bool full() const { return Index.size() >= MaxRecords; }
   std::size_t size() const { return Index.size(); }
   /// The record of \p key, or nullptr. Valid until the next add or remove.
-  PlacedFlow *find(const FlowKey &key);
+  PlacedFlow *find(const forwarding::FlowKey &key);
   /// Adds a flow; its key must be new and the table not full.
   void add(const PlacedFlow &flow);
   /// Removes the flow; its key must be known.
-  void remove(const FlowKey &key);
+  void remove(const forwarding::FlowKey &key);
 
   std::uint32_t count(std::uint32_t server, state::ListenerKind kind) const;
   /// How many of them were placed before \p time, counted up to \p limit.
@@ -79,8 +79,8 @@
   /// In blocks, as a vector that grows would hold twice what is used.
   std::deque<Node> Nodes;
   std::uint32_t FirstFree = None; ///< Unused nodes, linked by Next.
-  absl::flat_hash_map<FlowKey, std::uint32_t> Index;
+  absl::flat_hash_map<forwarding::FlowKey, std::uint32_t> Index;
   std::vector<std::array<List, 2>> Lists; ///< By backend server and kind.
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::placement
--- a/Source/Coordination/HeldQueue.cpp
+++ b/Source/Coordination/Placement/HeldQueue.cpp
@@ -1,8 +1,8 @@
-#include "Coordination/HeldQueue.h"
+#include "Coordination/Placement/HeldQueue.h"
 
 #include "Common/Invariant.h"
 
-namespace auburnroute::coordination {
+namespace auburnroute::placement {
 
 bool HeldQueue::push(const HeldSyn &syn, std::size_t limit) {
   if (Keys.size() >= limit)
@@ -22,8 +22,8 @@
   Order.erase(Order.begin());
 }
 
-std::vector<FlowKey> HeldQueue::takeExpired(common::TimePoint now) {
-  std::vector<FlowKey> expired;
+std::vector<forwarding::FlowKey> HeldQueue::takeExpired(common::TimePoint now) {
+  std::vector<forwarding::FlowKey> expired;
   while (!empty() && front().Deadline <= now) {
     expired.push_back(front().Key);
     popFront();
@@ -40,4 +40,4 @@
   return all;
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::placement
--- a/Source/Coordination/HeldQueue.h
+++ b/Source/Coordination/Placement/HeldQueue.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "Coordination/FlowKey.h"
+#include "Coordination/Forwarding/FlowKey.h"
 
 #include "absl/container/flat_hash_set.h"
 
@@ -11,11 +11,11 @@
 #include <utility>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::placement {
 
 /// A SYN that waits for a slot.
 struct HeldSyn {
-  FlowKey Key;
+  forwarding::FlowKey Key;
   common::TimePoint Deadline;
 };
 
@@ -23,7 +23,9 @@
 /// arrival among equal deadlines. The bound is the service's queueLimit.
 class HeldQueue {
 public:
-  bool contains(const FlowKey &key) const { return Keys.contains(key); }
+  bool contains(const forwarding::FlowKey &key) const {
+    return Keys.contains(key);
+  }
   bool empty() const { return Keys.empty(); }
   std::size_t size() const { return Keys.size(); }
   /// Adds a SYN whose key is not held; false if \p limit are held already.
@@ -32,14 +34,15 @@
   HeldSyn front() const;
   void popFront();
   /// Removes and returns those whose deadline is not after \p now.
-  std::vector<FlowKey> takeExpired(common::TimePoint now);
+  std::vector<forwarding::FlowKey> takeExpired(common::TimePoint now);
   /// Removes and returns all, in order.
   std::vector<HeldSyn> takeAll();
 
 private:
-  std::map<std::pair<common::TimePoint, std::uint64_t>, FlowKey> Order;
-  absl::flat_hash_set<FlowKey> Keys;
+  std::map<std::pair<common::TimePoint, std::uint64_t>, forwarding::FlowKey>
+      Order;
+  absl::flat_hash_set<forwarding::FlowKey> Keys;
   std::uint64_t Arrivals = 0;
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::placement
--- a/Source/Coordination/QuantileEstimate.cpp
+++ b/Source/Coordination/Placement/QuantileEstimate.cpp
@@ -1,6 +1,6 @@
-#include "Coordination/QuantileEstimate.h"
+#include "Coordination/Placement/QuantileEstimate.h"
 
-namespace auburnroute::coordination {
+namespace auburnroute::placement {
 
 namespace {
 
@@ -18,4 +18,4 @@
     Value += Step * Value * (value > Value ? Quantile : Quantile - 1);
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::placement
--- a/Source/Coordination/QuantileEstimate.h
+++ b/Source/Coordination/Placement/QuantileEstimate.h
@@ -2,7 +2,7 @@
 
 #include <chrono>
 
-namespace auburnroute::coordination {
+namespace auburnroute::placement {
 
 /// Follows a quantile of a stream of durations in constant memory: each sample
 /// moves the estimate by a fixed share of itself, up or down in the proportion
@@ -23,4 +23,4 @@
   double Value = 0; ///< ns
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::placement
--- a/Source/Coordination/ServerChooser.cpp
+++ b/Source/Coordination/Placement/ServerChooser.cpp
@@ -1,4 +1,4 @@
-#include "Coordination/ServerChooser.h"
+#include "Coordination/Placement/ServerChooser.h"
 
 #include "Common/Invariant.h"
 
@@ -6,7 +6,7 @@
 #include <cmath>
 #include <tuple>
 
-namespace auburnroute::coordination {
+namespace auburnroute::placement {
 
 using state::Cause;
 
@@ -122,4 +122,4 @@
       });
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::placement
--- a/Source/Coordination/ServerChooser.h
+++ b/Source/Coordination/Placement/ServerChooser.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::placement {
 
 /// What a choice looks at in one backend server.
 struct ServerCandidate {
@@ -74,4 +74,4 @@
   double MaxEjectedShare;
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::placement
--- a/Source/Daemon/AdmissionSummary.h
+++ b/Source/Daemon/AdmissionSummary.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Coordination/AdmissionEvents.h"
+#include "Coordination/Placement/AdmissionEvents.h"
 #include "State/BurnLedger.h"
 #include "State/WaitStatistics.h"
 
@@ -14,8 +14,8 @@
 /// What the admission thread, or a traffic thread that refuses SYNs, tells the
 /// control thread from time to time.
 struct AdmissionSummary {
-  std::vector<coordination::AdmissionEvent> Events; ///< Since the last one.
-  std::map<std::string, state::BurnCounts> Burn;    ///< Since the last one.
+  std::vector<placement::AdmissionEvent> Events; ///< Since the last one.
+  std::map<std::string, state::BurnCounts> Burn; ///< Since the last one.
   /// Since the start; only the admission thread has them.
   std::optional<state::WaitSummary> Waits;
 };
--- a/Source/Daemon/AdmissionWorker.cpp
+++ b/Source/Daemon/AdmissionWorker.cpp
@@ -1,6 +1,6 @@
 #include "Daemon/AdmissionWorker.h"
 
-#include "Coordination/FlowTag.h"
+#include "Coordination/Forwarding/FlowTag.h"
 #include "Protocol/PacketRewriter.h"
 #include "Protocol/ResetBuilder.h"
 
@@ -11,7 +11,7 @@
 // Bounds how late a held flow is released.
 constexpr std::chrono::milliseconds ReceiveTimeout{2};
 
-using coordination::FinishKind;
+using placement::FinishKind;
 
 FinishKind finishKindOf(const protocol::PacketView &view) {
   if (!view.isRst())
@@ -24,9 +24,9 @@
 }
 
 /// Number of the backend server that ended the flow, 0 if it is not known.
-std::uint16_t numberOf(const coordination::FlowKey &key,
+std::uint16_t numberOf(const forwarding::FlowKey &key,
                        const protocol::PacketView &view, std::uint64_t seed) {
-  using coordination::FlowTag;
+  using forwarding::FlowTag;
   return view.hasTimestamps()
              ? FlowTag::decode(key, FlowTag::tagOf(view.timestampValue()), seed)
              : 0;
@@ -34,7 +34,7 @@
 
 } // namespace
 
-using coordination::FlowKey;
+using forwarding::FlowKey;
 using state::Cause;
 using state::Counter;
 
@@ -168,11 +168,10 @@
   const FlowKey key{view.source(), view.destination()};
   Ended.onNewFlow(key);
   const auto decision = Controller.onSyn(now, key);
-  if (const auto *it = std::get_if<coordination::Place>(&decision)) {
+  if (const auto *it = std::get_if<placement::Place>(&decision)) {
     noteWait(it->Service, std::chrono::nanoseconds(0));
     place(*it, view);
-  } else if (const auto *no =
-                 std::get_if<coordination::RefuseFlow>(&decision)) {
+  } else if (const auto *no = std::get_if<placement::RefuseFlow>(&decision)) {
     refuse(*no, view);
   } else {
     const auto bytes = view.bytes();
@@ -236,15 +235,15 @@
   const auto outcome =
       Engine.onPacket(protocol::PacketRewriter::summarise(view));
   if (const auto *server =
-          std::get_if<coordination::ForwardToBackendServer>(&outcome))
+          std::get_if<forwarding::ForwardToBackendServer>(&outcome))
     forward(*server, server->Tunnel, view);
   else if (const auto *caller =
-               std::get_if<coordination::ForwardToCaller>(&outcome))
+               std::get_if<forwarding::ForwardToCaller>(&outcome))
     forward(*caller, Gateway, view);
-  else if (const auto *syn = std::get_if<coordination::HandOver>(&outcome))
+  else if (const auto *syn = std::get_if<forwarding::HandOver>(&outcome))
     passOn(Snapshot->AdmissionOwners[syn->Service], protocol::HandOverKind::Syn,
            view.bytes());
-  else if (const auto *drop = std::get_if<coordination::Drop>(&outcome))
+  else if (const auto *drop = std::get_if<forwarding::Drop>(&outcome))
     Counters.add(drop->Why);
 }
 
@@ -259,20 +258,20 @@
   Socket.queue(to, {}, view.bytes());
 }
 
-void AdmissionWorker::place(const coordination::Place &place,
+void AdmissionWorker::place(const placement::Place &place,
                             protocol::PacketView &view) {
   const auto outcome = Engine.forwardSyn(
       place.Service, place.Number, protocol::PacketRewriter::summarise(view));
   if (const auto *to =
-          std::get_if<coordination::ForwardToBackendServer>(&outcome)) {
+          std::get_if<forwarding::ForwardToBackendServer>(&outcome)) {
     forward(*to, to->Tunnel, view);
     Counters.add(Counter::FlowsPlaced);
   } else {
-    Counters.add(std::get<coordination::Drop>(outcome).Why);
+    Counters.add(std::get<forwarding::Drop>(outcome).Why);
   }
 }
 
-void AdmissionWorker::refuse(const coordination::RefuseFlow &refusal,
+void AdmissionWorker::refuse(const placement::RefuseFlow &refusal,
                              const protocol::PacketView &view) {
   Counters.add(refusal.Why);
   Counters.add(Counter::FlowsRefused);
@@ -314,11 +313,11 @@
       continue;
     protocol::PacketView view;
     view.parse(held->second.Bytes);
-    if (const auto *to = std::get_if<coordination::Place>(&it.Decision)) {
+    if (const auto *to = std::get_if<placement::Place>(&it.Decision)) {
       noteWait(to->Service, now - held->second.Since);
       place(*to, view);
     } else if (const auto *no =
-                   std::get_if<coordination::RefuseFlow>(&it.Decision)) {
+                   std::get_if<placement::RefuseFlow>(&it.Decision)) {
       refuse(*no, view);
     }
     // The held bytes must outlive the datagram that refers to them.
@@ -329,7 +328,7 @@
 
 void AdmissionWorker::onLoadReport(std::uint64_t revision,
                                    std::uint32_t backendServer,
-                                   const coordination::LoadReport &report) {
+                                   const health::LoadReport &report) {
   Counters.add(Counter::LoadReportsReceived);
   // Ids belong to one revision; a report from before a change is useless.
   if (Snapshot && Snapshot->Table->revision() == revision)
--- a/Source/Daemon/AdmissionWorker.h
+++ b/Source/Daemon/AdmissionWorker.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "Coordination/AdmissionController.h"
-#include "Coordination/EndedFlows.h"
-#include "Coordination/ForwardingEngine.h"
+#include "Coordination/Forwarding/EndedFlows.h"
+#include "Coordination/Forwarding/ForwardingEngine.h"
+#include "Coordination/Placement/AdmissionController.h"
 #include "Daemon/AdmissionSummary.h"
 #include "Daemon/ControlSnapshot.h"
 #include "Protocol/HandOverCodec.h"
@@ -36,7 +36,7 @@
   AdmissionSummary takeSummary();
 
   void onLoadReport(std::uint64_t revision, std::uint32_t backendServer,
-                    const coordination::LoadReport &report);
+                    const health::LoadReport &report);
   void onReportFailure(std::uint64_t revision, std::uint32_t backendServer);
 
   const state::CounterSet &counters() const { return Counters; }
@@ -61,8 +61,8 @@
   template <typename Forward>
   void forward(const Forward &outcome, common::Endpoint to,
                protocol::PacketView &view);
-  void place(const coordination::Place &place, protocol::PacketView &view);
-  void refuse(const coordination::RefuseFlow &refusal,
+  void place(const placement::Place &place, protocol::PacketView &view);
+  void refuse(const placement::RefuseFlow &refusal,
               const protocol::PacketView &view);
   void release(common::TimePoint now);
   void applySnapshot(common::TimePoint now);
@@ -81,8 +81,8 @@
   std::chrono::milliseconds PauseLimit;
   transport::UdpSocket Socket;
   protocol::HandOverCodec Codec;
-  coordination::ForwardingEngine Engine;
-  coordination::AdmissionController Controller;
+  forwarding::ForwardingEngine Engine;
+  placement::AdmissionController Controller;
   std::shared_ptr<const ControlSnapshot> Snapshot;
   std::uint64_t SnapshotVersion = 0;
   common::TimePoint LastTurn;
@@ -91,8 +91,8 @@
     std::vector<std::byte> Bytes;
     common::TimePoint Since;
   };
-  absl::flat_hash_map<coordination::FlowKey, HeldSyn> HeldSyns;
-  coordination::EndedFlows Ended;
+  absl::flat_hash_map<forwarding::FlowKey, HeldSyn> HeldSyns;
+  forwarding::EndedFlows Ended;
   state::WaitStatistics Waits;
   std::map<std::string, state::BurnCounts> Burn;
   common::Endpoint Self;
--- a/Source/Daemon/ControlPlane.cpp
+++ b/Source/Daemon/ControlPlane.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 using common::LogLevel;
-using coordination::FollowOutcome;
+using distribution::FollowOutcome;
 using state::Cause;
 using state::HostState;
 
@@ -27,8 +27,8 @@
 constexpr std::chrono::seconds ControlBurst{10};
 constexpr std::size_t CauseReplicaCount = 2;
 
-coordination::HostIdentity identityOf(const state::DaemonSettings &settings,
-                                      std::uint64_t incarnation) {
+membership::HostIdentity identityOf(const state::DaemonSettings &settings,
+                                    std::uint64_t incarnation) {
   return {
       settings.Host,
       settings.Zone,
@@ -36,9 +36,8 @@
       incarnation};
 }
 
-coordination::MembershipOptions
-optionsOf(const state::DaemonSettings &settings) {
-  coordination::MembershipOptions options;
+membership::MembershipOptions optionsOf(const state::DaemonSettings &settings) {
+  membership::MembershipOptions options;
   options.HeartbeatInterval = settings.HeartbeatInterval;
   options.SuspectAfter = settings.SuspectAfter;
   options.DeadAfter = settings.DeadAfter;
@@ -99,41 +98,40 @@
 void ControlPlane::onPeerFrame(std::string_view frame) {
   const auto decoded = Codec.decode(frame);
   // Refusals are counted by the codec.
-  const auto *message = std::get_if<coordination::PeerMessage>(&decoded);
+  const auto *message = std::get_if<messages::PeerMessage>(&decoded);
   if (message == nullptr)
     return;
-  if (std::holds_alternative<coordination::Heartbeat>(message->Body))
+  if (std::holds_alternative<messages::Heartbeat>(message->Body))
     onHeartbeat(*message);
-  else if (std::holds_alternative<coordination::SettingsRequest>(message->Body))
+  else if (std::holds_alternative<messages::SettingsRequest>(message->Body))
     onRequest(*message);
-  else if (std::holds_alternative<coordination::SettingsReply>(message->Body))
+  else if (std::holds_alternative<messages::SettingsReply>(message->Body))
     onReply(*message);
   else
-    for (const auto &it :
-         std::get<coordination::CauseBatch>(message->Body).Entries)
+    for (const auto &it : std::get<messages::CauseBatch>(message->Body).Entries)
       Causes.merge(Clock.wallTime(), it);
 }
 
-void ControlPlane::onHeartbeat(const coordination::PeerMessage &message) {
+void ControlPlane::onHeartbeat(const messages::PeerMessage &message) {
   const auto now = Clock.now();
   Members.onHeartbeat(now, message);
-  const auto &heartbeat = std::get<coordination::Heartbeat>(message.Body);
+  const auto &heartbeat = std::get<messages::Heartbeat>(message.Body);
   if (const auto request =
           Follower.onPeerDigest(now, message.Sender, heartbeat.Settings))
     send(*request);
 }
 
-void ControlPlane::onRequest(const coordination::PeerMessage &message) {
-  const auto &request = std::get<coordination::SettingsRequest>(message.Body);
+void ControlPlane::onRequest(const messages::PeerMessage &message) {
+  const auto &request = std::get<messages::SettingsRequest>(message.Body);
   const auto to = Members.peerEndpoint(message.Sender);
   if (auto reply = Follower.onSettingsRequest(request); reply && to)
     send(*to, Members.stamp(*std::move(reply)));
 }
 
-void ControlPlane::onReply(const coordination::PeerMessage &message) {
-  const auto outcome = Follower.onSettingsReply(
-      Clock.now(), message.Sender,
-      std::get<coordination::SettingsReply>(message.Body));
+void ControlPlane::onReply(const messages::PeerMessage &message) {
+  const auto outcome =
+      Follower.onSettingsReply(Clock.now(), message.Sender,
+                               std::get<messages::SettingsReply>(message.Body));
   if (outcome.Outcome == FollowOutcome::InForce)
     onSettingsInForce();
   noteRefusals();
@@ -246,7 +244,7 @@
     SnapshotDue = true;
     common::logLine(
         LogLevel::Info,
-        absl::StrCat("up to date: ", common::toAbsl(coordination::toString(
+        absl::StrCat("up to date: ", common::toAbsl(membership::toString(
                                          Members.confirmation()))));
   }
   if (Members.ownershipVersion() != PublishedOwnership)
@@ -346,7 +344,7 @@
   auto entries = Causes.takeChanged(std::min(CausesPerBatch, affordable));
   if (entries.empty())
     return;
-  const coordination::CauseBatch batch{std::move(entries)};
+  const messages::CauseBatch batch{std::move(entries)};
   for (const auto &it : replicas)
     send(it, Members.stamp(batch));
 }
@@ -361,7 +359,7 @@
   for (std::size_t i = 0; i < entries.size(); i += Limit) {
     const auto first = entries.begin() + static_cast<std::ptrdiff_t>(i);
     const auto n = std::min(Limit, entries.size() - i);
-    const coordination::CauseBatch batch{
+    const messages::CauseBatch batch{
         {first, first + static_cast<std::ptrdiff_t>(n)}};
     for (const auto &it : replicas)
       send(it, Members.stamp(batch));
@@ -388,7 +386,7 @@
 }
 
 void ControlPlane::send(const common::Endpoint &to,
-                        const coordination::PeerMessage &message) {
+                        const messages::PeerMessage &message) {
   auto bytes = Codec.encode(message);
   if (bytes.ok()) {
     Budget.spend(Clock.now(), bytes->size());
@@ -400,7 +398,7 @@
   }
 }
 
-void ControlPlane::send(const coordination::AddressedRequest &request) {
+void ControlPlane::send(const distribution::AddressedRequest &request) {
   if (const auto to = Members.peerEndpoint(request.Peer))
     send(*to, Members.stamp(request.Request));
 }
--- a/Source/Daemon/ControlPlane.h
+++ b/Source/Daemon/ControlPlane.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "Coordination/ByteBudget.h"
-#include "Coordination/Membership.h"
-#include "Coordination/SettingsFollower.h"
+#include "Coordination/Distribution/SettingsFollower.h"
+#include "Coordination/Membership/ByteBudget.h"
+#include "Coordination/Membership/Membership.h"
 #include "Daemon/AdmissionSummary.h"
 #include "Daemon/ControlReports.h"
 #include "Daemon/ControlSnapshot.h"
@@ -73,12 +73,11 @@
   ControlView view() const;
 
 private:
-  void send(const common::Endpoint &to,
-            const coordination::PeerMessage &message);
-  void send(const coordination::AddressedRequest &request);
-  void onHeartbeat(const coordination::PeerMessage &message);
-  void onRequest(const coordination::PeerMessage &message);
-  void onReply(const coordination::PeerMessage &message);
+  void send(const common::Endpoint &to, const messages::PeerMessage &message);
+  void send(const distribution::AddressedRequest &request);
+  void onHeartbeat(const messages::PeerMessage &message);
+  void onRequest(const messages::PeerMessage &message);
+  void onReply(const messages::PeerMessage &message);
   void onSettingsInForce();
   void noteRefusals();
   void noteTransitions();
@@ -94,16 +93,16 @@
   state::DaemonSettings Local;
   const common::Clock &Clock;
   common::TimePoint Started;
-  coordination::Membership Members;
-  coordination::SettingsFollower Follower;
+  membership::Membership Members;
+  distribution::SettingsFollower Follower;
   protocol::PeerCodec Codec;
   state::CauseLedger Causes;
   state::BurnLedger Burn;
   state::WaitSummary Waits;
   std::shared_ptr<const state::ServiceTable> Table;
-  std::vector<coordination::LeavingBackendServer> ListedLeaving;
+  std::vector<messages::LeavingBackendServer> ListedLeaving;
   std::vector<PeerFrame> Outbox;
-  coordination::ByteBudget Budget;
+  membership::ByteBudget Budget;
   std::uint64_t HostListVersion = 0;
   std::uint64_t PublishedOwnership = 0;
   std::uint64_t NotedRefusals = 0;
--- a/Source/Daemon/ControlReports.cpp
+++ b/Source/Daemon/ControlReports.cpp
@@ -16,7 +16,7 @@
   root["host"] = View.Local.Host;
   root["zone"] = View.Local.Zone;
   root["state"] = state::toString(View.Members.selfState());
-  root["confirmation"] = coordination::toString(View.Members.confirmation());
+  root["confirmation"] = membership::toString(View.Members.confirmation());
   root["ready"] = View.Ready;
   root["uptime_seconds"] = std::chrono::duration_cast<std::chrono::seconds>(
                                View.Clock.now() - View.Started)
--- a/Source/Daemon/ControlReports.h
+++ b/Source/Daemon/ControlReports.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "Coordination/Membership.h"
-#include "Coordination/SettingsFollower.h"
+#include "Coordination/Distribution/SettingsFollower.h"
+#include "Coordination/Membership/Membership.h"
 #include "Protocol/PeerCodec.h"
 #include "State/BurnLedger.h"
 #include "State/CauseLedger.h"
@@ -20,8 +20,8 @@
   const state::DaemonSettings &Local;
   const common::Clock &Clock;
   common::TimePoint Started;
-  const coordination::Membership &Members;
-  const coordination::SettingsFollower &Follower;
+  const membership::Membership &Members;
+  const distribution::SettingsFollower &Follower;
   const protocol::PeerCodec &Codec;
   const state::CauseLedger &Causes;
   const state::BurnLedger &Burn;
--- a/Source/Daemon/Messages.h
+++ b/Source/Daemon/Messages.h
@@ -2,7 +2,7 @@
 
 #include "Common/Clock.h"
 #include "Common/Endpoint.h"
-#include "Coordination/LoadReport.h"
+#include "Coordination/Health/LoadReport.h"
 #include "Daemon/AdmissionSummary.h"
 
 #include <caf/all.hpp>
@@ -33,7 +33,7 @@
 struct BackendServerPolled {
   std::uint64_t Revision = 0; ///< Of the table that the id belongs to.
   std::uint32_t BackendServer = 0;
-  std::optional<coordination::LoadReport> Report; ///< None if it failed.
+  std::optional<health::LoadReport> Report; ///< None if it failed.
 };
 
 /// A traffic thread doubts that the admission owner with this socket works.
--- a/Source/Daemon/TrafficWorker.cpp
+++ b/Source/Daemon/TrafficWorker.cpp
@@ -104,7 +104,7 @@
              Engine.onPacket(PacketRewriter::summarise(view)));
 }
 
-void TrafficWorker::apply(const coordination::ForwardToBackendServer &outcome,
+void TrafficWorker::apply(const forwarding::ForwardToBackendServer &outcome,
                           protocol::PacketView &view) {
   if (const auto why = PacketRewriter::apply(outcome, view);
       why != Cause::None) {
@@ -118,7 +118,7 @@
     Socket.queue(outcome.Tunnel, {}, view.bytes());
 }
 
-void TrafficWorker::apply(const coordination::ForwardToCaller &outcome,
+void TrafficWorker::apply(const forwarding::ForwardToCaller &outcome,
                           protocol::PacketView &view) {
   if (const auto why = PacketRewriter::apply(outcome, view);
       why != Cause::None) {
@@ -136,7 +136,7 @@
     Socket.queue(Gateway, {}, view.bytes());
 }
 
-void TrafficWorker::apply(const coordination::HandOver &outcome,
+void TrafficWorker::apply(const forwarding::HandOver &outcome,
                           protocol::PacketView &view) {
   const auto owner = ownerOf(outcome.Service);
   handOver(owner, protocol::HandOverKind::Syn, view);
@@ -147,7 +147,7 @@
     OnDoubt(owner);
 }
 
-void TrafficWorker::apply(const coordination::Refuse &outcome,
+void TrafficWorker::apply(const forwarding::Refuse &outcome,
                           protocol::PacketView &view) {
   Counters.add(outcome.Why);
   Counters.add(Counter::FlowsRefused);
@@ -160,7 +160,7 @@
   Socket.flush();
 }
 
-void TrafficWorker::apply(const coordination::Drop &outcome,
+void TrafficWorker::apply(const forwarding::Drop &outcome,
                           protocol::PacketView &view) {
   Counters.add(outcome.Why);
   if (Snapshot->Relay && Relays.shouldRelay(Now, outcome.Why))
--- a/Source/Daemon/TrafficWorker.h
+++ b/Source/Daemon/TrafficWorker.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "Coordination/ForwardingEngine.h"
-#include "Coordination/OwnerWatch.h"
-#include "Coordination/RelayPolicy.h"
-#include "Coordination/SynRing.h"
+#include "Coordination/Distribution/RelayPolicy.h"
+#include "Coordination/Forwarding/ForwardingEngine.h"
+#include "Coordination/Forwarding/SynRing.h"
+#include "Coordination/Membership/OwnerWatch.h"
 #include "Daemon/AdmissionSummary.h"
 #include "Daemon/ControlSnapshot.h"
 #include "Protocol/HandOverCodec.h"
@@ -51,13 +51,13 @@
   void reportRefusals();
   void onNewOwner(std::uint32_t service, common::Endpoint before);
   void handle(std::span<std::byte> datagram);
-  void apply(const coordination::ForwardToBackendServer &outcome,
+  void apply(const forwarding::ForwardToBackendServer &outcome,
              protocol::PacketView &view);
-  void apply(const coordination::ForwardToCaller &outcome,
+  void apply(const forwarding::ForwardToCaller &outcome,
              protocol::PacketView &view);
-  void apply(const coordination::HandOver &outcome, protocol::PacketView &view);
-  void apply(const coordination::Refuse &outcome, protocol::PacketView &view);
-  void apply(const coordination::Drop &outcome, protocol::PacketView &view);
+  void apply(const forwarding::HandOver &outcome, protocol::PacketView &view);
+  void apply(const forwarding::Refuse &outcome, protocol::PacketView &view);
+  void apply(const forwarding::Drop &outcome, protocol::PacketView &view);
   void handOver(common::Endpoint to, protocol::HandOverKind kind,
                 const protocol::PacketView &view);
   common::Endpoint ownerOf(std::uint32_t service) const {
@@ -73,12 +73,12 @@
   DoubtFunction OnDoubt;
   SummaryFunction OnSummary;
   AdmissionSummary Refusals; ///< Burn only; events are in RefusalEvents.
-  coordination::AdmissionEvents RefusalEvents;
+  placement::AdmissionEvents RefusalEvents;
   common::TimePoint NextReport;
-  coordination::ForwardingEngine Engine;
-  coordination::RelayPolicy Relays;
-  coordination::OwnerWatch Watch;
-  coordination::SynRing RecentSyns;
+  forwarding::ForwardingEngine Engine;
+  distribution::RelayPolicy Relays;
+  membership::OwnerWatch Watch;
+  forwarding::SynRing RecentSyns;
   common::TimePoint Now; ///< Start of the batch.
   std::shared_ptr<const ControlSnapshot> Snapshot;
   std::uint64_t SnapshotVersion = 0;
--- a/Source/Protocol/LoadReportCodec.cpp
+++ b/Source/Protocol/LoadReportCodec.cpp
@@ -7,8 +7,7 @@
 
 namespace auburnroute::protocol {
 
-absl::StatusOr<coordination::LoadReport>
-decodeLoadReport(std::string_view text) {
+absl::StatusOr<health::LoadReport> decodeLoadReport(std::string_view text) {
   const auto fault = [](const char *what) {
     return absl::InvalidArgumentError(absl::StrCat("load report: ", what));
   };
@@ -18,7 +17,7 @@
   const auto service = root.find("service");
   if (service == root.end() || !service->is_string())
     return fault("\"service\" is not a string");
-  coordination::LoadReport report;
+  health::LoadReport report;
   report.Service = service->get<std::string>();
   const auto mode = root.find("state");
   if (mode == root.end() || !mode->is_string())
--- a/Source/Protocol/LoadReportCodec.h
+++ b/Source/Protocol/LoadReportCodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Coordination/AdmissionController.h"
+#include "Coordination/Placement/AdmissionController.h"
 
 #include "absl/status/statusor.h"
 
@@ -10,7 +10,6 @@
 
 /// Decodes the answer of a backend server to GET /load. Errors:
 /// InvalidArgument, if it is not a JSON object with the expected fields.
-absl::StatusOr<coordination::LoadReport>
-decodeLoadReport(std::string_view text);
+absl::StatusOr<health::LoadReport> decodeLoadReport(std::string_view text);
 
 } // namespace auburnroute::protocol
--- a/Source/Protocol/PacketRewriter.cpp
+++ b/Source/Protocol/PacketRewriter.cpp
@@ -2,9 +2,8 @@
 
 namespace auburnroute::protocol {
 
-coordination::PacketSummary
-PacketRewriter::summarise(const PacketView &packet) {
-  coordination::PacketSummary summary;
+forwarding::PacketSummary PacketRewriter::summarise(const PacketView &packet) {
+  forwarding::PacketSummary summary;
   summary.Source = packet.source();
   summary.Destination = packet.destination();
   summary.Syn = packet.isSyn();
@@ -21,7 +20,7 @@
 }
 
 state::Cause
-PacketRewriter::apply(const coordination::ForwardToBackendServer &forward,
+PacketRewriter::apply(const forwarding::ForwardToBackendServer &forward,
                       PacketView &packet) {
   if (!packet.decrementTimeToLive())
     return state::Cause::BadHeader;
@@ -31,7 +30,7 @@
   return state::Cause::None;
 }
 
-state::Cause PacketRewriter::apply(const coordination::ForwardToCaller &forward,
+state::Cause PacketRewriter::apply(const forwarding::ForwardToCaller &forward,
                                    PacketView &packet) {
   if (!packet.decrementTimeToLive())
     return state::Cause::BadHeader;
--- a/Source/Protocol/PacketRewriter.h
+++ b/Source/Protocol/PacketRewriter.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Coordination/Outcome.h"
-#include "Coordination/PacketSummary.h"
+#include "Coordination/Forwarding/Outcome.h"
+#include "Coordination/Forwarding/PacketSummary.h"
 #include "Protocol/PacketView.h"
 #include "State/Cause.h"
 
@@ -12,12 +12,12 @@
 class PacketRewriter {
 public:
   /// What decisions look at in \p packet.
-  static coordination::PacketSummary summarise(const PacketView &packet);
+  static forwarding::PacketSummary summarise(const PacketView &packet);
   /// Carries out a decision on \p packet. Returns Cause::None, or
   /// Cause::BadHeader if its time to live has run out.
-  static state::Cause apply(const coordination::ForwardToBackendServer &forward,
+  static state::Cause apply(const forwarding::ForwardToBackendServer &forward,
                             PacketView &packet);
-  static state::Cause apply(const coordination::ForwardToCaller &forward,
+  static state::Cause apply(const forwarding::ForwardToCaller &forward,
                             PacketView &packet);
 };
 
--- a/Source/Protocol/PeerCodec.cpp
+++ b/Source/Protocol/PeerCodec.cpp
@@ -12,9 +12,9 @@
 
 namespace auburnroute::protocol {
 
-namespace {
+using namespace messages;
 
-using namespace coordination;
+namespace {
 
 constexpr std::uint64_t MaxEndpointKey = (std::uint64_t{1} << 48) - 1;
 
--- a/Source/Protocol/PeerCodec.h
+++ b/Source/Protocol/PeerCodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Coordination/PeerMessage.h"
+#include "Coordination/Messages/PeerMessage.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/statusor.h"
@@ -43,14 +43,14 @@
   static constexpr std::size_t MaxNameBytes = 255;
   static constexpr std::size_t MaxSenders = state::HostTable::MaxHosts;
 
-  using Decoded = std::variant<coordination::PeerMessage, PeerRefusal>;
+  using Decoded = std::variant<messages::PeerMessage, PeerRefusal>;
 
   /// \p key is the shared key of the hosts.
   explicit PeerCodec(std::string key);
 
   /// Errors: ResourceExhausted if the frame would exceed a bound.
   absl::StatusOr<std::string>
-  encode(const coordination::PeerMessage &message) const;
+  encode(const messages::PeerMessage &message) const;
   /// Checks the bound, the HMAC, the values and the sender, in this order.
   Decoded decode(std::string_view frame);
   /// Drops what is kept of a sender, once membership has forgotten the host.
@@ -69,7 +69,7 @@
 
   std::array<unsigned char, MacBytes> mac(std::string_view envelope) const;
   Decoded refuse(PeerRefusal reason);
-  std::optional<PeerRefusal> admit(const coordination::PeerMessage &message);
+  std::optional<PeerRefusal> admit(const messages::PeerMessage &message);
 
   std::string Key;
   absl::flat_hash_map<std::string, LastFrame> Senders;
--- a/Source/Protocol/PlatformCodec.cpp
+++ b/Source/Protocol/PlatformCodec.cpp
@@ -49,7 +49,7 @@
 }
 
 absl::Status readHost(const Json &node, const std::string &where,
-                      coordination::ListedHost &to) {
+                      messages::ListedHost &to) {
   if (!node.is_object())
     return fault(where, "is not an object");
   auto &at = to.Addresses;
@@ -64,7 +64,7 @@
 }
 
 absl::Status readServer(const Json &node, const std::string &where,
-                        coordination::LeavingBackendServer &to) {
+                        messages::LeavingBackendServer &to) {
   if (!node.is_object())
     return fault(where, "is not an object");
   auto status = readText(node, "service", where, to.Service);
@@ -92,11 +92,11 @@
 
 } // namespace
 
-absl::StatusOr<coordination::HostList> decodeHostList(std::string_view text) {
+absl::StatusOr<messages::HostList> decodeHostList(std::string_view text) {
   const auto root = Json::parse(text, nullptr, false, true);
   if (!root.is_object())
     return fault("document", "is not a JSON object");
-  coordination::HostList list;
+  messages::HostList list;
   const auto version = root.find("version");
   if (version == root.end() || !version->is_number_unsigned())
     return fault("version", "is not a whole number");
--- a/Source/Protocol/PlatformCodec.h
+++ b/Source/Protocol/PlatformCodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Coordination/HostList.h"
+#include "Coordination/Messages/HostList.h"
 
 #include "absl/status/statusor.h"
 
@@ -12,7 +12,7 @@
 /// ignored, so that the platform can add some. Errors: InvalidArgument, naming
 /// the entry and the member, if a member is missing or has the wrong form, or
 /// if there are more than MaxListedHosts hosts.
-absl::StatusOr<coordination::HostList> decodeHostList(std::string_view text);
+absl::StatusOr<messages::HostList> decodeHostList(std::string_view text);
 
 /// Hosts on a list; the plan size is 13,000 over all zones.
 inline constexpr std::size_t MaxListedHosts = 65536;
--- a/Source/UnitTests/Coordination/RelayPolicyTest.cpp
+++ b/Source/UnitTests/Coordination/Distribution/RelayPolicyTest.cpp
@@ -1,10 +1,10 @@
-#include "Coordination/RelayPolicy.h"
+#include "Coordination/Distribution/RelayPolicy.h"
 #include "Common/ManualClock.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace auburnroute;
-using coordination::RelayPolicy;
+using distribution::RelayPolicy;
 using state::Cause;
 
 BOOST_AUTO_TEST_SUITE(RelayPolicyTest)
--- a/Source/UnitTests/Coordination/SettingsFollowerTest.cpp
+++ b/Source/UnitTests/Coordination/Distribution/SettingsFollowerTest.cpp
@@ -1,7 +1,7 @@
-#include "Coordination/SettingsFollower.h"
+#include "Coordination/Distribution/SettingsFollower.h"
 
 #include "Bench/ZoneSimulation.h"
-#include "Coordination/MergePatch.h"
+#include "Coordination/Distribution/MergePatch.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -13,10 +13,10 @@
 using namespace std::chrono_literals;
 using bench::sampleDocument;
 using bench::ZoneSimulation;
-using coordination::FollowOutcome;
-using coordination::SettingsFollower;
-using coordination::SettingsReply;
-using coordination::SettingsStamp;
+using distribution::FollowOutcome;
+using distribution::SettingsFollower;
+using messages::SettingsReply;
+using messages::SettingsStamp;
 
 namespace {
 
@@ -33,7 +33,7 @@
 }
 
 // A request of \p from that \p to answers.
-SettingsReply fetch(SettingsFollower &from, SettingsFollower &to) {
+messages::SettingsReply fetch(SettingsFollower &from, SettingsFollower &to) {
   const auto request = from.onPeerDigest(Start, "peer", to.stamp());
   BOOST_REQUIRE(request.has_value());
   auto reply = to.onSettingsRequest(request->Request);
@@ -189,10 +189,10 @@
                            {{{"a", 1}}, {{"a", Json::object()}}}};
   for (const auto &[from, to] : cases) {
     auto result = from;
-    result.merge_patch(coordination::makeMergePatch(from, to).value());
+    result.merge_patch(distribution::makeMergePatch(from, to).value());
     BOOST_TEST(result.dump() == to.dump());
   }
-  BOOST_TEST(!coordination::makeMergePatch({{"a", 1}}, {{"a", nullptr}}));
+  BOOST_TEST(!distribution::makeMergePatch({{"a", 1}}, {{"a", nullptr}}));
 }
 
 // Guards against a delta that corrupts settings, and against a host that gets
@@ -216,7 +216,7 @@
   BOOST_TEST((outcome.Outcome == FollowOutcome::Mismatch));
   BOOST_TEST(receiver.stamp().Revision == 1);
   BOOST_REQUIRE(outcome.Next.has_value());
-  BOOST_TEST((outcome.Next->Request.Have == SettingsStamp{}));
+  BOOST_TEST((outcome.Next->Request.Have == messages::SettingsStamp{}));
   const auto document = sender.onSettingsRequest(outcome.Next->Request);
   BOOST_REQUIRE(document.has_value());
   receiver.onSettingsReply(Start, "peer", *document);
@@ -227,7 +227,7 @@
 // that does not answer.
 BOOST_AUTO_TEST_CASE(SilentPeerIsReplaced) {
   SettingsFollower follower;
-  const SettingsStamp higher{5, 1};
+  const messages::SettingsStamp higher{5, 1};
   const auto first = follower.onPeerDigest(Start, "a", higher);
   BOOST_REQUIRE(first.has_value());
   for (const auto *peer : {"a", "b", "c"})
--- a/Source/UnitTests/Coordination/EndedFlowsTest.cpp
+++ b/Source/UnitTests/Coordination/Forwarding/EndedFlowsTest.cpp
@@ -1,11 +1,11 @@
-#include "Coordination/EndedFlows.h"
+#include "Coordination/Forwarding/EndedFlows.h"
 #include "Common/ManualClock.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace auburnroute;
-using coordination::EndedFlows;
-using coordination::FlowKey;
+using forwarding::EndedFlows;
+using forwarding::FlowKey;
 using namespace std::chrono_literals;
 
 namespace {
--- a/Source/UnitTests/Coordination/FlowTagTest.cpp
+++ b/Source/UnitTests/Coordination/Forwarding/FlowTagTest.cpp
@@ -1,11 +1,11 @@
-#include "Coordination/FlowTag.h"
+#include "Coordination/Forwarding/FlowTag.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <array>
 
-using auburnroute::coordination::FlowKey;
-using auburnroute::coordination::FlowTag;
+using auburnroute::forwarding::FlowKey;
+using auburnroute::forwarding::FlowTag;
 
 namespace {
 
--- a/Source/UnitTests/Coordination/ForwardingEngineTest.cpp
+++ b/Source/UnitTests/Coordination/Forwarding/ForwardingEngineTest.cpp
@@ -1,11 +1,11 @@
-#include "Coordination/ForwardingEngine.h"
-#include "Coordination/FlowTag.h"
+#include "Coordination/Forwarding/ForwardingEngine.h"
+#include "Coordination/Forwarding/FlowTag.h"
 #include "ForwardingSettings.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace auburnroute;
-using namespace auburnroute::coordination;
+using namespace auburnroute::forwarding;
 using state::Cause;
 
 namespace {
--- a/Source/UnitTests/Coordination/ForwardingRandomTest.cpp
+++ b/Source/UnitTests/Coordination/Forwarding/ForwardingRandomTest.cpp
@@ -1,4 +1,4 @@
-#include "Coordination/ForwardingEngine.h"
+#include "Coordination/Forwarding/ForwardingEngine.h"
 #include "ForwardingSettings.h"
 #include "SimulatedTcp.h"
 
@@ -12,7 +12,7 @@
 #include <sstream>
 
 using namespace auburnroute;
-using namespace auburnroute::coordination;
+using namespace auburnroute::forwarding;
 
 namespace {
 
--- a/Source/UnitTests/Coordination/ForwardingSettings.h
+++ b/Source/UnitTests/Coordination/Forwarding/ForwardingSettings.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <memory>
 
-namespace auburnroute::coordination {
+namespace auburnroute::forwarding {
 
 constexpr std::uint32_t CounterAddress = 0xC6336401; // 198.51.100.1
 constexpr std::uint32_t CatalogueAddress = 0xC6336402;
@@ -50,4 +50,4 @@
   return std::make_shared<const state::ServiceTable>(settings, "sando");
 }
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::forwarding
--- a/Source/UnitTests/Coordination/HashAgreementTest.cpp
+++ b/Source/UnitTests/Coordination/Forwarding/HashAgreementTest.cpp
@@ -1,4 +1,4 @@
-#include "Coordination/HashPlacement.h"
+#include "Coordination/Forwarding/HashPlacement.h"
 #include "State/RendezvousHash.h"
 #include "UnitTests/State/SettingsSamples.h"
 
@@ -8,6 +8,7 @@
 #include <vector>
 
 using namespace auburnroute;
+using namespace forwarding;
 
 BOOST_AUTO_TEST_SUITE(HashAgreementTest)
 
@@ -28,7 +29,7 @@
         candidates.push_back({n, entry.Weight});
       }
       const auto hash = random();
-      const auto *chosen = coordination::HashPlacement::choose(servers, hash);
+      const auto *chosen = HashPlacement::choose(servers, hash);
       BOOST_REQUIRE(chosen != nullptr);
       BOOST_TEST(chosen->Number ==
                  state::RendezvousHash::choose(candidates, hash));
--- a/Source/UnitTests/Coordination/HashPlacementTest.cpp
+++ b/Source/UnitTests/Coordination/Forwarding/HashPlacementTest.cpp
@@ -1,5 +1,5 @@
-#include "Coordination/HashPlacement.h"
-#include "Coordination/ForwardingEngine.h"
+#include "Coordination/Forwarding/HashPlacement.h"
+#include "Coordination/Forwarding/ForwardingEngine.h"
 #include "ForwardingSettings.h"
 
 #include <boost/test/unit_test.hpp>
@@ -7,7 +7,7 @@
 #include <map>
 
 using namespace auburnroute;
-using namespace auburnroute::coordination;
+using namespace auburnroute::forwarding;
 
 namespace {
 
--- a/Source/UnitTests/Coordination/SimulatedTcp.h
+++ b/Source/UnitTests/Coordination/Forwarding/SimulatedTcp.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Coordination/PacketSummary.h"
+#include "Coordination/Forwarding/PacketSummary.h"
 
 #include <chrono>
 #include <cstdint>
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::forwarding {
 
 using Millis = std::chrono::milliseconds;
 
@@ -443,4 +443,4 @@
   std::map<common::Endpoint, Connection, ByKey> Connections;
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::forwarding
--- a/Source/UnitTests/Coordination/SynRingTest.cpp
+++ b/Source/UnitTests/Coordination/Forwarding/SynRingTest.cpp
@@ -1,4 +1,4 @@
-#include "Coordination/SynRing.h"
+#include "Coordination/Forwarding/SynRing.h"
 
 #include "Common/ManualClock.h"
 
@@ -9,8 +9,8 @@
 
 using namespace auburnroute;
 using namespace std::chrono_literals;
-using coordination::FlowKey;
-using coordination::SynRing;
+using forwarding::FlowKey;
+using forwarding::SynRing;
 
 namespace {
 
--- a/Source/UnitTests/Coordination/BackendServerHealthTest.cpp
+++ b/Source/UnitTests/Coordination/Health/BackendServerHealthTest.cpp
@@ -1,11 +1,11 @@
-#include "Coordination/BackendServerHealth.h"
+#include "Coordination/Health/BackendServerHealth.h"
 
 #include "Common/ManualClock.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace auburnroute;
-using namespace auburnroute::coordination;
+using namespace auburnroute::health;
 using namespace std::chrono_literals;
 using state::BackendServerMode;
 using state::Cause;
--- a/Source/UnitTests/Coordination/ByteBudgetTest.cpp
+++ b/Source/UnitTests/Coordination/Membership/ByteBudgetTest.cpp
@@ -1,9 +1,10 @@
-#include "Coordination/ByteBudget.h"
+#include "Coordination/Membership/ByteBudget.h"
 #include "Common/ManualClock.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace auburnroute;
+using namespace membership;
 using namespace std::chrono_literals;
 
 BOOST_AUTO_TEST_SUITE(ByteBudgetTest)
@@ -12,7 +13,7 @@
 // is not there for them, also not later.
 BOOST_AUTO_TEST_CASE(MandatoryBytesComeFirst) {
   common::ManualClock clock;
-  coordination::ByteBudget budget(clock.now(), 1000, 10s);
+  ByteBudget budget(clock.now(), 1000, 10s);
   BOOST_TEST(budget.available(clock.now()) == 10000U);
   for (int i = 0; i < 100; ++i) {
     budget.spend(clock.now(), 1200);
@@ -29,7 +30,7 @@
 // Guards against a whole document, sent once, that stops causes for minutes.
 BOOST_AUTO_TEST_CASE(DebtIsBounded) {
   common::ManualClock clock;
-  coordination::ByteBudget budget(clock.now(), 1000, 10s);
+  ByteBudget budget(clock.now(), 1000, 10s);
   budget.spend(clock.now(), 1'000'000);
   clock.advance(11s);
   BOOST_TEST(budget.available(clock.now()) == 1000U);
--- a/Source/UnitTests/Coordination/DoubtTest.cpp
+++ b/Source/UnitTests/Coordination/Membership/DoubtTest.cpp
@@ -1,4 +1,4 @@
-#include "Coordination/Membership.h"
+#include "Coordination/Membership/Membership.h"
 
 #include "Bench/ZoneSimulation.h"
 #include "UnitTests/Seeds.h"
--- a/Source/UnitTests/Coordination/MembershipTest.cpp
+++ b/Source/UnitTests/Coordination/Membership/MembershipTest.cpp
@@ -1,4 +1,4 @@
-#include "Coordination/Membership.h"
+#include "Coordination/Membership/Membership.h"
 
 #include "Bench/ZoneSimulation.h"
 #include "UnitTests/Seeds.h"
@@ -13,7 +13,7 @@
 using namespace auburnroute;
 using namespace std::chrono_literals;
 using bench::ZoneSimulation;
-using coordination::ConfirmationState;
+using membership::ConfirmationState;
 using state::HostState;
 
 namespace {
@@ -203,7 +203,7 @@
 // of the earlier one ran ahead.
 BOOST_AUTO_TEST_CASE(IncarnationOvertakesEarlierOne) {
   auto zone = settledZone(3, 1);
-  coordination::Heartbeat body;
+  messages::Heartbeat body;
   body.Updates.push_back(
       {zone.Nodes[0].Name, 4'000'000'000'000, 77, HostState::Dead, false, {}});
   auto &members = *zone.Nodes[0].Members;
--- a/Source/UnitTests/Coordination/OwnerWatchTest.cpp
+++ b/Source/UnitTests/Coordination/Membership/OwnerWatchTest.cpp
@@ -1,4 +1,4 @@
-#include "Coordination/OwnerWatch.h"
+#include "Coordination/Membership/OwnerWatch.h"
 #include "UnitTests/Seeds.h"
 
 #include <boost/test/unit_test.hpp>
@@ -10,7 +10,7 @@
 
 using namespace auburnroute;
 using namespace std::chrono_literals;
-using coordination::OwnerWatch;
+using membership::OwnerWatch;
 
 namespace {
 
--- a/Source/UnitTests/Coordination/AdmissionControllerTest.cpp
+++ b/Source/UnitTests/Coordination/Placement/AdmissionControllerTest.cpp
@@ -1,10 +1,12 @@
-#include "UnitTests/Coordination/AdmissionFixture.h"
+#include "UnitTests/Coordination/Placement/AdmissionFixture.h"
 
 #include <map>
 #include <set>
 
 using namespace auburnroute;
-using namespace auburnroute::coordination;
+using namespace auburnroute::forwarding;
+using namespace auburnroute::health;
+using namespace auburnroute::placement;
 using namespace std::chrono_literals;
 using state::Cause;
 
--- a/Source/UnitTests/Coordination/AdmissionFixture.h
+++ b/Source/UnitTests/Coordination/Placement/AdmissionFixture.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "Common/ManualClock.h"
-#include "Coordination/AdmissionController.h"
+#include "Coordination/Placement/AdmissionController.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <string>
 #include <vector>
 
-namespace auburnroute::coordination {
+namespace auburnroute::placement {
 
 /// A controller in zone "sando" with one service "counter" (a request and a
 /// feed listener) and servers that tests change before they apply() them.
@@ -56,13 +56,13 @@
     Controller.onSettings(Clock.now(), settings, table);
   }
 
-  FlowKey newKey(common::Endpoint address = RequestAddress) {
+  forwarding::FlowKey newKey(common::Endpoint address = RequestAddress) {
     ++Callers;
     return {{0xCB007100 + Callers / 60000,
              static_cast<std::uint16_t>(Callers % 60000 + 1024)},
             address};
   }
-  AdmissionDecision syn(const FlowKey &key) {
+  AdmissionDecision syn(const forwarding::FlowKey &key) {
     return Controller.onSyn(Clock.now(), key);
   }
   AdmissionDecision syn() { return syn(newKey()); }
@@ -78,13 +78,14 @@
   static bool isHeld(const AdmissionDecision &decision) {
     return std::holds_alternative<Hold>(decision);
   }
-  void finish(const FlowKey &key, FinishKind kind = FinishKind::Ended) {
+  void finish(const forwarding::FlowKey &key,
+              FinishKind kind = FinishKind::Ended) {
     Controller.onFinish(Clock.now(), key, kind);
   }
   std::vector<ReleasedFlow> poll() { return Controller.poll(Clock.now()); }
   void report(std::uint32_t id, std::uint32_t busy,
               std::uint32_t connections = 0) {
-    LoadReport it;
+    health::LoadReport it;
     it.Service = "counter";
     it.Busy = busy;
     it.Connections = connections;
@@ -96,7 +97,7 @@
   std::uint32_t feeds(std::uint32_t id) const {
     return Controller.outstanding(id, state::ListenerKind::Feed);
   }
-  HealthState health(std::uint32_t id) const {
+  health::HealthState health(std::uint32_t id) const {
     return Controller.health(Clock.now(), id);
   }
   /// How often \p why was recorded since the last call.
@@ -108,4 +109,4 @@
   }
 };
 
-} // namespace auburnroute::coordination
+} // namespace auburnroute::placement
--- a/Source/UnitTests/Coordination/AdmissionRandomTest.cpp
+++ b/Source/UnitTests/Coordination/Placement/AdmissionRandomTest.cpp
@@ -1,4 +1,4 @@
-#include "UnitTests/Coordination/AdmissionFixture.h"
+#include "UnitTests/Coordination/Placement/AdmissionFixture.h"
 #include "UnitTests/Seeds.h"
 
 #include <cstdlib>
@@ -8,7 +8,8 @@
 #include <sstream>
 
 using namespace auburnroute;
-using namespace auburnroute::coordination;
+using namespace auburnroute::forwarding;
+using namespace auburnroute::placement;
 using namespace std::chrono_literals;
 using state::Cause;
 
--- a/Source/UnitTests/Daemon/TrafficWorkerTest.cpp
+++ b/Source/UnitTests/Daemon/TrafficWorkerTest.cpp
@@ -1,9 +1,9 @@
 #include "Daemon/TrafficWorker.h"
 
 #include "Common/SystemClock.h"
-#include "Coordination/FlowTag.h"
+#include "Coordination/Forwarding/FlowTag.h"
 #include "Protocol/PacketBuilder.h"
-#include "UnitTests/Coordination/ForwardingSettings.h"
+#include "UnitTests/Coordination/Forwarding/ForwardingSettings.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -22,8 +22,8 @@
 
 namespace {
 
-constexpr common::Endpoint Caller{coordination::CallerAddress, 40000};
-constexpr common::Endpoint Service{coordination::CounterAddress, 7001};
+constexpr common::Endpoint Caller{forwarding::CallerAddress, 40000};
+constexpr common::Endpoint Service{forwarding::CounterAddress, 7001};
 constexpr std::uint32_t ServerTime = 6'000'000;
 const std::string Key = "key-of-this-test";
 using Packet = std::vector<std::byte>;
@@ -58,12 +58,12 @@
 /// A worker on a thread, with the endpoints that it sends to.
 struct Fixture {
   Fixture() {
-    auto settings = coordination::makeSettings(2);
+    auto settings = forwarding::makeSettings(2);
     auto &servers = settings.Services[0].BackendServers;
     servers[0].Tunnel = OtherServer.Address;
     servers[1].Tunnel = Server.Address;
     auto snapshot = std::make_shared<daemon::ControlSnapshot>();
-    snapshot->Table = coordination::makeTable(settings);
+    snapshot->Table = forwarding::makeTable(settings);
     snapshot->Settings =
         std::make_shared<const state::Settings>(std::move(settings));
     snapshot->AdmissionOwners = {Owner.Address, Gateway.Address};
@@ -102,9 +102,9 @@
   }
   static std::uint32_t echoOf(std::uint16_t number) {
     constexpr std::uint64_t FlowSeed = 7321; // That of makeSettings().
-    return coordination::FlowTag::tagValue(
+    return forwarding::FlowTag::tagValue(
         ServerTime,
-        coordination::FlowTag::encode({Caller, Service}, number, FlowSeed));
+        forwarding::FlowTag::encode({Caller, Service}, number, FlowSeed));
   }
 
   Peer Gateway, Server, OtherServer, Owner, Relay, Packets;
@@ -131,8 +131,8 @@
 // Guards against packets that reach another backend server than the one whose
 // reply the caller echoes, and against damage in the rewrite.
 BOOST_AUTO_TEST_CASE(TaggedPacketReachesItsServer) {
-  const common::Endpoint server{coordination::ServerAddress + 2,
-                                coordination::BackendPort};
+  const common::Endpoint server{forwarding::ServerAddress + 2,
+                                forwarding::BackendPort};
   const protocol::Timestamps times{ServerTime, 7};
   send(protocol::buildPacket(
       {server, Caller, PacketView::AckFlag, 1, 2, times, {}}));
--- a/Source/UnitTests/Protocol/PacketPathTest.cpp
+++ b/Source/UnitTests/Protocol/PacketPathTest.cpp
@@ -1,15 +1,15 @@
 #include "Bench/PacketPathCounters.h"
-#include "Coordination/ForwardingEngine.h"
+#include "Coordination/Forwarding/ForwardingEngine.h"
 #include "Protocol/PacketBuilder.h"
 #include "Protocol/PacketRewriter.h"
-#include "UnitTests/Coordination/ForwardingSettings.h"
+#include "UnitTests/Coordination/Forwarding/ForwardingSettings.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <mutex>
 
 using namespace auburnroute;
-using namespace auburnroute::coordination;
+using namespace auburnroute::forwarding;
 using protocol::PacketRewriter;
 using protocol::PacketView;
 
--- a/Source/UnitTests/Protocol/PacketRewriterTest.cpp
+++ b/Source/UnitTests/Protocol/PacketRewriterTest.cpp
@@ -19,7 +19,7 @@
                                     {}});
   protocol::PacketView view;
   BOOST_REQUIRE((view.parse(buf) == state::Cause::None));
-  coordination::ForwardToBackendServer forward;
+  forwarding::ForwardToBackendServer forward;
   forward.Destination = {0xC000020B, 9001};
   forward.TimestampEcho = 33;
   int hops = 0;
--- a/Source/UnitTests/Protocol/PeerCodecTest.cpp
+++ b/Source/UnitTests/Protocol/PeerCodecTest.cpp
@@ -5,7 +5,8 @@
 #include <random>
 
 using namespace auburnroute;
-using namespace coordination;
+using namespace messages;
+
 using protocol::PeerCodec;
 using protocol::PeerRefusal;
 
--- a/Source/UnitTests/StandIns/SecondPlacementTest.cpp
+++ b/Source/UnitTests/StandIns/SecondPlacementTest.cpp
@@ -1,9 +1,9 @@
 #include "Common/ManualClock.h"
-#include "Coordination/AdmissionController.h"
-#include "Coordination/ForwardingEngine.h"
+#include "Coordination/Forwarding/ForwardingEngine.h"
+#include "Coordination/Placement/AdmissionController.h"
 #include "Protocol/PacketRewriter.h"
 #include "StandIns/TcpEndpoint.h"
-#include "UnitTests/Coordination/ForwardingSettings.h"
+#include "UnitTests/Coordination/Forwarding/ForwardingSettings.h"
 #include "UnitTests/Seeds.h"
 
 #include <boost/test/unit_test.hpp>
@@ -14,7 +14,9 @@
 #include <sstream>
 
 using namespace auburnroute;
-using namespace auburnroute::coordination;
+using namespace auburnroute::forwarding;
+using namespace auburnroute::health;
+using namespace auburnroute::placement;
 using namespace std::chrono_literals;
 using protocol::PacketRewriter;
 using protocol::PacketView;
