Harm the hosts' ways to the registry in the soak

Change: each host reaches the registry through a proxy of its own, which the soak harms for one to five seconds.

--- a/Source/UnitTests/Process/edge_fleet.py
+++ b/Source/UnitTests/Process/edge_fleet.py
@@ -150,6 +150,51 @@
         return 200, {"events": found, "at_rev": self.revision}
 
 
+class Proxy:
+    """The way of one host to the registry; harms its connections from outside."""
+
+    MODES = ("delay", "reset", "silent", "one_way")
+
+    def __init__(self, at, to):
+        self.at, self.to, self.mode, self.open = at, to, "pass", set()
+
+    async def start(self):
+        await asyncio.start_server(self.serve, *self.at)
+
+    async def disturb(self, mode, seconds):
+        self.mode = mode
+        if mode == "reset":
+            for it in self.open:
+                it.transport.abort()
+        await asyncio.sleep(seconds)
+        self.mode = "pass"
+        # A connection on which bytes were lost never works again.
+        if mode in ("silent", "one_way"):
+            for it in self.open:
+                it.transport.abort()
+
+    async def serve(self, reader, writer):
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        far_reader, far_writer = await asyncio.open_connection(*self.to)
+        self.open |= {writer, far_writer}
+        await asyncio.gather(self.carry(reader, far_writer, False), self.carry(far_reader, writer, True))
+        self.open -= {writer, far_writer}
+
+    async def carry(self, reader, writer, answers):
+        try:
+            while data := await reader.read(65536):
+                if self.mode == "delay":
+                    await asyncio.sleep(random.uniform(0.1, 0.8))
+                if self.mode == "silent" or (self.mode == "one_way" and answers):
+                    continue
+                writer.write(data)
+        except ConnectionError:
+            pass
+        writer.close()
+
+
 class BackendServer:
     def __init__(self, fleet, number, service, zone, host):
         self.fleet, self.number, self.service, self.zone = fleet, number, service, zone
@@ -240,6 +285,7 @@
         self.ip = f"127.1.{number}.1"
         self.name = f"front-{zone}-{number}"
         self.process, self.in_rotation, self.misses = None, False, 0
+        self.proxy = Proxy((f"127.9.{number}.1", 8169), ("127.9.0.1", 8169))
         self.disturbed_at = -100.0
         self.stopping = False
 
@@ -248,7 +294,7 @@
         with open(file, "w") as out:
             json.dump({"host": self.name, "zone": self.zone, "packets": f"{self.ip}:{PACKET_PORT}",
                        "ready": f"{self.ip}:{READY_PORT}", "control": f"{self.ip}:{CONTROL_PORT}",
-                       "peers": f"{self.ip}:{PEER_PORT}", "registry": "127.9.0.1:8169",
+                       "peers": f"{self.ip}:{PEER_PORT}", "registry": f"127.9.{self.number}.1:8169",
                        "seeds": [f"127.1.{n}.1:{CONTROL_PORT}" for n in range(1, 4)],
                        "serverHeartbeat": "700ms", "changeBound": "3s", "stopTimeout": "6s"}, out)
         log = open(os.path.join(self.fleet.folder, f"{self.name}.log"), "ab")
@@ -293,6 +339,11 @@
         writer.close()
         return text.partition("\r\n\r\n")[2]
 
+    async def harm_registry_way(self, mode, seconds):
+        self.mark()
+        await self.proxy.disturb(mode, seconds)
+        self.mark()
+
     async def metrics(self):
         text = await self.get("/metrics")
         return {it.split()[0]: float(it.split()[1]) for it in text.splitlines() if it.startswith("auburnedge_")}
@@ -490,6 +541,7 @@
             for _ in range(hosts_per_zone):
                 host = Host(self, len(self.hosts) + 1, zone)
                 self.hosts.append(host)
+                await host.proxy.start()
                 await host.start()
                 asyncio.ensure_future(host.probe())
         for n in range(8):
@@ -601,6 +653,9 @@
                   ("silence", "", None)]
         faults += [(f"registry {mode}", "", lambda mode=mode: self.outage(mode, self.random.uniform(1, 4)))
                    for mode in ("down", "silent", "slow", "reset")]
+        faults += [(f"way-to-registry {mode}", host.name,
+                    lambda mode=mode: host.harm_registry_way(mode, self.random.uniform(1, 5)))
+                   for mode in Proxy.MODES]
         name, what, action = self.random.choice(planned if self.planned_only else planned + faults)
         # One event at a time for each host and server; the registry recovers.
         subject = name.split()[0] if " " in name else what or name
