--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -63,8 +63,9 @@
       Reader(View, fleet::RegistryPace::forBound(Settings.ChangeBound)),
       Peers({Settings.Peers.Address, Settings.Zone, randomSeed()},
             randomSeed()),
-      Router(Routes, Directory, Evidence,
-             Directory.zoneNames().idOf(Settings.Zone), randomSeed(), Recorder),
+      Placement(Directory, Evidence, Directory.zoneNames().idOf(Settings.Zone),
+                randomSeed()),
+      Router(Routes, Directory, Evidence, Placement, Recorder),
       ReadyServer(Loop), ControlServer(Loop), MetricsServer(Loop),
       PeerServer(Loop) {
   Recorder.setView(&View);
--- a/Source/Edge/EdgeNode.h
+++ b/Source/Edge/EdgeNode.h
@@ -6,6 +6,7 @@
 #include "Edge/RegistryClient.h"
 #include "Edge/ViewListener.h"
 #include "Reactor/AsyncHttpServer.h"
+#include "Routing/ServerPlacement.h"
 #include "State/EdgeSettings.h"
 
 #include "absl/status/status.h"
@@ -64,6 +65,7 @@
   fleet::FleetView View;
   fleet::RegistryReader Reader;
   fleet::PeerTable Peers;
+  routing::ServerPlacement Placement;
   routing::PacketRouter Router;
   std::unique_ptr<PacketPump> Pump;
   std::unique_ptr<PeerExchange> Exchange;
--- /dev/null
+++ b/Source/Emulator/CandidatePlacement.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Emulator/Deployment.h"
+#include "Routing/ServerEvidence.h"
+#include "Routing/ServerPlacement.h"
+
+#include <memory>
+#include <random>
+
+namespace auburnroute::emulator {
+
+/// The rules that a Candidate may name, beside the one that the daemon uses.
+class CandidatePlacement final : public routing::Placement {
+public:
+  /// References must outlive the object.
+  CandidatePlacement(PlacementRule rule,
+                     const routing::ServerDirectory &directory,
+                     const routing::ServerEvidence &evidence,
+                     std::uint64_t seed)
+      : Rule(rule), Directory(directory), Evidence(evidence), Random(seed) {}
+
+  std::optional<routing::ServerId>
+  choose(routing::Names::Id service, std::span<const routing::ServerId> tried,
+         bool useLapsed, common::TimePoint now) override;
+
+  /// The placement of \p candidate for a host of \p zone.
+  static std::unique_ptr<routing::Placement>
+  make(const Candidate &candidate, const routing::ServerDirectory &directory,
+       const routing::ServerEvidence &evidence, routing::Names::Id zone,
+       std::uint64_t seed);
+
+private:
+  PlacementRule Rule;
+  const routing::ServerDirectory &Directory;
+  const routing::ServerEvidence &Evidence;
+  std::mt19937_64 Random;
+};
+
+} // namespace auburnroute::emulator
--- /dev/null
+++ b/Source/Emulator/DayResult.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "Emulator/Deployment.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace auburnroute::emulator {
+
+/// How a request ended for its caller.
+enum class RequestEnd : std::uint8_t { InTime, Late, Failed };
+
+/// Counts of some requests.
+struct RequestCounts {
+  std::uint64_t Asked = 0;
+  std::uint64_t Late = 0;
+  std::uint64_t Failed = 0;
+  double Owed = 0;   ///< Worth of all.
+  double Earned = 0; ///< Worth of those that were answered.
+
+  double credit() const { return Owed > 0 ? Earned / Owed : 1; }
+  double lateShare() const;
+  double failedShare() const;
+};
+
+/// What callers and backend servers saw of one day.
+class DayResult {
+public:
+  explicit DayResult(const Deployment &deployment);
+
+  /// A request of kind \p request from \p zone, asked \p askedAt after the
+  /// start, ended after \p time.
+  void add(std::size_t request, std::size_t zone,
+           std::chrono::nanoseconds askedAt, RequestEnd end, Milliseconds time);
+  /// A backend server of \p service that served all day took so many flows.
+  void addServer(std::size_t service, std::uint64_t flows);
+
+  const RequestCounts &all() const { return All; }
+  const std::vector<RequestCounts> &byRequest() const { return Requests; }
+  const std::vector<RequestCounts> &byZone() const { return Zones; }
+  /// By second in which they were asked.
+  const std::vector<RequestCounts> &bySecond() const { return Seconds; }
+  /// Credit of the two worst spans of two seconds.
+  double worstSpans() const;
+  /// Of the requests that were answered.
+  Milliseconds quantile(double share) const;
+  /// Flows of the busiest server of a service over the mean.
+  double busiestOverMean(std::size_t service) const;
+  std::uint64_t Events = 0;
+
+private:
+  const Deployment &Plan;
+  RequestCounts All;
+  std::vector<RequestCounts> Requests;
+  std::vector<RequestCounts> Zones;
+  std::vector<RequestCounts> Seconds;
+  std::vector<double> Times; ///< ms
+  std::vector<std::vector<std::uint64_t>> FlowsByServer;
+};
+
+} // namespace auburnroute::emulator
--- /dev/null
+++ b/Source/Emulator/Deployment.cpp
@@ -0,0 +1,221 @@
+#include "Emulator/Deployment.h"
+
+#include "State/FieldDescriptor.h"
+#include "State/JsonReader.h"
+#include "State/ObjectReader.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+
+namespace auburnroute::emulator {
+
+using namespace std::chrono_literals;
+using state::field;
+using state::FieldTable;
+using V = state::ValueDescriptor;
+
+namespace {
+
+constexpr std::size_t MaxItems = 100;
+constexpr std::int64_t MaxHosts = 2000;
+constexpr std::int64_t MaxServers = 10000;
+constexpr double MaxNumber = 1e6;
+
+const FieldTable<ZoneSpec> &zoneFields() {
+  using T = ZoneSpec;
+  static const FieldTable<T> table{
+      field<T, &T::Name>(V::name("name", "Availability zone.").required()),
+      field<T, &T::Hosts>(
+          V::integer("hosts", "hosts", 1, MaxHosts, "Entry hosts.")),
+      field<T, &T::Callers>(
+          V::share("callers", 0, MaxNumber, "Part of the traffic, relative.")),
+  };
+  return table;
+}
+
+const FieldTable<ServiceSpec> &serviceFields() {
+  using T = ServiceSpec;
+  static const FieldTable<T> table{
+      field<T, &T::Name>(V::name("name", "Service.").required()),
+      field<T, &T::Servers>(V::integer("servers", "servers", 1, MaxServers,
+                                       "Backend servers in all zones.")),
+      field<T, &T::Slots>(V::integer("slots", "requests", 1, 1000,
+                                     "Requests that a server works on.")),
+      field<T, &T::Queue>(V::integer("queue", "requests", 0, 10000,
+                                     "Requests that wait at a server.")),
+      field<T, &T::ColdFor>(V::duration("coldFor", 0ms, 10min,
+                                        "Time after a start in which a server "
+                                        "is slow.")),
+      field<T, &T::ColdFactor>(
+          V::share("coldFactor", 1, 100, "Work takes so many times as long.")),
+  };
+  return table;
+}
+
+const FieldTable<RequestSpec> &requestFields() {
+  using T = RequestSpec;
+  static const FieldTable<T> table{
+      field<T, &T::Name>(V::name("name", "Kind of request.").required()),
+      field<T, &T::Service>(V::name("service", "Service.").required()),
+      field<T, &T::Kind>(V::choice("kind",
+                                   {"idempotent", "nonIdempotent", "download"},
+                                   "How it may be repeated.")),
+      field<T, &T::Feed>(V::integer(
+          "feed", "", 0, 1, "1: on flows that stay open; 0: a flow each.")),
+      field<T, &T::PerSecond>(
+          V::share("perSecond", 0, MaxNumber, "Requests of all zones.")),
+      field<T, &T::Work>(V::share("workMs", 0.01, MaxNumber, "Mean, ms.")),
+      field<T, &T::Spread>(
+          V::share("spread", 0, 5, "Deviation of the logarithm of the work.")),
+      field<T, &T::TailShare>(
+          V::share("tailShare", 0, 1, "Part of the requests that take long.")),
+      field<T, &T::TailFactor>(
+          V::share("tailFactor", 1, 1000, "These take so many times as long.")),
+      field<T, &T::Objective>(
+          V::duration("objective", 1ms, 10min, "Latency objective.")),
+      field<T, &T::TimeLimit>(
+          V::duration("timeLimit", 1ms, 10min, "Callers give up after it.")),
+      field<T, &T::Worth>(V::share("worth", 0, MaxNumber, "Credit in time.")),
+      field<T, &T::LateWorth>(
+          V::share("lateWorth", 0, MaxNumber, "Credit if late.")),
+      field<T, &T::Retries>(
+          V::integer("retries", "", 0, 10, "Further attempts of a caller.")),
+  };
+  return table;
+}
+
+const FieldTable<Trouble> &troubleFields() {
+  using T = Trouble;
+  static const FieldTable<T> table{
+      field<T, &T::Kind>(
+          V::choice("kind",
+                    {"killHosts", "crashServers", "replaceServers",
+                     "slowServers", "cutZone", "burst"},
+                    "What happens.")
+              .required()),
+      field<T, &T::At>(V::duration("at", 0ms, 24h, "From the start.")),
+      field<T, &T::For>(V::duration("for", 0ms, 24h, "How long.")),
+      field<T, &T::Share>(V::share("share", 0, 1, "Part that is hit.")),
+      field<T, &T::Factor>(V::share("factor", 0, 1000, "How much.")),
+      field<T, &T::Zone>(V::name("zone", "Availability zone.")),
+  };
+  return table;
+}
+
+const FieldTable<Candidate> &candidateFields() {
+  using T = Candidate;
+  static const FieldTable<T> table{
+      field<T, &T::Name>(V::name("name", "Name in the report.").required()),
+      field<T, &T::Rule>(V::choice("rule",
+                                   {"leastLoad", "twoChoices", "random"},
+                                   "How new flows are placed.")),
+      field<T, &T::OtherZone>(
+          V::share("otherZone", 0, 100, "Load that another zone adds.")),
+      field<T, &T::Cold>(
+          V::share("cold", 0, 100, "Load that a cold server adds.")),
+      field<T, &T::OpenFlow>(
+          V::share("openFlow", 0, 100, "Load of an idle open flow.")),
+      field<T, &T::SuspicionHold>(V::duration("suspicionHold", 0ms, 10min,
+                                              "How long a suspicion stands.")),
+  };
+  return table;
+}
+
+const FieldTable<Deployment> &deploymentFields() {
+  using T = Deployment;
+  static const FieldTable<T> table{
+      field<T, &T::InZone>(V::share("inZoneMs", 0, 1000, "One way, ms.")),
+      field<T, &T::CrossZone>(V::share("crossZoneMs", 0, 1000, "One way, ms.")),
+      field<T, &T::CallerWay>(V::share("callerMs", 0, 1000, "One way, ms.")),
+      field<T, &T::Heartbeat>(V::duration(
+          "heartbeat", 1ms, 10min, "Interval in which servers register.")),
+      field<T, &T::ChangeTime>(V::duration(
+          "changeTime", 0ms, 10min, "Until all hosts know of a change.")),
+      field<T, &T::Length>(V::duration("length", 1s, 24h, "Of the day.")),
+      field<T, &T::Swing>(
+          V::share("swing", 0, 1, "Traffic moves by this part.")),
+      field<T, &T::Period>(V::duration("period", 1s, 24h, "Of the swing.")),
+  };
+  return table;
+}
+
+template <class Target>
+std::vector<Target> readList(const state::JsonNode &root, std::string_view key,
+                             std::size_t min, const FieldTable<Target> &fields,
+                             state::ObjectReader &reader,
+                             state::FaultList &faults) {
+  std::vector<Target> list;
+  const auto *node = root.find(key);
+  if (node == nullptr) {
+    if (min > 0)
+      faults.add(root.Line, key, "is missing", "an array");
+    return list;
+  }
+  if (!reader.isArray(*node, key, min, MaxItems))
+    return list;
+  for (std::size_t i = 0; i < node->Items.size(); ++i)
+    reader.read(node->Items[i], absl::StrCat(std::string(key), "[", i, "]"),
+                fields, list.emplace_back());
+  return list;
+}
+
+/// Checks that what \p name refers to exists.
+template <class Target>
+void checkName(const std::vector<Target> &known, const std::string &name,
+               std::string_view path, state::FaultList &faults) {
+  if (std::ranges::find(known, name, &Target::Name) == known.end())
+    faults.add(1, path, absl::StrCat("\"", name, "\" is not defined"),
+               "a name from this file");
+}
+
+} // namespace
+
+absl::StatusOr<Deployment> loadDeployment(std::string_view text,
+                                          std::string_view fileName) {
+  state::FaultList faults(fileName);
+  const auto root = state::JsonReader::read(text, faults);
+  if (!root)
+    return faults.status();
+  state::ObjectReader reader(faults);
+  Deployment deployment;
+  if (!reader.isObject(*root, ""))
+    return faults.status();
+  reader.read(*root, "", deploymentFields(), deployment,
+              {"zones", "services", "requests", "troubles", "candidates"});
+  deployment.Zones = readList(*root, "zones", 1, zoneFields(), reader, faults);
+  deployment.Services =
+      readList(*root, "services", 1, serviceFields(), reader, faults);
+  deployment.Requests =
+      readList(*root, "requests", 1, requestFields(), reader, faults);
+  deployment.Troubles =
+      readList(*root, "troubles", 0, troubleFields(), reader, faults);
+  deployment.Candidates =
+      readList(*root, "candidates", 1, candidateFields(), reader, faults);
+  for (const auto &it : deployment.Requests)
+    checkName(deployment.Services, it.Service, "requests", faults);
+  for (const auto &it : deployment.Troubles)
+    if (!it.Zone.empty())
+      checkName(deployment.Zones, it.Zone, "troubles", faults);
+  if (!faults.empty())
+    return faults.status();
+  return deployment;
+}
+
+std::vector<std::string_view> deploymentKeys() {
+  std::vector<std::string_view> keys{"zones", "services", "requests",
+                                     "troubles", "candidates"};
+  const auto add = [&](const auto &fields) {
+    for (const auto &it : fields)
+      keys.push_back(it.Value.Key);
+  };
+  add(deploymentFields());
+  add(zoneFields());
+  add(serviceFields());
+  add(requestFields());
+  add(troubleFields());
+  add(candidateFields());
+  return keys;
+}
+
+} // namespace auburnroute::emulator
--- /dev/null
+++ b/Source/Emulator/EmulatedCallers.cpp
@@ -0,0 +1,268 @@
+#include "Emulator/EmulatedCallers.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <numbers>
+#include <utility>
+
+namespace auburnroute::emulator {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Pauses before a packet is sent again. A SYN is given up after the third
+/// pause, a request when its time limit ends.
+constexpr std::array<milliseconds, 3> RepeatAfter{
+    milliseconds(200), milliseconds(400), milliseconds(800)};
+/// Before a caller tries again.
+constexpr milliseconds RetryPause{20};
+constexpr std::uint16_t RequestBytes = 500;
+constexpr std::uint32_t AnswerBytes = 1000;
+constexpr std::uint32_t ServiceNet = 0xC6120000; // 198.18.0.0, RFC 2544
+constexpr std::uint16_t ServicePort = 443;
+constexpr std::uint32_t CallerNet = 0x64400000; // 100.64.0.0, RFC 6598
+constexpr std::size_t PortsOfCaller = 50000;
+constexpr std::uint16_t FirstPort = 1024;
+
+} // namespace
+
+EmulatedCallers::EmulatedCallers(const Deployment &deployment,
+                                 EventQueue &queue, DayResult &result,
+                                 std::uint64_t seed, ToHost toHost)
+    : Plan(deployment), Queue(queue), Result(result), Send(std::move(toHost)) {
+  double parts = 0;
+  for (const auto &it : Plan.Zones)
+    parts += it.Callers;
+  for (std::size_t kind = 0; kind < Plan.Requests.size(); ++kind)
+    for (std::size_t zone = 0; zone < Plan.Zones.size(); ++zone) {
+      std::seed_seq seeds{seed, std::uint64_t{kind}, std::uint64_t{zone}};
+      Streams.push_back({kind,
+                         zone,
+                         Plan.Requests[kind].PerSecond *
+                             Plan.Zones[zone].Callers / std::max(parts, 1e-9),
+                         std::mt19937_64(seeds),
+                         {}});
+    }
+}
+
+common::Endpoint EmulatedCallers::addressOf(std::size_t request) {
+  return {ServiceNet + 1 + static_cast<std::uint32_t>(request), ServicePort};
+}
+
+void EmulatedCallers::start(common::TimePoint end) {
+  Start = Queue.now();
+  End = end;
+  for (std::size_t n = 0; n < Streams.size(); ++n)
+    next(n);
+}
+
+void EmulatedCallers::next(std::size_t stream) {
+  auto &it = Streams[stream];
+  if (it.PerSecond <= 0)
+    return;
+  // Thinning: candidates come at the highest rate and are kept with the
+  // probability of the present one, so the draws are the same for all variants.
+  const double highest = it.PerSecond * MaxBurst;
+  const double pause =
+      std::exponential_distribution<double>(highest)(it.Random);
+  const double kept = std::uniform_real_distribution<double>()(it.Random);
+  Queue.after(std::chrono::nanoseconds(static_cast<std::int64_t>(pause * 1e9)),
+              [this, stream, kept] {
+                if (Queue.now() > End)
+                  return;
+                const double cycles = Milliseconds(Queue.now() - Start) /
+                                      Milliseconds(Plan.Period);
+                const double rate =
+                    Burst *
+                    (1 + Plan.Swing * std::sin(2 * std::numbers::pi * cycles));
+                if (kept * MaxBurst < rate)
+                  ask(stream);
+                next(stream);
+              });
+}
+
+Milliseconds EmulatedCallers::drawWork(const RequestSpec &spec,
+                                       std::mt19937_64 &random) {
+  // The factor keeps the mean of the lognormal distribution at the work.
+  const double spread =
+      std::exp(spec.Spread * std::normal_distribution<double>()(random) -
+               spec.Spread * spec.Spread / 2);
+  const bool tail =
+      std::uniform_real_distribution<double>()(random) < spec.TailShare;
+  const double mean = 1 + spec.TailShare * (spec.TailFactor - 1);
+  return Milliseconds(spec.Work * spread * (tail ? spec.TailFactor : 1) / mean);
+}
+
+void EmulatedCallers::ask(std::size_t stream) {
+  auto &it = Streams[stream];
+  const auto &spec = Plan.Requests[it.Kind];
+  const auto number = Requests.size();
+  Requests.push_back({it.Kind, it.Zone, Queue.now(), 0,
+                      drawWork(spec, it.Random), 0, false, false});
+  Queue.after(spec.TimeLimit, [this, number] {
+    auto &request = Requests[number];
+    if (request.Done)
+      return;
+    Flows[request.Flow].At = Phase::Dead;
+    end(number, RequestEnd::Failed);
+  });
+  if (!it.IdleFeeds.empty()) {
+    const auto flow = it.IdleFeeds.back();
+    it.IdleFeeds.pop_back();
+    Flows[flow].Current = number;
+    Requests[number].Flow = flow;
+    sendRequest(flow, 0);
+    return;
+  }
+  open(number);
+}
+
+void EmulatedCallers::attempt(RequestNumber number) {
+  auto &request = Requests[number];
+  if (request.Done)
+    return;
+  if (++request.Tries > Plan.Requests[request.Kind].Retries) {
+    end(number, RequestEnd::Failed);
+    return;
+  }
+  Queue.after(RetryPause, [this, number] {
+    if (!Requests[number].Done)
+      open(number);
+  });
+}
+
+void EmulatedCallers::open(RequestNumber number) {
+  auto &request = Requests[number];
+  const auto flow = Flows.size();
+  auto &it = Flows.emplace_back();
+  it.Zone = request.Zone;
+  it.Kind = request.Kind;
+  it.Caller = {CallerNet + static_cast<std::uint32_t>(flow / PortsOfCaller),
+               static_cast<std::uint16_t>(FirstPort + flow % PortsOfCaller)};
+  it.Current = number;
+  request.Flow = flow;
+  request.Sent = false;
+  sendSyn(flow, 0);
+}
+
+routing::FlowPacket EmulatedCallers::packetOf(const Flow &flow) const {
+  routing::FlowPacket packet;
+  packet.Source = flow.Caller;
+  packet.Destination = addressOf(flow.Kind);
+  packet.Ack = true;
+  packet.Sequence = flow.Sequence;
+  packet.Acknowledgement = flow.Acknowledgement;
+  packet.Echo = flow.Echo;
+  return packet;
+}
+
+void EmulatedCallers::sendSyn(FlowNumber flow, std::uint32_t copy) {
+  const auto &it = Flows[flow];
+  if (it.At != Phase::Opening)
+    return;
+  if (copy == RepeatAfter.size()) {
+    onFailure(flow, false);
+    return;
+  }
+  auto packet = packetOf(it);
+  packet.Ack = false;
+  packet.Syn = true;
+  packet.Acknowledgement = copy;
+  Send(it.Zone, flow, packet);
+  Queue.after(RepeatAfter[copy],
+              [this, flow, copy] { sendSyn(flow, copy + 1); });
+}
+
+void EmulatedCallers::sendRequest(FlowNumber flow, std::uint32_t copy) {
+  auto &it = Flows[flow];
+  const auto number = it.Current;
+  it.At = Phase::Busy;
+  Requests[number].Sent = true;
+  auto packet = packetOf(it);
+  packet.PayloadSize = RequestBytes;
+  Send(it.Zone, flow, packet);
+  Queue.after(RepeatAfter[std::min<std::size_t>(copy, 2)],
+              [this, flow, number, copy] {
+                const auto &later = Flows[flow];
+                if (later.At == Phase::Busy && later.Current == number)
+                  sendRequest(flow, copy + 1);
+              });
+}
+
+void EmulatedCallers::onReply(FlowNumber flow, const ServerReply &reply) {
+  auto &it = Flows[flow];
+  switch (reply.What) {
+  case ServerReply::Kind::Opened:
+    if (it.At != Phase::Opening)
+      return;
+    it.Echo = reply.Echo;
+    sendRequest(flow, 0);
+    return;
+  case ServerReply::Kind::Answer:
+    if (it.At == Phase::Busy && reply.Sequence == it.Sequence)
+      onAnswer(flow);
+    return;
+  case ServerReply::Kind::Shed:
+    if (it.At == Phase::Busy && reply.Sequence == it.Sequence)
+      onFailure(flow, false);
+    return;
+  case ServerReply::Kind::Unknown:
+    onFailure(flow, true);
+    return;
+  }
+}
+
+void EmulatedCallers::onReset(FlowNumber flow) { onFailure(flow, true); }
+
+void EmulatedCallers::onAnswer(FlowNumber flow) {
+  auto &it = Flows[flow];
+  const auto number = it.Current;
+  const auto &spec = Plan.Requests[it.Kind];
+  it.Sequence += RequestBytes;
+  it.Acknowledgement += AnswerBytes;
+  it.Current = NoRequest;
+  it.At = spec.Feed != 0 ? Phase::Idle : Phase::Dead;
+  auto packet = packetOf(it);
+  packet.Fin = spec.Feed == 0;
+  Send(it.Zone, flow, packet);
+  if (spec.Feed != 0)
+    Streams[it.Kind * Plan.Zones.size() + it.Zone].IdleFeeds.push_back(flow);
+  const auto time = Queue.now() - Requests[number].AskedAt;
+  end(number, time <= spec.Objective ? RequestEnd::InTime : RequestEnd::Late);
+}
+
+void EmulatedCallers::onFailure(FlowNumber flow, bool mayHaveRun) {
+  auto &it = Flows[flow];
+  if (it.At == Phase::Dead || it.Current == NoRequest)
+    return;
+  const auto number = std::exchange(it.Current, NoRequest);
+  it.At = Phase::Dead;
+  const auto &request = Requests[number];
+  if (mayHaveRun && request.Sent &&
+      Plan.Requests[it.Kind].Kind == routing::RequestKind::NonIdempotent)
+    end(number, RequestEnd::Failed);
+  else
+    attempt(number);
+}
+
+void EmulatedCallers::end(RequestNumber number, RequestEnd how) {
+  auto &request = Requests[number];
+  if (std::exchange(request.Done, true))
+    return;
+  Result.add(request.Kind, request.Zone, request.AskedAt - Start, how,
+             Queue.now() - request.AskedAt);
+}
+
+Milliseconds EmulatedCallers::workOf(FlowNumber flow) const {
+  const auto number = Flows[flow].Current;
+  return number == NoRequest ? Milliseconds(0) : Requests[number].Work;
+}
+
+void EmulatedCallers::finish() {
+  for (RequestNumber n = 0; n < Requests.size(); ++n)
+    end(n, RequestEnd::Failed);
+}
+
+} // namespace auburnroute::emulator
--- /dev/null
+++ b/Source/Emulator/EmulatedHost.cpp
@@ -0,0 +1,43 @@
+#include "Emulator/EmulatedHost.h"
+
+#include "Emulator/CandidatePlacement.h"
+
+namespace auburnroute::emulator {
+
+namespace {
+
+/// Longer than any flow of a day matters.
+constexpr std::chrono::seconds Retention{65};
+
+routing::EvidenceLimits limitsOf(const Candidate &candidate) {
+  routing::EvidenceLimits limits;
+  limits.SuspicionHold = candidate.SuspicionHold;
+  return limits;
+}
+
+} // namespace
+
+/// The figures come from callers and servers.
+class EmulatedHost::SilentObserver final : public routing::RoutingObserver {
+public:
+  void onPlaced(const routing::FlowId &, routing::ServerId,
+                std::uint32_t) override {}
+  void onRefused(const routing::RefusedPacket &) override {}
+  void onSuspected(const routing::FlowId &, routing::ServerId,
+                   routing::Suspicion, std::chrono::milliseconds) override {}
+  void onCleared(routing::ServerId) override {}
+  void onAnswered(const routing::FlowId &, routing::ServerId,
+                  std::chrono::milliseconds,
+                  std::chrono::milliseconds) override {}
+};
+
+EmulatedHost::EmulatedHost(const Candidate &candidate, const std::string &zone,
+                           std::uint64_t seed)
+    : Directory(Retention), Evidence(limitsOf(candidate)),
+      Observer(std::make_unique<SilentObserver>()),
+      Placement(CandidatePlacement::make(candidate, Directory, Evidence,
+                                         Directory.zoneNames().idOf(zone),
+                                         seed)),
+      Router(Routes, Directory, Evidence, *Placement, *Observer) {}
+
+} // namespace auburnroute::emulator
--- /dev/null
+++ b/Source/Emulator/EmulatedHost.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Emulator/Deployment.h"
+#include "Routing/PacketRouter.h"
+
+#include <memory>
+
+namespace auburnroute::emulator {
+
+/// One start of an entry host: the modules of the daemon that decide on
+/// packets.
+class EmulatedHost {
+public:
+  EmulatedHost(const Candidate &candidate, const std::string &zone,
+               std::uint64_t seed);
+
+  /// What the registry tells it.
+  void configure(const routing::RoutingConfiguration &configuration) {
+    Routes.apply(configuration);
+  }
+  void apply(const routing::ServerRegistration &server, common::TimePoint now) {
+    Directory.apply(server, now);
+  }
+  void remove(const std::string &server, std::uint64_t revision,
+              common::TimePoint now) {
+    Directory.remove(server, revision, now);
+  }
+  /// The registry was read completely.
+  void setComplete(common::TimePoint now) {
+    Router.setDirectoryCompleteAt(now);
+  }
+
+  routing::RoutingOutcome onPacket(const routing::FlowPacket &packet,
+                                   common::TimePoint now) {
+    return Router.onPacket(packet, now);
+  }
+  void onTick(common::TimePoint now) { Router.onTick(now); }
+  /// Identity of the server that a forward names.
+  std::uint64_t identityOf(routing::ServerId id) const {
+    return Directory.at(id).Registration.Identity;
+  }
+
+private:
+  class SilentObserver;
+
+  routing::RouteTable Routes;
+  routing::ServerDirectory Directory;
+  routing::ServerEvidence Evidence;
+  std::unique_ptr<routing::RoutingObserver> Observer;
+  std::unique_ptr<routing::Placement> Placement;
+  routing::PacketRouter Router;
+};
+
+} // namespace auburnroute::emulator
--- /dev/null
+++ b/Source/Emulator/EmulatedServer.cpp
@@ -0,0 +1,81 @@
+#include "Emulator/EmulatedServer.h"
+
+#include <utility>
+
+namespace auburnroute::emulator {
+
+EmulatedServer::EmulatedServer(const ServiceSpec &spec, EventQueue &queue,
+                               Reply reply, bool cold)
+    : Spec(spec), Queue(queue), Send(std::move(reply)),
+      ColdUntil(cold ? queue.now() + spec.ColdFor : common::TimePoint()) {}
+
+void EmulatedServer::onPacket(FlowNumber flow,
+                              const routing::FlowPacket &packet,
+                              Milliseconds work) {
+  if (!Alive)
+    return;
+  if (packet.Syn) {
+    Taken += Flows.try_emplace(flow).second;
+    Send(flow, {ServerReply::Kind::Opened, packet.Echo, packet.Sequence});
+    return;
+  }
+  const auto it = Flows.find(flow);
+  if (it == Flows.end()) {
+    if (packet.PayloadSize > 0)
+      Send(flow, {ServerReply::Kind::Unknown, packet.Echo, packet.Sequence});
+    return;
+  }
+  if (packet.Fin || packet.Rst)
+    Flows.erase(it);
+  else if (packet.PayloadSize > 0)
+    onRequest(flow, it->second, packet, work);
+}
+
+void EmulatedServer::onRequest(FlowNumber number, Flow &flow,
+                               const routing::FlowPacket &packet,
+                               Milliseconds work) {
+  if (flow.Sequence == packet.Sequence) {
+    // A copy of a request that is under way, or whose answer was late.
+    if (!flow.Busy)
+      Send(number, flow.LastReply);
+    return;
+  }
+  flow.Sequence = packet.Sequence;
+  flow.LastReply = {ServerReply::Kind::Answer, packet.Echo, packet.Sequence};
+  if (Running < Spec.Slots) {
+    flow.Busy = true;
+    start({number, work});
+  } else if (Waiting.size() < Spec.Queue) {
+    flow.Busy = true;
+    Waiting.push_back({number, work});
+  } else {
+    flow.LastReply.What = ServerReply::Kind::Shed;
+    Send(number, flow.LastReply);
+  }
+}
+
+void EmulatedServer::start(const Job &job) {
+  ++Running;
+  const double cold = Queue.now() < ColdUntil ? Spec.ColdFactor : 1.0;
+  Queue.after(std::chrono::duration_cast<std::chrono::nanoseconds>(
+                  job.Work * Slowdown * cold),
+              [this, flow = job.Flow] { finish(flow); });
+}
+
+void EmulatedServer::finish(FlowNumber number) {
+  if (!Alive)
+    return;
+  --Running;
+  // The caller may have left meanwhile.
+  if (const auto it = Flows.find(number); it != Flows.end()) {
+    it->second.Busy = false;
+    Send(number, it->second.LastReply);
+  }
+  if (Waiting.empty())
+    return;
+  const auto next = Waiting.front();
+  Waiting.pop_front();
+  start(next);
+}
+
+} // namespace auburnroute::emulator
--- /dev/null
+++ b/Source/Emulator/EmulatedServer.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "Emulator/Deployment.h"
+#include "Emulator/EventQueue.h"
+#include "Routing/FlowPacket.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <deque>
+#include <functional>
+
+namespace auburnroute::emulator {
+
+/// A flow of a caller, for the life of the emulation.
+using FlowNumber = std::uint64_t;
+
+/// What a backend server sends to a caller, directly.
+struct ServerReply {
+  enum class Kind : std::uint8_t {
+    Opened,  ///< SYN-ACK.
+    Answer,  ///< The whole answer.
+    Shed,    ///< "Not run": all slots and places in the queue are taken.
+    Unknown, ///< Reset: the server does not know the flow.
+  };
+  Kind What = Kind::Answer;
+  std::uint32_t Echo = 0;
+  std::uint32_t Sequence = 0; ///< Of the request that is answered.
+};
+
+/// A backend server with slots and a queue.
+class EmulatedServer {
+public:
+  using Reply = std::function<void(FlowNumber, const ServerReply &)>;
+
+  /// References must outlive the object, which must not move.
+  EmulatedServer(const ServiceSpec &spec, EventQueue &queue, Reply reply,
+                 bool cold);
+
+  /// A packet of \p flow; \p work: what its request takes.
+  void onPacket(FlowNumber flow, const routing::FlowPacket &packet,
+                Milliseconds work);
+  /// Answers nothing any more.
+  void crash() { Alive = false; }
+  bool isAlive() const { return Alive; }
+  void setSlowdown(double factor) { Slowdown = factor; }
+  /// SYNs that it has opened.
+  std::uint64_t flowsTaken() const { return Taken; }
+
+private:
+  struct Flow {
+    std::uint32_t Sequence = 0; ///< Of the last request.
+    bool Busy = false;
+    ServerReply LastReply;
+  };
+  struct Job {
+    FlowNumber Flow = 0;
+    Milliseconds Work{0};
+  };
+  void onRequest(FlowNumber number, Flow &flow,
+                 const routing::FlowPacket &packet, Milliseconds work);
+  void start(const Job &job);
+  void finish(FlowNumber number);
+
+  const ServiceSpec &Spec;
+  EventQueue &Queue;
+  Reply Send;
+  common::TimePoint ColdUntil;
+  absl::flat_hash_map<FlowNumber, Flow> Flows;
+  std::deque<Job> Waiting;
+  std::uint32_t Running = 0;
+  double Slowdown = 1;
+  bool Alive = true;
+  std::uint64_t Taken = 0;
+};
+
+} // namespace auburnroute::emulator
--- /dev/null
+++ b/Source/Emulator/Emulation.cpp
@@ -0,0 +1,218 @@
+#include "Emulator/Emulation.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+
+namespace auburnroute::emulator {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A server that is replaced ends this long after it said so.
+constexpr milliseconds DrainTime{3000};
+constexpr milliseconds ReplacePause{1000};
+/// An entry lapses after so many missed heartbeats.
+constexpr int LapseHeartbeats = 3;
+constexpr std::uint64_t IdentityBase = 0x1000000000;
+constexpr std::uint16_t ServerPort = 8000;
+constexpr std::uint32_t ServerNet = 0x0A000000; // 10.0.0.0, RFC 1918
+
+} // namespace
+
+Emulation::Emulation(const Deployment &deployment, const Candidate &candidate,
+                     std::uint64_t seed)
+    : Plan(deployment), Random(seed), Result(deployment),
+      Fleet(deployment, candidate, Queue, seed + 1),
+      Callers(deployment, Queue, Result, seed + 2,
+              [this](auto zone, auto flow, const auto &packet) {
+                toHost(zone, flow, packet);
+              }) {}
+
+std::chrono::nanoseconds Emulation::wayOf(double ms) const {
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(Milliseconds(ms));
+}
+
+routing::RoutingConfiguration Emulation::configuration() const {
+  routing::RoutingConfiguration configuration;
+  configuration.Version = 1;
+  for (std::size_t n = 0; n < Plan.Requests.size(); ++n) {
+    const auto &it = Plan.Requests[n];
+    routing::Route route;
+    route.Name = it.Name;
+    route.Address = EmulatedCallers::addressOf(n);
+    route.Kind = it.Kind;
+    route.Timeout = it.TimeLimit;
+    route.Objective = it.Objective;
+    route.Services.push_back({it.Service, 1});
+    configuration.Routes.push_back(std::move(route));
+  }
+  return configuration;
+}
+
+DayResult Emulation::run() {
+  for (std::size_t service = 0; service < Plan.Services.size(); ++service)
+    for (std::uint32_t n = 0; n < Plan.Services[service].Servers; ++n)
+      addServer(service, n % Plan.Zones.size(), false);
+  const auto initial = Servers.size();
+  Fleet.start(configuration());
+  const auto end = Queue.now() + Plan.Length;
+  Callers.start(end);
+  for (const auto &it : Plan.Troubles)
+    schedule(it);
+  milliseconds longest{0};
+  for (const auto &it : Plan.Requests)
+    longest = std::max(longest, it.TimeLimit);
+  Queue.runUntil(end + longest);
+  Callers.finish();
+  // Servers that served a part of the day only would look idle.
+  for (std::size_t n = 0; n < initial; ++n)
+    if (Servers[n].Node->isAlive() && !Servers[n].Leaving)
+      Result.addServer(Servers[n].Service, Servers[n].Node->flowsTaken());
+  Result.Events = Queue.eventCount();
+  return Result;
+}
+
+void Emulation::addServer(std::size_t service, std::size_t zone, bool cold) {
+  const auto number = Servers.size();
+  const auto &spec = Plan.Services[service];
+  routing::ServerRegistration it;
+  it.Name = absl::StrCat("s-", number);
+  it.Identity = IdentityBase + number;
+  it.Service = spec.Name;
+  it.Address = {ServerNet + static_cast<std::uint32_t>(number), ServerPort};
+  it.Zone = Plan.Zones[zone].Name;
+  it.Slots = spec.Slots;
+  it.Lifetime = 1;
+  it.ColdLeft = cold ? spec.ColdFor : milliseconds(0);
+  auto node = std::make_unique<EmulatedServer>(
+      spec, Queue,
+      [this](FlowNumber flow, const ServerReply &reply) {
+        Queue.after(wayOf(Plan.CallerWay),
+                    [this, flow, reply] { Callers.onReply(flow, reply); });
+      },
+      cold);
+  Servers.push_back({it, service, zone, std::move(node)});
+  ByIdentity.emplace(it.Identity, number);
+  Fleet.publish(it);
+}
+
+void Emulation::toHost(std::size_t zone, FlowNumber flow,
+                       const routing::FlowPacket &packet) {
+  // The routers hash the addresses, so a flow keeps its host while the set of
+  // hosts stays.
+  const auto hash = packet.Source.key() * 0x9E3779B97F4A7C15ULL >> 16;
+  Queue.after(wayOf(Plan.CallerWay), [this, zone, flow, packet, hash] {
+    const auto at = Fleet.route(zone, hash);
+    if (at.Host == nullptr)
+      return;
+    const auto outcome = at.Host->onPacket(packet, Queue.now());
+    if (const auto *it = std::get_if<routing::ForwardPacket>(&outcome))
+      toServer(at, *it, flow, packet);
+    else if (std::holds_alternative<routing::ResetFlow>(outcome))
+      Queue.after(wayOf(Plan.CallerWay),
+                  [this, flow] { Callers.onReset(flow); });
+  });
+}
+
+void Emulation::toServer(const EmulatedFleet::RoutedTo &from,
+                         const routing::ForwardPacket &forward, FlowNumber flow,
+                         routing::FlowPacket packet) {
+  const auto at = ByIdentity.find(from.Host->identityOf(forward.Server));
+  if (at == ByIdentity.end())
+    return;
+  const auto zone = from.Zone;
+  const auto number = at->second;
+  const auto other = Servers[number].Zone;
+  if (CutZone && zone != other && (*CutZone == zone || *CutZone == other))
+    return;
+  packet.Echo = forward.Tag;
+  Queue.after(wayOf(zone == other ? Plan.InZone : Plan.CrossZone),
+              [this, number, flow, packet] {
+                Servers[number].Node->onPacket(flow, packet,
+                                               Callers.workOf(flow));
+              });
+}
+
+std::vector<std::size_t> Emulation::chooseServers(double share) {
+  std::vector<std::size_t> chosen;
+  for (std::size_t n = 0; n < Servers.size(); ++n)
+    if (Servers[n].Node->isAlive() && !Servers[n].Leaving)
+      chosen.push_back(n);
+  std::ranges::shuffle(chosen, Random);
+  chosen.resize(std::min(
+      chosen.size(), static_cast<std::size_t>(std::max(
+                         1.0, share * static_cast<double>(chosen.size())))));
+  return chosen;
+}
+
+void Emulation::schedule(const Trouble &trouble) {
+  Queue.after(trouble.At, [this, &trouble] { strike(trouble); });
+}
+
+void Emulation::strike(const Trouble &trouble) {
+  switch (trouble.Kind) {
+  case TroubleKind::KillHosts:
+    Fleet.kill(trouble.Share, trouble.For);
+    break;
+  case TroubleKind::CrashServers:
+    for (const auto it : chooseServers(trouble.Share))
+      crash(it, trouble);
+    break;
+  case TroubleKind::ReplaceServers: {
+    milliseconds wait{0};
+    for (const auto it : chooseServers(trouble.Share)) {
+      Queue.after(wait, [this, it] { replace(it); });
+      wait += ReplacePause;
+    }
+    break;
+  }
+  case TroubleKind::SlowServers:
+    for (const auto it : chooseServers(trouble.Share)) {
+      Servers[it].Node->setSlowdown(trouble.Factor);
+      Queue.after(trouble.For,
+                  [this, it] { Servers[it].Node->setSlowdown(1); });
+    }
+    break;
+  case TroubleKind::CutZone: {
+    CutZone = Random() % Plan.Zones.size();
+    if (const auto it =
+            std::ranges::find(Plan.Zones, trouble.Zone, &ZoneSpec::Name);
+        it != Plan.Zones.end())
+      CutZone = static_cast<std::size_t>(it - Plan.Zones.begin());
+    Queue.after(trouble.For, [this] { CutZone.reset(); });
+    break;
+  }
+  case TroubleKind::Burst:
+    Callers.setBurst(trouble.Factor);
+    Queue.after(trouble.For, [this] { Callers.setBurst(1); });
+    break;
+  }
+}
+
+void Emulation::crash(std::size_t server, const Trouble &trouble) {
+  Servers[server].Node->crash();
+  Queue.after(LapseHeartbeats * Plan.Heartbeat, [this, server] {
+    Fleet.withdraw(Servers[server].Registration.Name);
+  });
+  Queue.after(trouble.For, [this, server] {
+    addServer(Servers[server].Service, Servers[server].Zone, true);
+  });
+}
+
+void Emulation::replace(std::size_t server) {
+  if (!Servers[server].Node->isAlive())
+    return;
+  Servers[server].Leaving = true;
+  addServer(Servers[server].Service, Servers[server].Zone, true);
+  auto leaving = Servers[server].Registration;
+  leaving.State = routing::ServerState::Draining;
+  Fleet.publish(leaving);
+  Queue.after(DrainTime, [this, server] {
+    Servers[server].Node->crash();
+    Fleet.withdraw(Servers[server].Registration.Name);
+  });
+}
+
+} // namespace auburnroute::emulator
--- /dev/null
+++ b/Source/Emulator/Emulation.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "Emulator/DayResult.h"
+#include "Emulator/EmulatedCallers.h"
+#include "Emulator/EmulatedFleet.h"
+#include "Emulator/EmulatedServer.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <memory>
+#include <optional>
+#include <random>
+
+namespace auburnroute::emulator {
+
+/// One day of a deployment with one candidate, on a virtual clock. The
+/// decisions on packets are those of the daemon; callers, backend servers,
+/// network, routers and the spread of the registry's changes are models.
+class Emulation {
+public:
+  /// References must outlive the object. Equal seeds give equal days.
+  Emulation(const Deployment &deployment, const Candidate &candidate,
+            std::uint64_t seed);
+
+  DayResult run();
+
+private:
+  struct Server {
+    routing::ServerRegistration Registration;
+    std::size_t Service = 0;
+    std::size_t Zone = 0;
+    std::unique_ptr<EmulatedServer> Node;
+    bool Leaving = false;
+  };
+
+  void addServer(std::size_t service, std::size_t zone, bool cold);
+  void schedule(const Trouble &trouble);
+  void strike(const Trouble &trouble);
+  void crash(std::size_t server, const Trouble &trouble);
+  void replace(std::size_t server);
+  /// A share of the servers that live and do not leave, at random.
+  std::vector<std::size_t> chooseServers(double share);
+  void toHost(std::size_t zone, FlowNumber flow,
+              const routing::FlowPacket &packet);
+  void toServer(const EmulatedFleet::RoutedTo &from,
+                const routing::ForwardPacket &forward, FlowNumber flow,
+                routing::FlowPacket packet);
+  std::chrono::nanoseconds wayOf(double ms) const;
+  routing::RoutingConfiguration configuration() const;
+
+  const Deployment &Plan;
+  EventQueue Queue;
+  std::mt19937_64 Random;
+  DayResult Result;
+  EmulatedFleet Fleet;
+  EmulatedCallers Callers;
+  std::vector<Server> Servers;
+  absl::flat_hash_map<std::uint64_t, std::size_t> ByIdentity;
+  std::optional<std::size_t> CutZone;
+};
+
+} // namespace auburnroute::emulator
--- /dev/null
+++ b/Source/Emulator/EventQueue.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Common/Clock.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <vector>
+
+namespace auburnroute::emulator {
+
+/// Virtual clock with events that are run in the order of their times, and in
+/// the order of their entry at equal times.
+class EventQueue final : public common::Clock {
+public:
+  using Handler = std::function<void()>;
+
+  common::TimePoint now() const override { return Now; }
+  common::WallTime wallTime() const override {
+    return common::WallTime(
+        std::chrono::duration_cast<common::WallTime::duration>(
+            Now.time_since_epoch()));
+  }
+
+  /// Runs \p handler after \p delay; a negative delay counts as none.
+  void after(std::chrono::nanoseconds delay, Handler handler);
+  /// Runs all events up to \p end and sets the clock to it.
+  void runUntil(common::TimePoint end);
+  std::uint64_t eventCount() const { return Sequence; }
+
+private:
+  struct Event {
+    common::TimePoint At;
+    std::uint64_t Sequence = 0;
+    Handler Run;
+    bool operator<(const Event &it) const {
+      return At != it.At ? At > it.At : Sequence > it.Sequence;
+    }
+  };
+
+  // Above zero, so that a default-constructed time point is in the past.
+  common::TimePoint Now{std::chrono::hours(1)};
+  std::uint64_t Sequence = 0;
+  std::priority_queue<Event> Events;
+};
+
+} // namespace auburnroute::emulator
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -112,7 +112,7 @@
            flow != nullptr && flow->Phase == FlowPhase::Opening)
     suspect(flow->Server, Suspicion::SynUnanswered, id, flow->LastSeen, now);
   const auto service = serviceOf(route, id);
-  const auto server = Placement.choose(
+  const auto server = Placer.choose(
       service, std::span<const ServerId>(attempts.Tried), UseLapsed, now);
   if (!server) {
     Attempts.erase(id);
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -2,10 +2,10 @@
 
 #include "Common/Clock.h"
 #include "Routing/FlowTable.h"
+#include "Routing/Placement.h"
 #include "Routing/RouteTable.h"
 #include "Routing/RoutingObserver.h"
 #include "Routing/RoutingOutcome.h"
-#include "Routing/ServerPlacement.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/inlined_vector.h"
@@ -22,11 +22,10 @@
 public:
   /// References must outlive the object.
   PacketRouter(const RouteTable &routes, ServerDirectory &directory,
-               ServerEvidence &evidence, Names::Id ownZone, std::uint64_t seed,
+               ServerEvidence &evidence, Placement &placement,
                RoutingObserver &observer)
       : Routes(routes), Directory(directory), Evidence(evidence),
-        Flows(evidence), Placement(directory, evidence, ownZone, seed),
-        Observer(observer) {}
+        Flows(evidence), Placer(placement), Observer(observer) {}
 
   RoutingOutcome onPacket(const FlowPacket &packet, common::TimePoint now);
   /// Housekeeping; once a second or more often.
@@ -77,7 +76,7 @@
   ServerDirectory &Directory;
   ServerEvidence &Evidence;
   FlowTable Flows;
-  ServerPlacement Placement;
+  Placement &Placer;
   RoutingObserver &Observer;
   absl::flat_hash_map<FlowId, SynAttempts> Attempts;
   // Callers choose tags and addresses, so both tables are bounded.
--- /dev/null
+++ b/Source/Routing/Placement.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Routing/ServerDirectory.h"
+
+#include <optional>
+#include <span>
+
+namespace auburnroute::routing {
+
+/// Chooses the backend server of a new flow.
+class Placement {
+public:
+  virtual ~Placement() = default;
+
+  /// A server of \p service, preferably one that is not in \p tried; nothing if
+  /// none may take the flow. Servers whose entry lapsed unannounced are used
+  /// only if \p useLapsed is set.
+  virtual std::optional<ServerId> choose(Names::Id service,
+                                         std::span<const ServerId> tried,
+                                         bool useLapsed,
+                                         common::TimePoint now) = 0;
+};
+
+} // namespace auburnroute::routing
--- a/Source/Routing/ServerPlacement.h
+++ b/Source/Routing/ServerPlacement.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "Common/Clock.h"
-#include "Routing/ServerDirectory.h"
+#include "Routing/Placement.h"
 #include "Routing/ServerEvidence.h"
 
 #include <cstdint>
@@ -26,7 +25,7 @@
 };
 
 /// Chooses the backend server of a new flow from what this host has seen.
-class ServerPlacement {
+class ServerPlacement final : public Placement {
 public:
   /// References must outlive the object. \p seed: of the choice among equals.
   ServerPlacement(const ServerDirectory &directory,
@@ -41,7 +40,8 @@
   /// none is registered. Draining servers are never used.
   std::optional<ServerId> choose(Names::Id service,
                                  std::span<const ServerId> tried,
-                                 bool useLapsed, common::TimePoint now);
+                                 bool useLapsed,
+                                 common::TimePoint now) override;
 
 private:
   /// Order of use; lower comes first.
--- /dev/null
+++ b/Source/UnitTests/Emulator/EmulatedServerTest.cpp
@@ -0,0 +1,85 @@
+#include "Emulator/EmulatedServer.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+using emulator::Milliseconds;
+using emulator::ServerReply;
+
+namespace {
+
+struct ServerFixture {
+  emulator::ServiceSpec Spec{"orders", 1, 1, 1, 0ms, 1};
+  emulator::EventQueue Queue;
+  std::vector<std::pair<emulator::FlowNumber, ServerReply::Kind>> Replies;
+  emulator::EmulatedServer Server{Spec, Queue,
+                                  [this](auto flow, const auto &reply) {
+                                    Replies.emplace_back(flow, reply.What);
+                                  },
+                                  false};
+
+  void open(emulator::FlowNumber flow) {
+    routing::FlowPacket syn;
+    syn.Syn = true;
+    Server.onPacket(flow, syn, Milliseconds(0));
+  }
+  void ask(emulator::FlowNumber flow, std::uint32_t sequence) {
+    routing::FlowPacket packet;
+    packet.Sequence = sequence;
+    packet.PayloadSize = 100;
+    Server.onPacket(flow, packet, Milliseconds(10));
+  }
+  void advance(std::chrono::milliseconds time) {
+    Queue.runUntil(Queue.now() + time);
+  }
+  std::size_t count(ServerReply::Kind kind) const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        Replies, [&](const auto &it) { return it.second == kind; }));
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EmulatedServerTest, ServerFixture)
+
+// Guards against a model that works on more requests than it has slots, or
+// queues without bound.
+BOOST_AUTO_TEST_CASE(SlotsAndQueueAreBounded) {
+  for (emulator::FlowNumber flow = 1; flow <= 3; ++flow) {
+    open(flow);
+    ask(flow, 7);
+  }
+  BOOST_TEST(count(ServerReply::Kind::Shed) == 1U);
+  advance(12ms);
+  BOOST_TEST(count(ServerReply::Kind::Answer) == 1U);
+  advance(10ms);
+  BOOST_TEST(count(ServerReply::Kind::Answer) == 2U);
+}
+
+// Guards against a repeated request that runs twice or stays unanswered.
+BOOST_AUTO_TEST_CASE(ACopyRunsNotAgain) {
+  open(1);
+  ask(1, 7);
+  ask(1, 7);
+  advance(30ms);
+  BOOST_TEST(count(ServerReply::Kind::Answer) == 1U);
+  ask(1, 7);
+  BOOST_TEST(count(ServerReply::Kind::Answer) == 2U);
+  ask(2, 7);
+  BOOST_TEST(count(ServerReply::Kind::Unknown) == 1U);
+}
+
+// Guards against answers of a server that has crashed.
+BOOST_AUTO_TEST_CASE(ACrashedServerIsSilent) {
+  open(1);
+  ask(1, 7);
+  Server.crash();
+  open(2);
+  advance(30ms);
+  BOOST_TEST(Replies.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Emulator/EmulationTest.cpp
@@ -0,0 +1,167 @@
+#include "Emulator/Emulation.h"
+#include "Emulator/ExperimentReport.h"
+#include "UnitTests/Seeds.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+using emulator::Candidate;
+using emulator::DayResult;
+using emulator::Deployment;
+using emulator::Emulation;
+using emulator::PlacementRule;
+using emulator::Trouble;
+using emulator::TroubleKind;
+
+namespace {
+
+/// Six hosts in two zones before ten servers, at 25% of their load.
+Deployment calmDeployment() {
+  Deployment deployment;
+  deployment.Zones = {{"a", 3, 1}, {"b", 3, 1}};
+  deployment.Services = {{"orders", 10, 2, 8, 2000ms, 1.6}};
+  emulator::RequestSpec feed;
+  feed.Name = "feed";
+  feed.Service = "orders";
+  feed.Feed = 1;
+  feed.PerSecond = 180;
+  feed.Work = 20;
+  feed.Objective = 150ms;
+  feed.TimeLimit = 1000ms;
+  auto order = feed;
+  order.Name = "order";
+  order.Feed = 0;
+  order.Kind = routing::RequestKind::NonIdempotent;
+  order.PerSecond = 70;
+  deployment.Requests = {feed, order};
+  deployment.Length = 12s;
+  return deployment;
+}
+
+DayResult play(const Deployment &deployment, const Candidate &candidate = {},
+               std::uint64_t seed = 1) {
+  return Emulation(deployment, candidate, seed).run();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EmulationTest)
+
+// Guards against a model that loses requests by itself.
+BOOST_AUTO_TEST_CASE(ACalmDayIsServed) {
+  const auto deployment = calmDeployment();
+  for (const auto seed : unittests::seeds({1, 2, 3})) {
+    const auto result = play(deployment, {}, seed);
+    BOOST_TEST(result.all().Asked > 2500U);
+    BOOST_TEST(result.all().Failed == 0U);
+    BOOST_TEST(result.all().lateShare() < 0.03);
+    BOOST_TEST(result.quantile(0.5).count() < 30);
+  }
+}
+
+// Guards against candidates that are compared on different days.
+BOOST_AUTO_TEST_CASE(EqualSeedsAskForTheSame) {
+  const auto deployment = calmDeployment();
+  const auto once = play(deployment);
+  const auto again = play(deployment);
+  BOOST_TEST(once.all().Earned == again.all().Earned);
+  BOOST_TEST(once.Events == again.Events);
+  const auto other =
+      play(deployment, {.Name = "random", .Rule = PlacementRule::Random});
+  BOOST_TEST(once.all().Asked == other.all().Asked);
+  BOOST_TEST(once.all().Asked != play(deployment, {}, 2).all().Asked);
+}
+
+// Guards against a model in which hosts that were all lost are missed longer
+// than their start takes, or not at all.
+BOOST_AUTO_TEST_CASE(AllHostsLosePower) {
+  auto deployment = calmDeployment();
+  deployment.Troubles = {{TroubleKind::KillHosts, 5000ms, 1500ms, 1, 1, {}}};
+  const auto result = play(deployment);
+  BOOST_TEST(result.bySecond()[3].credit() > 0.95);
+  BOOST_TEST(result.bySecond()[5].credit() < 0.5);
+  BOOST_TEST(result.bySecond()[9].credit() > 0.95);
+}
+
+// Guards against silent servers that keep getting flows: suspicion finds them
+// long before their entries lapse.
+BOOST_AUTO_TEST_CASE(SuspicionFindsSilentServers) {
+  auto deployment = calmDeployment();
+  deployment.Heartbeat = 2000ms;
+  deployment.Troubles = {
+      {TroubleKind::CrashServers, 3000ms, 8000ms, 0.3, 1, {}}};
+  double with = 0;
+  double without = 0;
+  for (const auto seed : unittests::seeds({1, 2, 3})) {
+    with += play(deployment, {}, seed).all().credit();
+    without += play(deployment, {.Name = "none", .SuspicionHold = 0ms}, seed)
+                   .all()
+                   .credit();
+  }
+  BOOST_TEST(with > without);
+}
+
+// Guards against a model in which the choice of a server does not matter when
+// they are busy; the users' bench ranks the three rules in this order.
+BOOST_AUTO_TEST_CASE(LeastLoadBeatsTwoChoicesAndChance) {
+  auto deployment = calmDeployment();
+  for (auto &it : deployment.Requests) {
+    it.PerSecond *= 2.4;
+    it.Feed = 0;
+  }
+  double least = 0;
+  double two = 0;
+  double chance = 0;
+  for (const auto seed : unittests::seeds({1, 2, 3})) {
+    least += play(deployment, {}, seed).all().credit();
+    two += play(deployment, {.Name = "two", .Rule = PlacementRule::TwoChoices},
+                seed)
+               .all()
+               .credit();
+    chance += play(deployment,
+                   {.Name = "chance", .Rule = PlacementRule::Random}, seed)
+                  .all()
+                  .credit();
+  }
+  BOOST_TEST(least > two);
+  BOOST_TEST(two > chance);
+}
+
+// Guards against troubles that end the play, in any mix.
+BOOST_AUTO_TEST_CASE(MixedTroublesAccountForEachRequest) {
+  auto deployment = calmDeployment();
+  deployment.Troubles = {
+      {TroubleKind::ReplaceServers, 1000ms, 0ms, 0.5, 1, {}},
+      {TroubleKind::CutZone, 2000ms, 2000ms, 1, 1, "a"},
+      {TroubleKind::SlowServers, 3000ms, 2000ms, 0.3, 4, {}},
+      {TroubleKind::Burst, 4000ms, 1000ms, 1, 3, {}},
+      {TroubleKind::KillHosts, 4500ms, 700ms, 0.5, 1, {}},
+      {TroubleKind::CrashServers, 5000ms, 1000ms, 0.2, 1, {}}};
+  for (const auto seed : unittests::seeds({1, 2, 3, 4, 5})) {
+    const auto result = play(deployment, {}, seed);
+    std::uint64_t asked = 0;
+    for (const auto &it : result.byRequest())
+      asked += it.Asked;
+    BOOST_TEST(asked == result.all().Asked);
+    BOOST_TEST(result.all().credit() > 0.5);
+  }
+}
+
+// Guards against a report that leaves a candidate or its plot out.
+BOOST_AUTO_TEST_CASE(TheReportHoldsEachCandidate) {
+  auto deployment = calmDeployment();
+  deployment.Length = 2s;
+  std::vector<emulator::CandidateResult> results;
+  results.push_back({"first", {play(deployment)}});
+  results.push_back({"second", {play(deployment), play(deployment, {}, 2)}});
+  const emulator::ExperimentReport report(deployment, results);
+  for (const auto *name : {"first", "second"}) {
+    BOOST_TEST(report.text().find(name) != std::string::npos);
+    BOOST_TEST(report.json().find(name) != std::string::npos);
+    BOOST_TEST(report.html().find(std::string("<h2>") + name) !=
+               std::string::npos);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Emulator/EventQueueTest.cpp
@@ -0,0 +1,31 @@
+#include "Emulator/EventQueue.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(EventQueueTest)
+
+// Guards against days that differ between runs: equal times keep the order of
+// entry, and events may add others, also for the present.
+BOOST_AUTO_TEST_CASE(EventsRunInOrder) {
+  emulator::EventQueue queue;
+  std::vector<int> order;
+  queue.after(2ms, [&] { order.push_back(3); });
+  queue.after(1ms, [&] {
+    order.push_back(1);
+    queue.after(-5ms, [&] { order.push_back(2); });
+  });
+  queue.after(2ms, [&] { order.push_back(4); });
+  queue.after(10ms, [&] { order.push_back(5); });
+  const auto start = queue.now();
+  queue.runUntil(start + 5ms);
+  BOOST_TEST(order == (std::vector{1, 2, 3, 4}),
+             boost::test_tools::per_element());
+  BOOST_TEST((queue.now() == start + 5ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Routing/RoutingFixture.h
+++ b/Source/UnitTests/Routing/RoutingFixture.h
@@ -2,6 +2,7 @@
 
 #include "Common/ManualClock.h"
 #include "Routing/PacketRouter.h"
+#include "Routing/ServerPlacement.h"
 
 #include <string>
 #include <vector>
@@ -42,8 +43,8 @@
   static constexpr common::Endpoint Sheets{0xc6120002, 443};
 
   explicit RoutingFixture(std::uint64_t seed = 1)
-      : Router(Routes, Directory, Evidence, Directory.zoneNames().idOf("a"),
-               seed, Observer) {
+      : Placement(Directory, Evidence, Directory.zoneNames().idOf("a"), seed),
+        Router(Routes, Directory, Evidence, Placement, Observer) {
     configure(1);
   }
 
@@ -126,6 +127,7 @@
   routing::ServerDirectory Directory{std::chrono::seconds(65)};
   routing::ServerEvidence Evidence;
   RecordingObserver Observer;
+  routing::ServerPlacement Placement;
   routing::PacketRouter Router;
 };
 
