Split Membership and AdmissionController by job

Change: HeartbeatSender, Neighbourhood, ZoneView and PeerRecord come out of Membership; CandidateList and AdmittedService out of AdmissionController. No change of behaviour.

Ruled out: files named for parts of one class; each new pair is a class or a subject of its own.

--- /dev/null
+++ b/Source/Coordination/Membership/HostReport.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Common/Endpoint.h"
+#include "Coordination/Messages/PeerMessage.h"
+#include "State/HostTable.h"
+
+#include <cstdint>
+#include <tuple>
+
+namespace auburnroute::membership {
+
+/// Order of reports with the same incarnation and sequence.
+inline int rank(state::HostState state) {
+  switch (state) {
+  case state::HostState::Suspect:
+    return 1;
+  case state::HostState::Dead:
+    return 2;
+  default:
+    return 0;
+  }
+}
+
+inline bool isDown(state::HostState state) { return rank(state) > 0; }
+
+/// Position in the order of reports: the higher one is right.
+inline auto position(const state::Host &host) {
+  return std::tuple(host.Incarnation, host.Sequence, rank(host.State));
+}
+
+inline auto position(const messages::HostUpdate &update) {
+  return std::tuple(update.Incarnation, update.Sequence, rank(update.State));
+}
+
+inline messages::HostUpdate updateOf(const state::Host &host) {
+  return {host.Name,  host.Incarnation, host.Sequence,
+          host.State, host.Leaving,     host.Addresses};
+}
+
+inline bool known(const common::Endpoint &endpoint) {
+  return endpoint.Port != 0;
+}
+
+inline std::uint32_t lowBits(std::uint64_t incarnation) {
+  return static_cast<std::uint32_t>(incarnation);
+}
+
+} // namespace auburnroute::membership
--- a/Source/Coordination/Membership/Membership.cpp
+++ b/Source/Coordination/Membership/Membership.cpp
@@ -1,12 +1,10 @@
 #include "Coordination/Membership/Membership.h"
 
-#include "Coordination/Membership/NeighbourRing.h"
+#include "Coordination/Membership/HostReport.h"
+#include "Coordination/Membership/ZoneView.h"
 
 #include <algorithm>
-#include <array>
-#include <tuple>
-
-#include <xxhash.h>
+#include <utility>
 
 namespace auburnroute::membership {
 
@@ -16,54 +14,15 @@
 
 namespace {
 
-// News goes to each neighbour twice; what is lost both times is found by the
-// comparison of view digests.
-constexpr std::uint32_t NewsRounds = 2;
 constexpr std::size_t MaxTransitions = 1024;
-constexpr std::size_t ReaderCount = 2;
-constexpr std::string_view ReaderKey = "settings reader";
-
-// Order of reports with the same incarnation and sequence.
-int rank(HostState state) {
-  switch (state) {
-  case HostState::Suspect:
-    return 1;
-  case HostState::Dead:
-    return 2;
-  default:
-    return 0;
-  }
-}
-
-bool isDown(HostState state) { return rank(state) > 0; }
-
-// Position in the order of reports: the higher one is right.
-auto position(const Host &host) {
-  return std::tuple(host.Incarnation, host.Sequence, rank(host.State));
-}
-
-auto position(const messages::HostUpdate &update) {
-  return std::tuple(update.Incarnation, update.Sequence, rank(update.State));
-}
-
-messages::HostUpdate updateOf(const Host &host) {
-  return {host.Name,  host.Incarnation, host.Sequence,
-          host.State, host.Leaving,     host.Addresses};
-}
-
-bool known(const common::Endpoint &endpoint) { return endpoint.Port != 0; }
-
-std::uint32_t lowBits(std::uint64_t incarnation) {
-  return static_cast<std::uint32_t>(incarnation);
-}
 
 } // namespace
 
 Membership::Membership(TimePoint now, HostIdentity self,
                        MembershipOptions options)
-    : Self(std::move(self)), Options(std::move(options)), News(NewsRounds),
-      Confirmed(Options.JoinTimeout), LastTick(now),
-      LastRound(now - Options.EarlyInterval), NextRound(now), NextForget(now) {
+    : Self(std::move(self)), Options(std::move(options)),
+      Confirmed(Options.JoinTimeout), Sender(now, Options), LastTick(now),
+      NextForget(now) {
   auto &host = *Hosts.add(Self.Name);
   host.Addresses = Self.Addresses;
   host.Incarnation = Self.Incarnation;
@@ -196,7 +155,8 @@
     // would ignore this one as the older of the two.
     Self.Incarnation = update.Incarnation + 1;
     Hosts.find(Self.Name)->Incarnation = Self.Incarnation;
-    EarlyWanted = Changed = true;
+    Sender.hurry();
+    Changed = true;
     return;
   }
   if (update.Incarnation < Self.Incarnation)
@@ -204,7 +164,7 @@
   if (isDown(update.State)) {
     // The next round has a higher sequence, which refutes the report.
     ++Counters.Refutations;
-    EarlyWanted = true;
+    Sender.hurry();
   }
   if (update.Leaving)
     announceLeaving(now);
@@ -220,7 +180,7 @@
       now - it->second.DoubtedAt < Options.DoubtInterval)
     return out;
   auto &peer = it->second;
-  sendTo(*host, ++Sequence, {}, true, out);
+  Sender.sendTo(source(), *host, Sender.nextSequence(), {}, true, out);
   peer.DoubtedAt = peer.LastProbe = now;
   peer.Doubted = !out.empty();
   Counters.Probes += out.size();
@@ -233,7 +193,7 @@
   if (stamp == Settings)
     return;
   Settings = stamp;
-  EarlyWanted = true;
+  Sender.hurry();
   if (Confirmed.update(now, Settings))
     Changed = true;
   refresh(now);
@@ -248,16 +208,13 @@
   if (SelfLeaving)
     return;
   SelfLeaving = true;
-  EarlyWanted = Changed = true;
+  Sender.hurry();
+  Changed = true;
   refresh(now);
 }
 
 // --- Queries ---
 
-bool Membership::isConfirmed(TimePoint now) const {
-  return Confirmed.confirmed() && now - LastTick <= Options.PauseLimit;
-}
-
 HostState Membership::selfState() const {
   if (SelfLeaving)
     return HostState::Leaving;
@@ -283,15 +240,7 @@
 }
 
 messages::PeerMessage Membership::stamp(messages::PeerBody body) {
-  return {Self.Name, Self.Incarnation, ++Sequence, std::move(body)};
-}
-
-std::vector<HostTransition> Membership::takeTransitions() {
-  return std::exchange(Transitions, {});
-}
-
-std::vector<std::string> Membership::takeForgotten() {
-  return std::exchange(Forgotten, {});
+  return {Self.Name, Self.Incarnation, Sender.nextSequence(), std::move(body)};
 }
 
 // --- Changes of a host ---
@@ -345,8 +294,8 @@
 }
 
 void Membership::publish(const Host &host) {
-  News.push(host.Name);
-  EarlyWanted = Changed = true;
+  Sender.addNews(host.Name);
+  Changed = true;
 }
 
 // --- Time ---
@@ -356,20 +305,22 @@
     onWake(now);
   // Answers may be waiting behind a late tick.
   if (now - LastTick > Options.EarlyInterval)
-    restartDoubts(now);
+    Ring.restartDoubts(now, Peers);
   LastTick = now;
   expire(now);
   forgetDead(now);
-  if (Confirmed.update(now, Settings))
-    EarlyWanted = Changed = true;
+  if (Confirmed.update(now, Settings)) {
+    Sender.hurry();
+    Changed = true;
+  }
   refresh(now);
   std::vector<messages::OutgoingMessage> out;
-  if (now >= NextRound ||
-      (EarlyWanted && now - LastRound >= Options.EarlyInterval)) {
-    sendRound(now, out);
+  const auto from = source();
+  if (Sender.isRoundDue(now, Options)) {
+    Sender.sendRound(now, from, out);
   } else {
-    sendAnswers(now, out);
-    sendProbes(now, out);
+    Sender.sendAnswers(now, from, out);
+    Counters.Probes += Sender.sendProbes(now, from, out);
   }
   Counters.HeartbeatsSent += out.size();
   return out;
@@ -377,8 +328,8 @@
 
 void Membership::onWake(TimePoint now) {
   ++Counters.Pauses;
-  Confirmed.restart(now, Sequence + 1);
-  NextRound = now;
+  Confirmed.restart(now, Sender.lastSequence() + 1);
+  Sender.restart(now);
   Changed = true;
   // The silence of the others during the pause says nothing about them.
   for (auto &[name, host] : Hosts) {
@@ -387,25 +338,10 @@
   }
 }
 
-void Membership::restartDoubts(TimePoint now) {
-  for (const auto &name : Neighbours)
-    if (auto &peer = Peers[name]; peer.Doubted)
-      peer.DoubtedAt = now;
-}
-
 void Membership::expire(TimePoint now) {
-  for (const auto &name : Neighbours) {
-    auto &host = *Hosts.find(name);
-    auto &peer = Peers[name];
-    const auto since = std::max(host.LastHeard, peer.WatchedSince);
-    const bool unanswered =
-        peer.Doubted && now - peer.DoubtedAt >= Options.DoubtTimeout;
-    if (isDown(host.State) ||
-        (!unanswered && now - since < Options.SuspectAfter))
-      continue;
-    peer.Doubted = false;
+  for (const auto &name : Ring.silent(now, Hosts, Peers, Options)) {
     ++Counters.Suspicions;
-    setState(now, host, HostState::Suspect);
+    setState(now, *Hosts.find(name), HostState::Suspect);
   }
   // Anyone may have reported the suspicion, so each host ends it by itself.
   for (auto &[name, host] : Hosts)
@@ -437,191 +373,15 @@
   auto &self = *Hosts.find(Self.Name);
   self.State = selfState();
   self.Leaving = SelfLeaving;
-  refreshNeighbours(now);
-  refreshReaders();
+  Ring.refresh(now, Hosts, Peers, Self.Name);
+  Readers = readersOf(Hosts);
   std::vector<std::string> eligible;
   for (const auto &[name, host] : Hosts)
     if (host.State == HostState::Live)
       eligible.push_back(name);
   if (Owners.setHosts(std::move(eligible)))
     ++OwnershipVersion;
-  ViewDigest = viewDigest();
-}
-
-void Membership::refreshNeighbours(TimePoint now) {
-  std::vector<std::string> ring;
-  for (const auto &[name, host] : Hosts)
-    if (host.State != HostState::Dead)
-      ring.push_back(name);
-  auto next = neighboursOf(ring, Self.Name);
-  for (const auto &name : Neighbours)
-    if (!std::binary_search(next.begin(), next.end(), name)) {
-      const auto it = Peers.find(name);
-      if (it != Peers.end())
-        it->second.Watched = it->second.Doubted = false;
-    }
-  for (const auto &name : next) {
-    auto &peer = Peers[name];
-    if (!peer.Watched)
-      peer.WatchedSince = now;
-    peer.Watched = true;
-  }
-  Neighbours = std::move(next);
-}
-
-// Live hosts come first. Joining ones fill up, since a zone that starts cold
-// has no others; then the rest, so that there are readers in any case.
-void Membership::refreshReaders() {
-  const auto key = rendezvousHash(ReaderKey);
-  std::vector<std::tuple<int, std::uint64_t, const std::string *>> order;
-  for (const auto &[name, host] : Hosts) {
-    if (isDown(host.State) || host.Incarnation == 0)
-      continue;
-    const int preference = host.State == HostState::Live      ? 2
-                           : host.State == HostState::Joining ? 1
-                                                              : 0;
-    order.emplace_back(preference, rendezvousWeight(key, rendezvousHash(name)),
-                       &name);
-  }
-  const auto n = std::min(ReaderCount, order.size());
-  std::partial_sort(order.begin(),
-                    order.begin() + static_cast<std::ptrdiff_t>(n), order.end(),
-                    std::greater<>());
-  Readers.clear();
-  for (std::size_t i = 0; i < n; ++i)
-    Readers.push_back(*std::get<2>(order[i]));
-}
-
-// Dead hosts are left out, since each host forgets them at its own time.
-std::uint32_t Membership::viewDigest() const {
-  std::uint64_t digest = 0;
-  for (const auto &[name, host] : Hosts) {
-    if (host.State == HostState::Dead)
-      continue;
-    const std::array<std::uint64_t, 3> words{
-        host.Incarnation, static_cast<std::uint64_t>(host.State),
-        static_cast<std::uint64_t>(host.Leaving)};
-    digest ^=
-        XXH3_64bits_withSeed(words.data(), sizeof(words), rendezvousHash(name));
-  }
-  return static_cast<std::uint32_t>(digest);
-}
-
-// --- Sending ---
-
-void Membership::sendRound(TimePoint now,
-                           std::vector<messages::OutgoingMessage> &out) {
-  LastRound = now;
-  NextRound = now + Options.HeartbeatInterval;
-  const auto news = newsOfRound();
-  EarlyWanted = !News.empty();
-  const auto sequence = ++Sequence;
-  for (const auto &name : Neighbours)
-    sendTo(*Hosts.find(name), sequence, news, false, out);
-  for (auto &[name, peer] : Peers)
-    if (peer.AnswerDue && !peer.Watched)
-      sendTo(*Hosts.find(name), sequence, news, false, out);
-  sendToLost(out);
-}
-
-void Membership::sendAnswers(TimePoint now,
-                             std::vector<messages::OutgoingMessage> &out) {
-  if (now - LastRound < Options.EarlyInterval)
-    return;
-  std::uint64_t sequence = 0;
-  for (auto &[name, peer] : Peers) {
-    if (!peer.AnswerDue)
-      continue;
-    if (sequence == 0)
-      sequence = ++Sequence;
-    sendTo(*Hosts.find(name), sequence, {}, false, out);
-  }
-}
-
-void Membership::sendProbes(TimePoint now,
-                            std::vector<messages::OutgoingMessage> &out) {
-  for (const auto &name : Neighbours) {
-    auto &host = *Hosts.find(name);
-    auto &peer = Peers[name];
-    if (isDown(host.State) || now - host.LastHeard < Options.ProbeAfter ||
-        now - peer.WatchedSince < Options.ProbeAfter ||
-        now - peer.LastProbe < Options.EarlyInterval)
-      continue;
-    peer.LastProbe = now;
-    ++Counters.Probes;
-    sendTo(host, ++Sequence, {}, true, out);
-  }
-}
-
-// Dead hosts and seeds that no living host answers for take turns, one per
-// round: after a partition both sides hold each other for dead. A host that
-// knows nobody yet tries all seeds.
-void Membership::sendToLost(std::vector<messages::OutgoingMessage> &out) {
-  std::vector<common::Endpoint> lost;
-  std::vector<common::Endpoint> found{Self.Addresses.Peer};
-  for (const auto &[name, host] : Hosts) {
-    const auto &endpoint = host.Addresses.Peer;
-    if (host.State == HostState::Dead && known(endpoint))
-      lost.push_back(endpoint);
-    else if (host.Incarnation != 0)
-      found.push_back(endpoint);
-  }
-  for (const auto &it : Options.Seeds)
-    if (std::find(found.begin(), found.end(), it) == found.end())
-      lost.push_back(it);
-  if (lost.empty())
-    return;
-  auto body = heartbeat();
-  body.Intro = introduction();
-  const bool alone = found.size() == 1;
-  for (std::size_t n = alone ? lost.size() : 1; n > 0; --n)
-    out.push_back({lost[LostCursor++ % lost.size()], stamp(body)});
-}
-
-void Membership::sendTo(Host &host, std::uint64_t sequence,
-                        const std::vector<messages::HostUpdate> &news,
-                        bool probe,
-                        std::vector<messages::OutgoingMessage> &out) {
-  auto &peer = Peers[host.Name];
-  peer.AnswerDue = false;
-  if (!known(host.Addresses.Peer))
-    return;
-  auto body = heartbeat();
-  body.EchoIncarnation = lowBits(peer.HeardIncarnation);
-  body.EchoSequence = peer.HeardSequence;
-  body.Answer = !peer.Watched;
-  body.Probe = probe;
-  if (!peer.KnowsMe)
-    body.Intro = introduction();
-  body.Updates = news;
-  if (peer.ViewDiffers)
-    addView(peer, host.State, body);
-  out.push_back({host.Addresses.Peer,
-                 {Self.Name, Self.Incarnation, sequence, std::move(body)}});
-}
-
-std::vector<messages::HostUpdate> Membership::newsOfRound() {
-  std::vector<messages::HostUpdate> out;
-  for (const auto &name : News.takeRound(Options.MaxUpdates))
-    if (const auto *host = Hosts.find(name); host != nullptr)
-      out.push_back(updateOf(*host));
-  return out;
-}
-
-void Membership::addView(Peer &peer, HostState peerState,
-                         messages::Heartbeat &heartbeat) {
-  const auto limit = std::min(Hosts.size(), peerState == HostState::Joining
-                                                ? Options.MaxJoinUpdates
-                                                : Options.MaxViewUpdates);
-  auto it = Hosts.after(peer.ViewCursor);
-  for (std::size_t n = 0; n < limit; ++n) {
-    if (it == Hosts.end())
-      it = Hosts.begin();
-    if (it->first != Self.Name)
-      heartbeat.Updates.push_back(updateOf(it->second));
-    peer.ViewCursor = it->first;
-    ++it;
-  }
+  ViewDigest = digestOf(Hosts);
 }
 
 messages::Heartbeat Membership::heartbeat() const {
@@ -632,4 +392,8 @@
   return body;
 }
 
+HeartbeatSender::Source Membership::source() {
+  return {Self, Options, Hosts, Peers, Ring.names(), heartbeat()};
+}
+
 } // namespace auburnroute::membership
--- /dev/null
+++ b/Source/Coordination/Membership/Neighbourhood.cpp
@@ -0,0 +1,61 @@
+#include "Coordination/Membership/Neighbourhood.h"
+
+#include "Coordination/Membership/HostReport.h"
+#include "Coordination/Membership/NeighbourRing.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnroute::membership {
+
+using common::TimePoint;
+
+void Neighbourhood::refresh(TimePoint now, const state::HostTable &hosts,
+                            PeerRecords &peers, const std::string &self) {
+  std::vector<std::string> ring;
+  for (const auto &[name, host] : hosts)
+    if (host.State != state::HostState::Dead)
+      ring.push_back(name);
+  auto next = neighboursOf(ring, self);
+  for (const auto &name : Names)
+    if (!std::binary_search(next.begin(), next.end(), name)) {
+      const auto it = peers.find(name);
+      if (it != peers.end())
+        it->second.Watched = it->second.Doubted = false;
+    }
+  for (const auto &name : next) {
+    auto &peer = peers[name];
+    if (!peer.Watched)
+      peer.WatchedSince = now;
+    peer.Watched = true;
+  }
+  Names = std::move(next);
+}
+
+void Neighbourhood::restartDoubts(TimePoint now, PeerRecords &peers) {
+  for (const auto &name : Names)
+    if (auto &peer = peers[name]; peer.Doubted)
+      peer.DoubtedAt = now;
+}
+
+std::vector<std::string>
+Neighbourhood::silent(TimePoint now, const state::HostTable &hosts,
+                      PeerRecords &peers,
+                      const MembershipOptions &options) const {
+  std::vector<std::string> found;
+  for (const auto &name : Names) {
+    const auto &host = *hosts.find(name);
+    auto &peer = peers[name];
+    const auto since = std::max(host.LastHeard, peer.WatchedSince);
+    const bool unanswered =
+        peer.Doubted && now - peer.DoubtedAt >= options.DoubtTimeout;
+    if (isDown(host.State) ||
+        (!unanswered && now - since < options.SuspectAfter))
+      continue;
+    peer.Doubted = false;
+    found.push_back(name);
+  }
+  return found;
+}
+
+} // namespace auburnroute::membership
--- /dev/null
+++ b/Source/Coordination/Membership/ZoneView.cpp
@@ -0,0 +1,63 @@
+#include "Coordination/Membership/ZoneView.h"
+
+#include "Coordination/Membership/HostReport.h"
+#include "Coordination/Membership/OwnerTable.h"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <tuple>
+
+#include <xxhash.h>
+
+namespace auburnroute::membership {
+
+using state::HostState;
+
+namespace {
+
+constexpr std::size_t ReaderCount = 2;
+constexpr std::string_view ReaderKey = "settings reader";
+
+} // namespace
+
+// Live hosts come first. Joining ones fill up, since a zone that starts cold
+// has no others; then the rest, so that there are readers in any case.
+std::vector<std::string> readersOf(const state::HostTable &hosts) {
+  const auto key = rendezvousHash(ReaderKey);
+  std::vector<std::tuple<int, std::uint64_t, const std::string *>> order;
+  for (const auto &[name, host] : hosts) {
+    if (isDown(host.State) || host.Incarnation == 0)
+      continue;
+    const int preference = host.State == HostState::Live      ? 2
+                           : host.State == HostState::Joining ? 1
+                                                              : 0;
+    order.emplace_back(preference, rendezvousWeight(key, rendezvousHash(name)),
+                       &name);
+  }
+  const auto n = std::min(ReaderCount, order.size());
+  std::partial_sort(order.begin(),
+                    order.begin() + static_cast<std::ptrdiff_t>(n), order.end(),
+                    std::greater<>());
+  std::vector<std::string> readers;
+  for (std::size_t i = 0; i < n; ++i)
+    readers.push_back(*std::get<2>(order[i]));
+  return readers;
+}
+
+// Dead hosts are left out, since each host forgets them at its own time.
+std::uint32_t digestOf(const state::HostTable &hosts) {
+  std::uint64_t digest = 0;
+  for (const auto &[name, host] : hosts) {
+    if (host.State == HostState::Dead)
+      continue;
+    const std::array<std::uint64_t, 3> words{
+        host.Incarnation, static_cast<std::uint64_t>(host.State),
+        static_cast<std::uint64_t>(host.Leaving)};
+    digest ^=
+        XXH3_64bits_withSeed(words.data(), sizeof(words), rendezvousHash(name));
+  }
+  return static_cast<std::uint32_t>(digest);
+}
+
+} // namespace auburnroute::membership
--- a/Source/Coordination/Placement/AdmissionController.cpp
+++ b/Source/Coordination/Placement/AdmissionController.cpp
@@ -14,15 +14,6 @@
 
 namespace {
 
-// Below this share the notice of the end is all there is in transit, and a
-// request placed ahead risks more than the idle time that it saves.
-constexpr double MinInTransit = 0.03;
-// A share above half would rest on reports that leave requests out.
-constexpr double MaxInTransit = 0.5;
-// Requests ahead for each one in transit. With 1, chance still leaves slots
-// idle; figures for 1, 1.5, 2 and 3 are in docs/notes/admission.md.
-constexpr double AheadPerTransit = 3;
-
 template <typename T> T lowerMedian(std::vector<T> values) {
   if (values.empty())
     return T{};
@@ -62,7 +53,7 @@
 }
 
 void AdmissionController::addServers(common::TimePoint now,
-                                     std::vector<Server> before) {
+                                     std::vector<AdmittedServer> before) {
   using Identity = std::pair<std::string, std::uint32_t>;
   absl::flat_hash_map<Identity, std::uint32_t> oldIds;
   for (std::uint32_t id = 0; id < before.size(); ++id)
@@ -202,44 +193,11 @@
                                          std::uint32_t service,
                                          ListenerKind kind) {
   const auto &it = Services[service];
-  Candidates.clear();
-  for (std::uint32_t n = 0; n < it.ServerCount; ++n)
-    Candidates.push_back(candidate(now, it.FirstServer + n));
-  if (kind == ListenerKind::Request)
-    allowAhead(now, it);
+  const auto &candidates = Candidates.build(now, service, kind);
   const ServerChooser chooser(it.Policy.Zones == state::ZoneMode::Failover,
                               it.Policy.MaxEjectedShare);
-  return kind == ListenerKind::Feed ? chooser.chooseForFeed(Candidates)
-                                    : chooser.chooseForRequest(Candidates);
-}
-
-ServerCandidate AdmissionController::candidate(common::TimePoint now,
-                                               std::uint32_t id) const {
-  const auto &server = Servers[id];
-  const auto &policy = policyOf(id);
-  const auto requests = Flows.count(id, ListenerKind::Request);
-  const auto feeds = Flows.count(id, ListenerKind::Feed);
-  const bool fresh = server.Load.fresh(now, policy.ReportTtl);
-  const auto others = fresh ? server.Load.otherRequests() : 0;
-  const auto otherConnections = fresh ? server.Load.otherConnections() : 0;
-  ServerCandidate it;
-  it.Id = id;
-  it.Local = server.Settings->Zone == Zone;
-  it.Barred = server.Health.barred();
-  it.Ejected = server.Health.state(now, policy) == health::HealthState::Ejected;
-  it.Resting = server.Health.resting(now);
-  // Load by others is believed as far as most servers of the service report
-  // it: a second host that places flows loads all of them, a wrong report
-  // stands alone.
-  it.Load =
-      requests + std::min(others, Services[server.Service].OthersPerServer);
-  it.Slots = server.Health.usableSlots(now, slotsOf(now, id), policy);
-  it.Feeds = feeds + otherConnections;
-  it.Connections = requests + feeds + otherConnections;
-  it.ConnectionLimit = server.Settings->Connections;
-  it.Weight = std::max(server.Settings->Weight, 1U);
-  it.Turn = server.Turn;
-  return it;
+  return kind == ListenerKind::Feed ? chooser.chooseForFeed(candidates)
+                                    : chooser.chooseForRequest(candidates);
 }
 
 Place AdmissionController::place(common::TimePoint now,
@@ -286,7 +244,8 @@
     record(now, Cause::BackendServerReset, id);
   } else if (kind == FinishKind::Ended && isRequest) {
     Services[Servers[id].Service].UsualDuration.add(duration);
-    Servers[id].Health.onServed(now, duration, slotsOf(now, id), policyOf(id));
+    Servers[id].Health.onServed(
+        now, duration, slotsOf(Servers[id], policyOf(id), now), policyOf(id));
   }
 }
 
@@ -349,34 +308,6 @@
   it.InTransit = lowerMedian(std::move(inTransit));
 }
 
-// Slots limit what a server works on. A request in transit (the caller's
-// handshake, the notice of its end) takes none, and servers would idle for that
-// time if slots were counted from SYN to FIN. The median share in transit,
-// applied to all slots, gives the number of requests that may exceed them. A
-// server gets one for each of its requests that are likely to end soon; behind
-// requests that already run long it would wait.
-void AdmissionController::allowAhead(common::TimePoint now,
-                                     const ServiceState &service) {
-  double slots = 0;
-  double exceeding = 0;
-  for (const auto &it : Candidates) {
-    if (it.Barred || it.Ejected)
-      continue;
-    slots += it.Slots;
-    exceeding += it.Load > it.Slots ? it.Load - it.Slots : 0;
-  }
-  const double share = std::min(service.InTransit, MaxInTransit);
-  const double inTransit = slots * share / (1 - share);
-  if (share < MinInTransit || exceeding + 1 > AheadPerTransit * inTransit)
-    return;
-  const auto since = now - service.UsualDuration.value();
-  for (auto &it : Candidates)
-    if (Servers[it.Id].Health.state(now, service.Policy) ==
-        health::HealthState::Healthy)
-      it.Ahead =
-          Flows.countSince(it.Id, ListenerKind::Request, since, it.Slots);
-}
-
 std::vector<ReleasedFlow> AdmissionController::poll(common::TimePoint now) {
   const auto waiting = Waiting;
   for (const auto service : waiting) {
@@ -451,27 +382,12 @@
   return Services[Servers[id].Service].Policy;
 }
 
-std::uint32_t AdmissionController::slotsOf(common::TimePoint now,
-                                           std::uint32_t id) const {
-  const auto &server = Servers[id];
-  return server.Load.slots(now, server.Settings->Slots, policyOf(id).ReportTtl);
-}
-
 health::OldFlows AdmissionController::oldFlows(std::uint32_t id) const {
   const auto before = Servers[id].Load.oldBefore();
   return {Flows.countBefore(id, ListenerKind::Request, before, UINT32_MAX),
           Flows.countBefore(id, ListenerKind::Feed, before, UINT32_MAX)};
 }
 
-std::size_t AdmissionController::held(std::uint32_t service) const {
-  return service < Services.size() ? Services[service].Queue.size() : 0;
-}
-
-std::uint32_t AdmissionController::outstanding(std::uint32_t backendServer,
-                                               ListenerKind kind) const {
-  return Flows.count(backendServer, kind);
-}
-
 health::HealthState
 AdmissionController::health(common::TimePoint now,
                             std::uint32_t backendServer) const {
--- a/Source/Coordination/Placement/AdmissionController.h
+++ b/Source/Coordination/Placement/AdmissionController.h
@@ -2,14 +2,10 @@
 
 #include "Common/Clock.h"
 #include "Coordination/Forwarding/FlowKey.h"
-#include "Coordination/Health/BackendServerHealth.h"
-#include "Coordination/Health/BackendServerLoad.h"
 #include "Coordination/Health/LoadReport.h"
 #include "Coordination/Placement/AdmissionEvents.h"
-#include "Coordination/Placement/FlowRecords.h"
-#include "Coordination/Placement/HeldQueue.h"
-#include "Coordination/Placement/QuantileEstimate.h"
-#include "Coordination/Placement/ServerChooser.h"
+#include "Coordination/Placement/AdmittedService.h"
+#include "Coordination/Placement/CandidateList.h"
 #include "State/Cause.h"
 #include "State/ServiceTable.h"
 #include "State/Settings.h"
@@ -83,6 +79,9 @@
 
   /// \p zone is the availability zone of this host.
   explicit AdmissionController(std::string zone);
+  // Candidates refers to other members.
+  AdmissionController(const AdmissionController &) = delete;
+  AdmissionController &operator=(const AdmissionController &) = delete;
 
   /// Applies a settings revision. Counts and health of servers that remain
   /// (same service and address) are kept, and so are held SYNs.
@@ -117,37 +116,19 @@
   std::vector<HeldSyn> takeHeld();
 
   /// Held SYNs of a service (index in the settings).
-  std::size_t held(std::uint32_t service) const;
+  std::size_t held(std::uint32_t service) const {
+    return service < Services.size() ? Services[service].Queue.size() : 0;
+  }
   /// Placed flows of this kind that have not been seen to end.
   std::uint32_t outstanding(std::uint32_t backendServer,
-                            state::ListenerKind kind) const;
+                            state::ListenerKind kind) const {
+    return Flows.count(backendServer, kind);
+  }
   health::HealthState health(common::TimePoint now,
                              std::uint32_t backendServer) const;
 
 private:
-  struct Server {
-    const state::BackendServer *Settings = nullptr;
-    std::string ServiceName; ///< Identifies it across revisions, with the
-                             ///< address.
-    std::uint32_t Service = 0;
-    health::BackendServerHealth Health;
-    health::BackendServerLoad Load;
-    double Turn = 0; ///< Virtual time at which it is due again.
-  };
-  struct ServiceState {
-    const state::Service *Settings = nullptr;
-    state::ServicePolicy Policy;
-    std::uint32_t FirstServer = 0; ///< Id.
-    std::uint32_t ServerCount = 0;
-    HeldQueue Queue;
-    double VirtualTime = 0;
-    std::uint32_t OthersPerServer = 0; ///< Median of the reports.
-    double InTransit = 0;              ///< Median of the reports.
-    /// Median. A request that is younger is likely to end soon.
-    QuantileEstimate UsualDuration{0.5};
-  };
-
-  void addServers(common::TimePoint now, std::vector<Server> before);
+  void addServers(common::TimePoint now, std::vector<AdmittedServer> before);
   void holdAgain(common::TimePoint now, const std::vector<HeldSyn> &syns);
   /// Whether the next poll() returns a decision on this flow. A SYN that is
   /// repeated before that must not lead to another one.
@@ -158,7 +139,6 @@
                           const state::ListenerEntry &listener);
   ServerChoice choose(common::TimePoint now, std::uint32_t service,
                       state::ListenerKind kind);
-  ServerCandidate candidate(common::TimePoint now, std::uint32_t id) const;
   Place place(common::TimePoint now, const forwarding::FlowKey &key,
               std::uint32_t id, state::ListenerKind kind);
   RefuseFlow refuse(common::TimePoint now, const forwarding::FlowKey &key,
@@ -169,24 +149,22 @@
   void onOtherFinish(const forwarding::FlowKey &key, std::uint16_t number);
   void onRestart(common::TimePoint now, std::uint32_t id);
   void updateMedians(std::uint32_t service);
-  void allowAhead(common::TimePoint now, const ServiceState &service);
   void expireByAge(common::TimePoint now);
   void record(common::TimePoint now, state::Cause why, std::uint32_t id,
               std::uint64_t count = 1);
   const state::ServicePolicy &policyOf(std::uint32_t id) const;
-  std::uint32_t slotsOf(common::TimePoint now, std::uint32_t id) const;
   health::OldFlows oldFlows(std::uint32_t id) const;
 
   std::string Zone;
   std::shared_ptr<const state::Settings> InForce;
   std::shared_ptr<const state::ServiceTable> Table;
   FlowRecords Flows;
-  std::vector<Server> Servers; ///< By backend server id.
-  std::vector<ServiceState> Services;
+  std::vector<AdmittedServer> Servers; ///< By backend server id.
+  std::vector<AdmittedService> Services;
   std::set<std::uint32_t> Waiting; ///< Services that hold SYNs.
   std::size_t Held = 0;            ///< SYNs over all services.
   std::vector<ReleasedFlow> Released;
-  std::vector<ServerCandidate> Candidates; ///< Reused between choices.
+  CandidateList Candidates{Zone, Flows, Servers, Services};
   AdmissionEvents Events;
   common::TimePoint NextAgeCheck;
 };
--- /dev/null
+++ b/Source/Coordination/Placement/CandidateList.cpp
@@ -0,0 +1,92 @@
+#include "Coordination/Placement/CandidateList.h"
+
+#include <algorithm>
+
+namespace auburnroute::placement {
+
+using state::ListenerKind;
+
+namespace {
+
+// Below this share the notice of the end is all there is in transit, and a
+// request placed ahead risks more than the idle time that it saves.
+constexpr double MinInTransit = 0.03;
+// A share above half would rest on reports that leave requests out.
+constexpr double MaxInTransit = 0.5;
+// Requests ahead for each one in transit. With 1, chance still leaves slots
+// idle; figures for 1, 1.5, 2 and 3 are in docs/notes/admission.md.
+constexpr double AheadPerTransit = 3;
+
+} // namespace
+
+const std::vector<ServerCandidate> &CandidateList::build(common::TimePoint now,
+                                                         std::uint32_t service,
+                                                         ListenerKind kind) {
+  const auto &it = Services[service];
+  Items.clear();
+  for (std::uint32_t n = 0; n < it.ServerCount; ++n)
+    Items.push_back(candidate(now, it.FirstServer + n));
+  if (kind == ListenerKind::Request)
+    allowAhead(now, it);
+  return Items;
+}
+
+ServerCandidate CandidateList::candidate(common::TimePoint now,
+                                         std::uint32_t id) const {
+  const auto &server = Servers[id];
+  const auto &policy = Services[server.Service].Policy;
+  const auto requests = Flows.count(id, ListenerKind::Request);
+  const auto feeds = Flows.count(id, ListenerKind::Feed);
+  const bool fresh = server.Load.fresh(now, policy.ReportTtl);
+  const auto others = fresh ? server.Load.otherRequests() : 0;
+  const auto otherConnections = fresh ? server.Load.otherConnections() : 0;
+  ServerCandidate it;
+  it.Id = id;
+  it.Local = server.Settings->Zone == Zone;
+  it.Barred = server.Health.barred();
+  it.Ejected = server.Health.state(now, policy) == health::HealthState::Ejected;
+  it.Resting = server.Health.resting(now);
+  // Load by others is believed as far as most servers of the service report
+  // it: a second host that places flows loads all of them, a wrong report
+  // stands alone.
+  it.Load =
+      requests + std::min(others, Services[server.Service].OthersPerServer);
+  it.Slots =
+      server.Health.usableSlots(now, slotsOf(server, policy, now), policy);
+  it.Feeds = feeds + otherConnections;
+  it.Connections = requests + feeds + otherConnections;
+  it.ConnectionLimit = server.Settings->Connections;
+  it.Weight = std::max(server.Settings->Weight, 1U);
+  it.Turn = server.Turn;
+  return it;
+}
+
+// Slots limit what a server works on. A request in transit (the caller's
+// handshake, the notice of its end) takes none, and servers would idle for that
+// time if slots were counted from SYN to FIN. The median share in transit,
+// applied to all slots, gives the number of requests that may exceed them. A
+// server gets one for each of its requests that are likely to end soon; behind
+// requests that already run long it would wait.
+void CandidateList::allowAhead(common::TimePoint now,
+                               const AdmittedService &service) {
+  double slots = 0;
+  double exceeding = 0;
+  for (const auto &it : Items) {
+    if (it.Barred || it.Ejected)
+      continue;
+    slots += it.Slots;
+    exceeding += it.Load > it.Slots ? it.Load - it.Slots : 0;
+  }
+  const double share = std::min(service.InTransit, MaxInTransit);
+  const double inTransit = slots * share / (1 - share);
+  if (share < MinInTransit || exceeding + 1 > AheadPerTransit * inTransit)
+    return;
+  const auto since = now - service.UsualDuration.value();
+  for (auto &it : Items)
+    if (Servers[it.Id].Health.state(now, service.Policy) ==
+        health::HealthState::Healthy)
+      it.Ahead =
+          Flows.countSince(it.Id, ListenerKind::Request, since, it.Slots);
+}
+
+} // namespace auburnroute::placement
