--- a/Source/Daemon/ControlPlane.cpp
+++ b/Source/Daemon/ControlPlane.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Log.h"
 #include "Common/Text.h"
+#include "Daemon/SnapshotSource.h"
 #include "Protocol/PlatformCodec.h"
 
 #include "absl/strings/str_cat.h"
@@ -275,65 +276,16 @@
   auto snapshot = std::make_shared<ControlSnapshot>();
   snapshot->Settings = Follower.settings();
   snapshot->Table = Table;
-  snapshot->AdmissionOwners = admissionOwners();
-  snapshot->Relay = relay();
-  snapshot->LostAdmission = lostAdmission();
-  snapshot->LeavingBackendServers = leavingBackendServers();
+  const SnapshotSource source(Local, Members, *snapshot->Settings, *Table);
+  snapshot->AdmissionOwners = source.admissionOwners();
+  snapshot->Relay = source.relay();
+  snapshot->LostAdmission = source.lostAdmission();
+  snapshot->LeavingBackendServers = source.leavingBackendServers(ListedLeaving);
   snapshot->Confirmed = isConfirmed();
   snapshot->Leaving = Leaving;
   return snapshot;
 }
 
-std::vector<common::Endpoint> ControlPlane::admissionOwners() const {
-  std::vector<common::Endpoint> owners;
-  for (const auto &it : Follower.settings()->Services) {
-    const auto name = Members.admissionOwner(it.Name);
-    const auto *host = name ? Members.hosts().find(*name) : nullptr;
-    const bool known = host != nullptr && host->Addresses.Admission.Port != 0;
-    owners.push_back(known ? host->Addresses.Admission : Local.Admission);
-  }
-  return owners;
-}
-
-std::optional<common::Endpoint> ControlPlane::relay() const {
-  for (const auto &name : Members.settingsReaders()) {
-    const auto *host = Members.hosts().find(name);
-    if (name != Local.Host && host != nullptr &&
-        host->State == HostState::Live && host->Addresses.Admission.Port != 0)
-      return host->Addresses.Admission;
-  }
-  return std::nullopt;
-}
-
-std::vector<common::Endpoint> ControlPlane::lostAdmission() const {
-  std::vector<common::Endpoint> lost;
-  for (const auto &[name, host] : Members.hosts())
-    if (!host.Leaving &&
-        (host.State == HostState::Suspect || host.State == HostState::Dead))
-      lost.push_back(host.Addresses.Admission);
-  return lost;
-}
-
-std::vector<std::uint32_t> ControlPlane::leavingBackendServers() const {
-  std::vector<std::uint32_t> ids;
-  const auto &services = Follower.settings()->Services;
-  for (const auto &it : ListedLeaving) {
-    const auto service =
-        std::find_if(services.begin(), services.end(),
-                     [&](const auto &s) { return s.Name == it.Service; });
-    if (service == services.end())
-      continue;
-    const auto server = std::find_if(
-        service->BackendServers.begin(), service->BackendServers.end(),
-        [&](const auto &s) { return s.Name == it.Name; });
-    if (server == service->BackendServers.end())
-      continue;
-    const auto index = static_cast<std::uint32_t>(service - services.begin());
-    ids.push_back(Table->findBackendServer(index, server->Number)->Id);
-  }
-  return ids;
-}
-
 void ControlPlane::replicateCauses() {
   const auto replicas = causeReplicas();
   if (replicas.empty())
--- a/Source/Daemon/ControlPlane.h
+++ b/Source/Daemon/ControlPlane.h
@@ -84,10 +84,6 @@
   void replicateCauses();
   void passOnCauses();
   std::vector<common::Endpoint> causeReplicas() const;
-  std::vector<common::Endpoint> admissionOwners() const;
-  std::optional<common::Endpoint> relay() const;
-  std::vector<common::Endpoint> lostAdmission() const;
-  std::vector<std::uint32_t> leavingBackendServers() const;
   void record(state::Cause why, const std::string &subject);
 
   state::DaemonSettings Local;
