Share the type of HTTP answers, spare scans of all peers, bound the fetch of causes

Cause: HttpAnswer and HttpResponse were twins; the duty of the reader took two scans of the peers at each tick, also with a current view; a host that starts would have asked peers without /causes, of an older version, twice a second for ever. Found in the read-through.

Change: common::HttpResponse; the rank is computed for an old view only; three hosts are asked for causes.

--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -35,8 +35,8 @@
 /// Forgotten after the life of the flows, with room for the view's lag.
 constexpr std::chrono::seconds RetentionReserve{5};
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusUnavailable = 503;
+constexpr int StatusOk = 200;
+constexpr int StatusUnavailable = 503;
 
 /// Causes are kept for an hour, which is the default of `auburnctl cause`.
 constexpr std::uint64_t DefaultSinceSeconds = 3600;
@@ -117,34 +117,34 @@
 
 absl::Status EdgeNode::serveHttp() {
   ReadyServer.serve("/readiness", "application/json", [this](std::string_view) {
-    return reactor::HttpAnswer{Ready ? StatusOk : StatusUnavailable, "{}"};
+    return common::HttpResponse{Ready ? StatusOk : StatusUnavailable, "{}"};
   });
   ControlServer.serve("/status", "application/json", [this](std::string_view) {
-    return reactor::HttpAnswer{StatusOk, status()};
+    return common::HttpResponse{StatusOk, status()};
   });
   for (auto *server : {&ControlServer, &MetricsServer})
     server->serve("/metrics", "text/plain; version=0.0.4",
                   [this](std::string_view) {
-                    return reactor::HttpAnswer{StatusOk, metrics()};
+                    return common::HttpResponse{StatusOk, metrics()};
                   });
   ControlServer.serve("/cause", "application/json",
                       [this](std::string_view query) {
-                        return reactor::HttpAnswer{
+                        return common::HttpResponse{
                             StatusOk, History.causes(std::chrono::seconds(
                                           reactor::numberInQuery(query, "since")
                                               .value_or(DefaultSinceSeconds)))};
                       });
   ControlServer.serve("/burn", "application/json", [this](std::string_view) {
-    return reactor::HttpAnswer{StatusOk, History.burn()};
+    return common::HttpResponse{StatusOk, History.burn()};
   });
   PeerServer.serve(
       "/causes", "application/x-protobuf", [this](std::string_view) {
-        return reactor::HttpAnswer{
+        return common::HttpResponse{
             StatusOk, fleet::GossipCodec::encode(History.handOver())};
       });
   PeerServer.serve("/view", "application/x-protobuf",
                    [this](std::string_view query) {
-                     return reactor::HttpAnswer{
+                     return common::HttpResponse{
                          View.isComplete() ? StatusOk : StatusUnavailable,
                          Exchange->snapshot(query)};
                    });
@@ -205,15 +205,22 @@
 }
 
 void EdgeNode::updateDuty(TimePoint now) {
+  Reader.setActive(!View.isComplete() || isStandIn(now) ||
+                   (!StoppingSince && Peers.isFirst(now)));
+  Router.setDirectoryCompleteAt(View.freshAt());
+  Router.setUseLapsed(Reader.isAway() ||
+                      View.age(now) > Reader.pace().StandInAge * 2);
+}
+
+bool EdgeNode::isStandIn(TimePoint now) const {
   const auto &pace = Reader.pace();
+  const auto age = View.age(now);
+  // The rank takes a scan of all peers, which a current view spares.
+  if (age <= pace.StandInAge)
+    return false;
   const auto rank =
       std::min(Peers.rankInZone(now), fleet::RegistryPace::MaxStandInSteps);
-  const auto standInAge =
-      pace.StandInAge + pace.StandInStep * static_cast<int>(rank);
-  const bool first = Peers.isFirst(now) && !StoppingSince;
-  Reader.setActive(first || !View.isComplete() || View.age(now) > standInAge);
-  Router.setDirectoryCompleteAt(View.freshAt());
-  Router.setUseLapsed(Reader.isAway() || View.age(now) > pace.StandInAge * 2);
+  return age > pace.StandInAge + pace.StandInStep * static_cast<int>(rank);
 }
 
 void EdgeNode::checkPause(TimePoint now) {
--- a/Source/Edge/EdgeNode.h
+++ b/Source/Edge/EdgeNode.h
@@ -40,6 +40,8 @@
   void tick();
   /// Whether this host reads the registry now.
   void updateDuty(common::TimePoint now);
+  /// Whether the view is so old that this host reads in the reader's place.
+  bool isStandIn(common::TimePoint now) const;
   void updateReadiness();
   void checkPause(common::TimePoint now);
   void reloadSettings();
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -266,23 +266,25 @@
 
 void PeerExchange::fetchCauses() {
   const auto now = Clock.now();
-  if (CausesFetched || !View.isComplete() || now - StartedAt < CauseFetchDelay)
+  if (CauseFetchesLeft == 0 || !View.isComplete() ||
+      now - StartedAt < CauseFetchDelay)
     return;
   const auto from = Peers.choose(1, now);
   if (from.empty())
     return;
-  CausesFetched = true;
+  const int left = std::exchange(CauseFetchesLeft, 0);
   CauseFetcher = std::make_unique<reactor::AsyncHttpClient>(
       Loop, common::Endpoint{from.front(), Self.Port});
-  CauseFetcher->get("/causes", CauseFetchTime, [this](const auto &result) {
-    const auto causes = result.ok() && result->Status == 200
-                            ? GossipCodec::decodeCauses(result->Body)
-                            : std::nullopt;
-    if (causes)
-      History.merge(*causes);
-    else
-      CausesFetched = false; // Another host is asked in the next round.
-  });
+  CauseFetcher->get(
+      "/causes", CauseFetchTime, [this, left](const auto &result) {
+        const auto causes = result.ok() && result->Status == 200
+                                ? GossipCodec::decodeCauses(result->Body)
+                                : std::nullopt;
+        if (causes)
+          History.merge(*causes);
+        else
+          CauseFetchesLeft = left - 1; // Another host is asked next.
+      });
 }
 
 std::string PeerExchange::snapshot(std::string_view query) const {
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -33,6 +33,8 @@
   static constexpr std::size_t CauseCopies = 2;
   /// Datagrams with causes that a stopping host sends at once.
   static constexpr int LastCauseBatches = 8;
+  /// Hosts that a starting host asks for their causes until one answers.
+  static constexpr int CauseFetches = 3;
   /// A host without a view that hears of one fetches it only after this time:
   /// its own list is under way until then.
   static constexpr std::chrono::milliseconds OwnListTime{400};
@@ -105,7 +107,7 @@
   bool Fetching = false;
   std::unique_ptr<reactor::AsyncHttpClient> Fetcher;
   common::TimePoint NextCauses;
-  bool CausesFetched = false;
+  int CauseFetchesLeft = CauseFetches;
   std::unique_ptr<reactor::AsyncHttpClient> CauseFetcher;
 };
 
--- a/Source/Edge/RegistryClient.cpp
+++ b/Source/Edge/RegistryClient.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusGone = 410;
+constexpr int StatusOk = 200;
+constexpr int StatusGone = 410;
 
 } // namespace
 
@@ -40,7 +40,7 @@
 
 void RegistryClient::onResult(
     const fleet::RegistryCall &call,
-    const absl::StatusOr<reactor::HttpAnswer> &result) {
+    const absl::StatusOr<common::HttpResponse> &result) {
   if (!result.ok()) {
     onFailure(RegistryFailure::Unreachable,
               common::fromAbsl(result.status().message()));
--- a/Source/Edge/RegistryClient.h
+++ b/Source/Edge/RegistryClient.h
@@ -24,7 +24,7 @@
 
 private:
   void onResult(const fleet::RegistryCall &call,
-                const absl::StatusOr<reactor::HttpAnswer> &result);
+                const absl::StatusOr<common::HttpResponse> &result);
   void onFailure(fleet::RegistryFailure failure, std::string_view reason);
   void report(bool reachable, std::string_view reason);
 
--- a/Source/Emulator/EmulatedFleet.cpp
+++ b/Source/Emulator/EmulatedFleet.cpp
@@ -62,7 +62,7 @@
   Queue.after(TickInterval, [this] { tick(); });
 }
 
-void EmulatedFleet::spread(std::function<void(EmulatedHost &)> news) {
+void EmulatedFleet::spread(const std::function<void(EmulatedHost &)> &news) {
   if (!Started)
     return;
   for (std::size_t n = 0; n < Places.size(); ++n)
--- a/Source/Emulator/EmulatedFleet.h
+++ b/Source/Emulator/EmulatedFleet.h
@@ -44,7 +44,7 @@
   void startHost(std::size_t n);
   void tick();
   /// Tells each host that runs within the time of a change.
-  void spread(std::function<void(EmulatedHost &)> news);
+  void spread(const std::function<void(EmulatedHost &)> &news);
   void refreshRotation();
   std::chrono::nanoseconds jitter(std::chrono::milliseconds most);
 
--- a/Source/Reactor/AsyncHttpClient.cpp
+++ b/Source/Reactor/AsyncHttpClient.cpp
@@ -101,7 +101,8 @@
     auto answer = Parser->release();
     if (!answer.keep_alive())
       breakUp();
-    finish(HttpAnswer{answer.result_int(), std::move(answer.body())});
+    finish(common::HttpResponse{static_cast<int>(answer.result_int()),
+                                std::move(answer.body())});
   }
 
   void fail(const char *step, beast::error_code ec) {
@@ -117,7 +118,7 @@
     Stream.close();
   }
 
-  void finish(absl::StatusOr<HttpAnswer> result) {
+  void finish(absl::StatusOr<common::HttpResponse> result) {
     if (const auto handler = std::exchange(OnDone, nullptr))
       handler(std::move(result));
   }
--- a/Source/Reactor/AsyncHttpClient.h
+++ b/Source/Reactor/AsyncHttpClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Endpoint.h"
+#include "Common/HttpResponse.h"
 
 #include "absl/status/statusor.h"
 
@@ -13,18 +14,12 @@
 
 namespace auburnroute::reactor {
 
-/// Answer of an HTTP server.
-struct HttpAnswer {
-  unsigned Status = 0;
-  std::string Body;
-};
-
 /// HTTP/1.1 client for one server on an event loop; one call at a time. Keeps
 /// its connection, and opens a new one after any failure: a connection on which
 /// an answer was lost returns nothing more.
 class AsyncHttpClient {
 public:
-  using Handler = std::function<void(absl::StatusOr<HttpAnswer>)>;
+  using Handler = std::function<void(absl::StatusOr<common::HttpResponse>)>;
 
   AsyncHttpClient(boost::asio::io_context &loop, common::Endpoint server);
   ~AsyncHttpClient();
--- a/Source/Reactor/AsyncHttpServer.h
+++ b/Source/Reactor/AsyncHttpServer.h
@@ -19,7 +19,7 @@
 class AsyncHttpServer {
 public:
   /// Gets what follows '?' in the target.
-  using Handler = std::function<HttpAnswer(std::string_view query)>;
+  using Handler = std::function<common::HttpResponse(std::string_view query)>;
 
   explicit AsyncHttpServer(boost::asio::io_context &loop);
   ~AsyncHttpServer();
--- a/Source/Transport/HttpClient.cpp
+++ b/Source/Transport/HttpClient.cpp
@@ -38,8 +38,8 @@
 
 HttpClient::~HttpClient() = default;
 
-absl::StatusOr<HttpResponse> HttpClient::get(const std::string &path) {
-  HttpResponse response;
+absl::StatusOr<common::HttpResponse> HttpClient::get(const std::string &path) {
+  common::HttpResponse response;
   bool tooLong = false;
   const auto result =
       Client->Http.Get(path, [&](const char *data, std::size_t n) {
--- a/Source/Transport/HttpClient.h
+++ b/Source/Transport/HttpClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Endpoint.h"
+#include "Common/HttpResponse.h"
 
 #include "absl/status/statusor.h"
 
@@ -10,12 +11,6 @@
 
 namespace auburnroute::transport {
 
-/// Answer of an HTTP server.
-struct HttpResponse {
-  int Status = 0;
-  std::string Body;
-};
-
 /// HTTP client for one server; keeps its connection. Used from one thread.
 class HttpClient {
 public:
@@ -25,7 +20,7 @@
 
   /// Errors: Unavailable if there is no answer, ResourceExhausted if the body
   /// is longer than 2 MB.
-  absl::StatusOr<HttpResponse> get(const std::string &path);
+  absl::StatusOr<common::HttpResponse> get(const std::string &path);
 
 private:
   struct Implementation;
--- a/Source/Transport/HttpServer.h
+++ b/Source/Transport/HttpServer.h
@@ -18,7 +18,7 @@
 /// HTTP server for operators; runs on threads of its own.
 class HttpServer {
 public:
-  using Handler = std::function<HttpResponse(const HttpParameters &)>;
+  using Handler = std::function<common::HttpResponse(const HttpParameters &)>;
 
   HttpServer();
   ~HttpServer();
--- a/Source/UnitTests/Emulator/EmulationTest.cpp
+++ b/Source/UnitTests/Emulator/EmulationTest.cpp
@@ -11,7 +11,6 @@
 using emulator::Deployment;
 using emulator::Emulation;
 using emulator::PlacementRule;
-using emulator::Trouble;
 using emulator::TroubleKind;
 
 namespace {
--- a/Source/UnitTests/Reactor/AsyncHttpTest.cpp
+++ b/Source/UnitTests/Reactor/AsyncHttpTest.cpp
@@ -11,9 +11,9 @@
 using namespace auburnroute;
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
+using common::HttpResponse;
 using reactor::AsyncHttpClient;
 using reactor::AsyncHttpServer;
-using reactor::HttpAnswer;
 
 namespace {
 
@@ -26,11 +26,11 @@
 }
 
 /// The result of one call; runs the loop until it is there.
-absl::StatusOr<HttpAnswer> call(boost::asio::io_context &loop,
-                                AsyncHttpClient &client,
-                                const std::string &target,
-                                std::chrono::milliseconds timeout = 2s) {
-  std::optional<absl::StatusOr<HttpAnswer>> result;
+absl::StatusOr<HttpResponse> call(boost::asio::io_context &loop,
+                                  AsyncHttpClient &client,
+                                  const std::string &target,
+                                  std::chrono::milliseconds timeout = 2s) {
+  std::optional<absl::StatusOr<HttpResponse>> result;
   client.get(target, timeout, [&](auto it) { result = std::move(it); });
   loop.restart();
   while (!result)
@@ -48,7 +48,7 @@
   AsyncHttpServer server(loop);
   int calls = 0;
   server.serve("/x", "text/plain", [&](std::string_view) {
-    return HttpAnswer{200, "call " + std::to_string(++calls)};
+    return HttpResponse{200, "call " + std::to_string(++calls)};
   });
   BOOST_REQUIRE(server.listen(at).ok());
   AsyncHttpClient client(loop, at);
@@ -88,7 +88,7 @@
   const auto at = freeEndpoint(loop);
   AsyncHttpServer server(loop);
   server.serve("/x", "text/plain", [](std::string_view) {
-    return HttpAnswer{200, std::string(std::size_t{5} * 1024 * 1024, 'x')};
+    return HttpResponse{200, std::string(std::size_t{5} * 1024 * 1024, 'x')};
   });
   BOOST_REQUIRE(server.listen(at).ok());
   AsyncHttpClient client(loop, at);
@@ -103,7 +103,7 @@
   const auto at = freeEndpoint(loop);
   AsyncHttpServer server(loop);
   server.serve("/x", "text/plain", [](std::string_view) {
-    return HttpAnswer{200, "ok"};
+    return HttpResponse{200, "ok"};
   });
   BOOST_REQUIRE(server.listen(at).ok());
   std::vector<tcp::socket> rude;
@@ -125,7 +125,7 @@
   const auto at = freeEndpoint(loop);
   AsyncHttpServer server(loop);
   server.serve("/x", "text/plain", [](std::string_view) {
-    return HttpAnswer{200, "ok"};
+    return HttpResponse{200, "ok"};
   });
   BOOST_REQUIRE(server.listen(at).ok());
   std::vector<tcp::socket> idle;
