--- a/Source/UnitTests/Process/edge_fleet.py
+++ b/Source/UnitTests/Process/edge_fleet.py
@@ -5,7 +5,7 @@
 (signals, a registry that is down or silent, backend servers that fall silent)
 and checks the promises from what callers and backend servers see.
 
-usage: edge_fleet.py BIN_DIR --seed N [--seconds S] [--calm]
+usage: edge_fleet.py BIN_DIR --seed N [--seconds S] [--calm] [--net N]
 """
 import argparse
 import asyncio
@@ -282,10 +282,10 @@
 class Host:
     def __init__(self, fleet, number, zone):
         self.fleet, self.number, self.zone = fleet, number, zone
-        self.ip = f"127.1.{number}.1"
+        self.ip = fleet.address(1, number)
         self.name = f"front-{zone}-{number}"
         self.process, self.in_rotation, self.misses = None, False, 0
-        self.proxy = Proxy((f"127.9.{number}.1", 8169), ("127.9.0.1", 8169))
+        self.proxy = Proxy((fleet.address(4, number), 8169), (fleet.address(4, 0), 8169))
         self.disturbed_at = -100.0
         self.stopping = False
 
@@ -294,8 +294,8 @@
         with open(file, "w") as out:
             json.dump({"host": self.name, "zone": self.zone, "packets": f"{self.ip}:{PACKET_PORT}",
                        "ready": f"{self.ip}:{READY_PORT}", "control": f"{self.ip}:{CONTROL_PORT}",
-                       "peers": f"{self.ip}:{PEER_PORT}", "registry": f"127.9.{self.number}.1:8169",
-                       "seeds": [f"127.1.{n}.1:{CONTROL_PORT}" for n in range(1, 4)],
+                       "peers": f"{self.ip}:{PEER_PORT}", "registry": f"{self.fleet.address(4, self.number)}:8169",
+                       "seeds": [f"{self.fleet.address(1, n)}:{CONTROL_PORT}" for n in range(1, 4)],
                        "serverHeartbeat": "700ms", "changeBound": "3s", "stopTimeout": "6s"}, out)
         log = open(os.path.join(self.fleet.folder, f"{self.name}.log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
@@ -370,7 +370,7 @@
 class Caller:
     def __init__(self, fleet, number, zone):
         self.fleet, self.zone = fleet, zone
-        self.ip = f"127.2.{number}.1"
+        self.ip = fleet.address(2, number)
         self.flows, self.port = {}, 1024
 
     async def start(self):
@@ -446,8 +446,8 @@
     ROUTES = {"orders": ("198.18.0.1", 443), "sheets": ("198.18.0.2", 443)}
     IDLE_ROUTE = ("198.18.0.9", 443)
 
-    def __init__(self, bin_dir, seed, folder):
-        self.bin_dir, self.folder = bin_dir, folder
+    def __init__(self, bin_dir, seed, folder, net):
+        self.bin_dir, self.folder, self.net = bin_dir, folder, net
         self.random = random.Random(seed)
         self.registry = Registry()
         self.hosts, self.servers, self.callers = [], [], []
@@ -460,6 +460,10 @@
         self.cut_zone = None  # its hosts and servers do not reach those of other zones
         self.log = []
 
+    def address(self, group, high, low=1):
+        """On loopback; fleets with different nets can run at the same time."""
+        return f"127.{10 * self.net + group}.{high}.{low}"
+
     def fail(self, text):
         self.faults.append(f"{now() - self.began:.2f} s: {text}")
 
@@ -525,14 +529,15 @@
 
     async def add_server(self, service, zone):
         self.number += 1
-        server = BackendServer(self, self.number, service, zone, f"127.3.{self.number // 250}.{self.number % 250 + 1}")
+        server = BackendServer(self, self.number, service, zone,
+                               self.address(3, self.number // 250, self.number % 250 + 1))
         self.servers.append(server)
         await server.start()
         return server
 
     async def start(self, zones=("a", "b"), hosts_per_zone=2, servers_per_zone=4):
         self.began = now()
-        await asyncio.start_server(self.registry.serve, "127.9.0.1", 8169)
+        await asyncio.start_server(self.registry.serve, self.address(4, 0), 8169)
         self.publish()
         for zone in zones:
             for n in range(servers_per_zone):
@@ -744,12 +749,13 @@
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--calm", action="store_true", help="planned work only, no faults")
+    parser.add_argument("--net", type=int, default=0, choices=range(25), help="loopback network, to run several at once")
     parser.add_argument("--logs", help="folder for the logs; kept")
     options = parser.parse_args()
     folder = options.logs or tempfile.mkdtemp(prefix="edge-fleet-")
     os.makedirs(folder, exist_ok=True)
     random.seed(options.seed)
-    fleet = Fleet(options.bin_dir, options.seed, folder)
+    fleet = Fleet(options.bin_dir, options.seed, folder, options.net)
     try:
         asyncio.run(fleet.run(options.seconds, options.calm))
     finally:
