Add fuzz targets of what comes from outside, and refuse times that no clock shows

Cause: the decoders were tested with mangled samples only.

Times of causes have to lie before 2200, as PeerCodec already asked of its own; the limit is in Common/Epoch.h now, and the tool checks it as well.

CausesSurviveTheirEncoding failed first.

--- a/Source/Common/Epoch.h
+++ b/Source/Common/Epoch.h
@@ -7,6 +7,9 @@
 
 namespace auburnroute::common {
 
+/// Year 2200; later times could overflow the nanoseconds of the clock.
+inline constexpr std::int64_t MaxWallMilliseconds = 7'258'118'400'000;
+
 /// Milliseconds since the epoch, as messages and reports carry wall times.
 inline std::int64_t millisecondsOf(WallTime time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -14,7 +17,13 @@
       .count();
 }
 
-/// The wall time that \p milliseconds since the epoch stand for.
+/// Whether a wall time that came from outside can be used.
+inline bool isWallTime(std::int64_t milliseconds) {
+  return milliseconds >= 0 && milliseconds <= MaxWallMilliseconds;
+}
+
+/// The wall time that \p milliseconds since the epoch stand for; see
+/// isWallTime.
 inline WallTime wallTimeOf(std::int64_t milliseconds) {
   return WallTime(std::chrono::milliseconds(milliseconds));
 }
--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -123,12 +123,15 @@
   to.set_last_ms(common::millisecondsOf(from.Last));
 }
 
-/// Nothing for a cause of a newer version, or for names that are none.
+/// Nothing for a cause of a newer version, for names that are none, or for
+/// times that no clock shows.
 std::optional<state::CauseEntry> read(const wire::CauseEntry &from) {
   const auto isNameOrEmpty = [](const std::string &text) {
     return text.empty() || routing::isName(text);
   };
-  if (from.cause() >= static_cast<std::uint32_t>(state::Cause::Count) ||
+  if (!common::isWallTime(from.first_ms()) ||
+      !common::isWallTime(from.last_ms()) ||
+      from.cause() >= static_cast<std::uint32_t>(state::Cause::Count) ||
       !routing::isName(from.origin()) || !isNameOrEmpty(from.service()) ||
       !isNameOrEmpty(from.subject()))
     return std::nullopt;
--- a/Source/Protocol/PeerCodec.cpp
+++ b/Source/Protocol/PeerCodec.cpp
@@ -1,5 +1,7 @@
 #include "Protocol/PeerCodec.h"
 
+#include "Common/Epoch.h"
+
 #include <Peer.pb.h>
 
 #include <algorithm>
@@ -22,8 +24,7 @@
 // incarnation goes beyond that one, which must not overflow.
 constexpr std::uint64_t MaxIncarnation = std::uint64_t{1} << 48;
 
-// Year 2200; later times would overflow the nanoseconds of the clock.
-constexpr std::uint64_t MaxWallMs = 7'258'118'400'000;
+constexpr std::uint64_t MaxWallMs = common::MaxWallMilliseconds;
 
 // Reading functions return nothing on success.
 using Fault = std::optional<PeerRefusal>;
--- a/Source/State/CauseCodec.cpp
+++ b/Source/State/CauseCodec.cpp
@@ -51,6 +51,9 @@
           it.at("origin"),  it.at("incarnation"), it.at("minute"), *why,
           it.at("service"), it.at("revision"),    it.at("subject")};
       entry.Count = it.at("count");
+      if (!common::isWallTime(it.at("first_ms")) ||
+          !common::isWallTime(it.at("last_ms")))
+        return absl::InvalidArgumentError("causes: a time is out of range");
       entry.First = common::wallTimeOf(it.at("first_ms"));
       entry.Last = common::wallTimeOf(it.at("last_ms"));
       entries.push_back(std::move(entry));
--- a/Source/UnitTests/Coordination/Distribution/SettingsFollowerTest.cpp
+++ b/Source/UnitTests/Coordination/Distribution/SettingsFollowerTest.cpp
@@ -15,8 +15,6 @@
 using bench::ZoneSimulation;
 using distribution::FollowOutcome;
 using distribution::SettingsFollower;
-using messages::SettingsReply;
-using messages::SettingsStamp;
 
 namespace {
 
--- a/Source/UnitTests/Fleet/GossipCodecTest.cpp
+++ b/Source/UnitTests/Fleet/GossipCodecTest.cpp
@@ -1,4 +1,5 @@
 #include "Fleet/GossipCodec.h"
+#include "Common/Epoch.h"
 #include "Common/ManualClock.h"
 #include "UnitTests/Fleet/FleetFixture.h"
 #include "UnitTests/Seeds.h"
@@ -54,7 +55,8 @@
 }
 
 // Guards against causes that change on the way, and against those of a newer
-// version, or with names that break a log line, being taken for others.
+// version, with names that break a log line, or with times that overflow the
+// clock, being taken for others.
 BOOST_AUTO_TEST_CASE(CausesSurviveTheirEncoding) {
   common::ManualClock clock;
   state::CauseEntry entry;
@@ -69,8 +71,10 @@
   foreign.Key.Why = state::Cause::Count;
   auto badName = entry;
   badName.Key.Subject = "\"";
+  auto farAhead = entry;
+  farAhead.Last = common::wallTimeOf(common::MaxWallMilliseconds + 1);
   const auto decoded = GossipCodec::decodeCauses(
-      GossipCodec::encode(std::vector{foreign, entry, badName}));
+      GossipCodec::encode(std::vector{foreign, entry, badName, farAhead}));
   BOOST_REQUIRE(decoded.has_value());
   BOOST_TEST((*decoded == std::vector{entry}));
   BOOST_TEST(!GossipCodec::decodeCauses("\xff\xff").has_value());
--- /dev/null
+++ b/Source/UnitTests/Fuzz/GossipFuzz.cpp
@@ -0,0 +1,49 @@
+#include "Common/ManualClock.h"
+#include "Fleet/CauseHistory.h"
+#include "Fleet/GossipCodec.h"
+#include "UnitTests/Fleet/FleetFixture.h"
+#include "UnitTests/Fuzz/FuzzTarget.h"
+
+using namespace auburnroute;
+using namespace std::chrono_literals;
+
+// Guards against messages of other hosts that end the process, take a
+// configuration back or fill the memory.
+void unittests::runFuzzInput(std::string_view input) {
+  common::ManualClock clock;
+  ViewFixture host;
+  fleet::PeerTable peers({0x0a000001, "a", 1}, 1);
+  fleet::CauseHistory history("a-1", "10.0.0.1", clock);
+  std::uint64_t version = 0;
+  for (const auto part : splitInput(input)) {
+    clock.advance(100ms);
+    if (const auto message = fleet::GossipCodec::decode(part)) {
+      peers.learnDirect(message->Sender, clock.now());
+      for (const auto &it : message->Hosts)
+        peers.learnRelayed(it, clock.now());
+      host.View.applyPeerChanges(message->Changes, message->ViewAge,
+                                 clock.now());
+      history.merge(message->Causes);
+    }
+    if (const auto snapshot = fleet::GossipCodec::decodeSnapshot(part))
+      host.View.applySnapshot(snapshot->View, snapshot->Age, clock.now());
+    if (const auto causes = fleet::GossipCodec::decodeCauses(part))
+      history.merge(*causes);
+    require(host.View.configurationVersion() >= version);
+    version = host.View.configurationVersion();
+    host.View.expire(clock.now());
+    history.expire();
+    // What was taken over is passed on and must be readable there.
+    fleet::GossipMessage out;
+    out.Sender = peers.self();
+    out.Changes = host.View.recentChanges(fleet::GossipCodec::MaxChanges);
+    out.Causes = history.takeBatch();
+    require(fleet::GossipCodec::decode(fleet::GossipCodec::encode(out))
+                .has_value());
+    require(fleet::GossipCodec::decodeSnapshot(
+                fleet::GossipCodec::encode(
+                    fleet::AgedSnapshot{host.View.snapshotSince(0, 0), 0ms}))
+                .has_value());
+    require(!history.causes(1h).empty());
+  }
+}
--- /dev/null
+++ b/cmake/Fuzz.cmake
@@ -0,0 +1,13 @@
+# Fuzz targets of what comes from outside. With AUBURN_FUZZ, clang and libFuzzer
+# search for new inputs; otherwise the targets replay the kept ones as tests.
+foreach(name GossipFuzz PacketFuzz SettingsFuzz StoreFuzz)
+  set(folder ${CMAKE_SOURCE_DIR}/Source/UnitTests/Fuzz)
+  add_executable(${name} ${folder}/${name}.cpp ${folder}/FuzzTarget.cpp)
+  target_link_libraries(${name} PRIVATE platform)
+  if(AUBURN_FUZZ)
+    target_link_options(${name} PRIVATE -fsanitize=fuzzer)
+  else()
+    target_sources(${name} PRIVATE ${folder}/ReplayMain.cpp)
+    add_test(NAME Fuzz.${name} COMMAND ${name} ${folder}/Corpus/${name})
+  endif()
+endforeach()
