Use one function where the change had written a second one

Cause: a read of the whole change found twins and work done twice.

Change: common::addressText replaces formatAddress of State and a copy in RelayBench; sequence numbers are compared by Common/SequenceNumber.h, also in FlowTable; the statuses of HTTP are named in HttpResponse; the default of /cause is the retention of the ledger; joined and lost hosts are logged by one function; /status and a gossip round scan the peers once; a lapse alone looks its server up; an unknown tag is described once; RegistryClient keeps one optional instead of two flags. No change of behaviour; no test was touched.

--- a/Source/Bench/RelayBench.cpp
+++ b/Source/Bench/RelayBench.cpp
@@ -75,11 +75,6 @@
   return servers;
 }
 
-std::string addressText(std::uint32_t address) {
-  const auto text = common::toString({address, 0});
-  return text.substr(0, text.find(':'));
-}
-
 /// The settings document; all backend servers take packets at \p tunnel.
 std::string makeDocument(common::Endpoint tunnel) {
   std::string out = absl::StrCat(
@@ -97,14 +92,14 @@
     for (int n = 1; n <= service.Servers; ++n) {
       // Nothing is sent to this port; the checker wants each to differ.
       const auto loadReport = static_cast<std::uint16_t>(32'000 + ++host);
-      absl::StrAppend(&out, n == 1 ? "" : ",", "{\"name\": \"", service.Name,
-                      "-", n, "\", \"number\": ", n,
-                      ", \"zone\": \"sando\", \"address\": \"",
-                      addressText(ServerNetwork + host), "\", \"tunnel\": \"",
-                      common::toString(tunnel), "\", \"loadReport\": \"",
-                      common::toString({Loopback, loadReport}),
-                      "\", \"slots\": 2, \"connections\": 2000, \"weight\": 1, "
-                      "\"state\": \"active\"}");
+      absl::StrAppend(
+          &out, n == 1 ? "" : ",", "{\"name\": \"", service.Name, "-", n,
+          "\", \"number\": ", n, ", \"zone\": \"sando\", \"address\": \"",
+          common::addressText(ServerNetwork + host), "\", \"tunnel\": \"",
+          common::toString(tunnel), "\", \"loadReport\": \"",
+          common::toString({Loopback, loadReport}),
+          "\", \"slots\": 2, \"connections\": 2000, \"weight\": 1, "
+          "\"state\": \"active\"}");
     }
     out += "]}";
   }
--- a/Source/Common/HttpResponse.h
+++ b/Source/Common/HttpResponse.h
@@ -6,6 +6,10 @@
 
 /// Answer of an HTTP server.
 struct HttpResponse {
+  static constexpr int Ok = 200;
+  static constexpr int Gone = 410;
+  static constexpr int Unavailable = 503;
+
   int Status = 0;
   std::string Body;
 };
--- a/Source/StandIns/SequenceNumber.h
+++ b/Source/Common/SequenceNumber.h
@@ -2,11 +2,16 @@
 
 #include <cstdint>
 
-namespace auburnroute::standins {
+namespace auburnroute::common {
 
 /// Whether \p a comes before \p b modulo 2^32 (RFC 9293, section 3.4).
 constexpr bool sequenceBefore(std::uint32_t a, std::uint32_t b) {
   return static_cast<std::int32_t>(a - b) < 0;
 }
 
-} // namespace auburnroute::standins
+/// Whether \p a comes after \p b.
+constexpr bool sequenceAfter(std::uint32_t a, std::uint32_t b) {
+  return static_cast<std::int32_t>(a - b) > 0;
+}
+
+} // namespace auburnroute::common
--- a/Source/Daemon/ControlReports.cpp
+++ b/Source/Daemon/ControlReports.cpp
@@ -68,8 +68,7 @@
   const auto wall = View.Clock.wallTime();
   const auto &settings = View.Follower.settings();
   for (const auto &name : View.Burn.services()) {
-    auto &service = burn.Services[name];
-    service = state::burnOf(View.Burn, wall, name);
+    auto &service = burn.Services[name] = state::burnOf(View.Burn, wall, name);
     const auto *found = settings ? settings->findService(name) : nullptr;
     const auto zone =
         settings ? settings->zoneIndex(View.Local.Zone) : std::nullopt;
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -273,7 +273,10 @@
           auto answer = ask(query);
           if (kind == ReportQuery::Kind::Metrics)
             answer.Text += countersText();
-          return common::HttpResponse{answer.Good ? 200 : 503, answer.Text};
+          return common::HttpResponse{answer.Good
+                                          ? common::HttpResponse::Ok
+                                          : common::HttpResponse::Unavailable,
+                                      answer.Text};
         });
   };
   serve("/status", "application/json", ReportQuery::Kind::Status);
--- a/Source/Daemon/LoadPoller.cpp
+++ b/Source/Daemon/LoadPoller.cpp
@@ -69,7 +69,7 @@
     client = std::make_unique<transport::HttpClient>(endpoint, PollTimeout);
   BackendServerPolled polled{snapshot.Table->revision(), id, std::nullopt};
   const auto response = client->get("/load");
-  if (response.ok() && response->Status == 200)
+  if (response.ok() && response->Status == common::HttpResponse::Ok)
     if (auto report = protocol::decodeLoadReport(response->Body); report.ok())
       polled.Report = *std::move(report);
   return polled;
--- a/Source/Daemon/PlatformReader.cpp
+++ b/Source/Daemon/PlatformReader.cpp
@@ -39,7 +39,7 @@
   Counters.add(Counter::PlatformReads);
   auto response = Client.get(
       absl::StrCat(Path, "?after=", after, "&wait=", WatchTime.count()));
-  if (response.ok() && response->Status == 200) {
+  if (response.ok() && response->Status == common::HttpResponse::Ok) {
     reachable(true, "");
     Deliver(std::move(response->Body));
     awaitSteering(after, stop);
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -11,10 +11,9 @@
 #include <csignal>
 #include <random>
 
-#include <sys/stat.h>
-
 namespace auburnroute::edge {
 
+using common::HttpResponse;
 using common::TimePoint;
 using std::chrono::milliseconds;
 
@@ -35,11 +34,12 @@
 /// Forgotten after the life of the flows, with room for the view's lag.
 constexpr std::chrono::seconds RetentionReserve{5};
 
-constexpr int StatusOk = 200;
-constexpr int StatusUnavailable = 503;
-
-/// Causes are kept for an hour, which is the default of `auburnctl cause`.
-constexpr std::uint64_t DefaultSinceSeconds = 3600;
+/// How far back a query asks for causes; all that are kept by default.
+std::chrono::seconds sinceOf(std::string_view query) {
+  const auto since = reactor::numberInQuery(query, "since");
+  return since ? std::chrono::seconds(*since)
+               : std::chrono::seconds(state::CauseLedger::Retention);
+}
 
 std::uint64_t randomSeed() { return std::random_device{}(); }
 
@@ -117,37 +117,35 @@
 
 absl::Status EdgeNode::serveHttp() {
   ReadyServer.serve("/readiness", "application/json", [this](std::string_view) {
-    return common::HttpResponse{Ready ? StatusOk : StatusUnavailable, "{}"};
+    return HttpResponse{Ready ? HttpResponse::Ok : HttpResponse::Unavailable,
+                        "{}"};
   });
   ControlServer.serve("/status", "application/json", [this](std::string_view) {
-    return common::HttpResponse{StatusOk, status()};
+    return HttpResponse{HttpResponse::Ok, status()};
   });
   for (auto *server : {&ControlServer, &MetricsServer})
     server->serve("/metrics", "text/plain; version=0.0.4",
                   [this](std::string_view) {
-                    return common::HttpResponse{StatusOk, metrics()};
+                    return HttpResponse{HttpResponse::Ok, metrics()};
                   });
-  ControlServer.serve("/cause", "application/json",
-                      [this](std::string_view query) {
-                        return common::HttpResponse{
-                            StatusOk, History.causes(std::chrono::seconds(
-                                          reactor::numberInQuery(query, "since")
-                                              .value_or(DefaultSinceSeconds)))};
-                      });
+  ControlServer.serve(
+      "/cause", "application/json", [this](std::string_view query) {
+        return HttpResponse{HttpResponse::Ok, History.causes(sinceOf(query))};
+      });
   ControlServer.serve("/burn", "application/json", [this](std::string_view) {
-    return common::HttpResponse{StatusOk, History.burn()};
+    return HttpResponse{HttpResponse::Ok, History.burn()};
   });
   PeerServer.serve(
       "/causes", "application/x-protobuf", [this](std::string_view) {
-        return common::HttpResponse{
-            StatusOk, fleet::GossipCodec::encode(History.handOver())};
+        return HttpResponse{HttpResponse::Ok,
+                            fleet::GossipCodec::encode(History.handOver())};
+      });
+  PeerServer.serve(
+      "/view", "application/x-protobuf", [this](std::string_view query) {
+        return HttpResponse{View.isComplete() ? HttpResponse::Ok
+                                              : HttpResponse::Unavailable,
+                            Exchange->snapshot(query)};
       });
-  PeerServer.serve("/view", "application/x-protobuf",
-                   [this](std::string_view query) {
-                     return common::HttpResponse{
-                         View.isComplete() ? StatusOk : StatusUnavailable,
-                         Exchange->snapshot(query)};
-                   });
   if (auto status = ReadyServer.listen(Settings.Ready); !status.ok())
     return status;
   if (auto status = ControlServer.listen(Settings.Control); !status.ok())
@@ -293,8 +291,9 @@
 
 std::string EdgeNode::status() const {
   const auto now = Clock.now();
+  const auto alive = Peers.alive(now);
   std::string hosts;
-  for (const auto address : Peers.alive(now))
+  for (const auto address : alive)
     absl::StrAppend(&hosts, hosts.empty() ? "" : ",", "{\"name\":\"",
                     common::addressText(address),
                     "\",\"state\":\"live\",\"operator\":\"",
@@ -305,7 +304,7 @@
       ",\"version\":", Routes.version(), ",\"revision\":", View.revision(),
       ",\"view_age_ms\":", View.age(now).count(),
       ",\"servers\":", Directory.readyCount(),
-      ",\"flows\":", Router.flowCount(), ",\"peers\":", Peers.aliveCount(now),
+      ",\"flows\":", Router.flowCount(), ",\"peers\":", alive.size(),
       ",\"hosts\":[", hosts, "]}\n");
 }
 
--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -174,14 +174,14 @@
                                  DirectoryChange change) {
   const bool first = View != nullptr && View->revision() == 0 &&
                      change == DirectoryChange::Added;
-  if (!first && change == DirectoryChange::Draining)
+  if (change == DirectoryChange::Draining)
     History.record(state::Cause::BackendServerDraining, server.Service, 0,
                    server.Name);
-  if (const auto *known = Directory.findByName(server.Name);
-      change == DirectoryChange::Lapsed && known != nullptr &&
-      known->LapsedUnannounced)
-    History.record(state::Cause::BackendServerLapsed, server.Service, 0,
-                   server.Name);
+  else if (change == DirectoryChange::Lapsed)
+    if (const auto *known = Directory.findByName(server.Name);
+        known != nullptr && known->LapsedUnannounced)
+      History.record(state::Cause::BackendServerLapsed, server.Service, 0,
+                     server.Name);
   if (first || !Log.admits(LogEvent::Server))
     return;
   Log.write(LogEvent::Server,
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -11,6 +11,7 @@
 
 namespace auburnroute::edge {
 
+using common::HttpResponse;
 using common::TimePoint;
 using fleet::GossipCodec;
 using fleet::GossipMessage;
@@ -70,12 +71,13 @@
   auto to = Peers.choose(FanOut, now);
   // One seed a round joins fleets that have lost each other; without any peer
   // all of them are asked.
-  if (to.empty())
+  const bool alone = to.empty();
+  if (alone)
     to = Seeds;
   else if (!Seeds.empty() && SeedCursor % 8 == 0)
     to.push_back(Seeds[SeedCursor / 8 % Seeds.size()]);
   ++SeedCursor;
-  sendTo(to, !View.isComplete() || Peers.aliveCount(now) == 0, 0, true);
+  sendTo(to, !View.isComplete() || alone, 0, true);
 }
 
 void PeerExchange::relay() {
@@ -123,14 +125,21 @@
   for (const auto &it : Peers.takeLost(Clock.now())) {
     History.record(state::Cause::HostDead, {}, 0,
                    common::addressText(it.Address));
-    if (Log.admits(LogEvent::Peer))
-      Log.write(LogEvent::Peer,
-                absl::StrCat("\"change\":\"lost\",\"host\":\"",
-                             common::toString({it.Address, Self.Port}),
-                             "\",\"incarnation\":", it.Incarnation));
+    logPeer("lost", it);
   }
 }
 
+void PeerExchange::logPeer(std::string_view change,
+                           const fleet::PeerInfo &peer) {
+  if (!Log.admits(LogEvent::Peer))
+    return;
+  Log.write(LogEvent::Peer,
+            absl::StrCat("\"change\":\"", common::toAbsl(change),
+                         "\",\"host\":\"",
+                         common::toString({peer.Address, Self.Port}),
+                         "\",\"incarnation\":", peer.Incarnation));
+}
+
 void PeerExchange::sendTo(const std::vector<std::uint32_t> &addresses,
                           bool wantsAnswer, std::uint64_t since,
                           bool withHosts) {
@@ -208,12 +217,8 @@
 
 void PeerExchange::learnHosts(const GossipMessage &message) {
   const auto now = Clock.now();
-  if (Peers.learnDirect(message.Sender, now) && Log.admits(LogEvent::Peer))
-    Log.write(
-        LogEvent::Peer,
-        absl::StrCat("\"change\":\"joined\",\"host\":\"",
-                     common::toString({message.Sender.Address, Self.Port}),
-                     "\",\"incarnation\":", message.Sender.Incarnation));
+  if (Peers.learnDirect(message.Sender, now))
+    logPeer("joined", message.Sender);
   for (const auto &it : message.Hosts)
     Peers.learnRelayed(it, now);
 }
@@ -251,7 +256,7 @@
                                    "&version=", View.configurationVersion());
   Fetcher->get(target, SnapshotTime, [this](const auto &result) {
     Fetching = false;
-    if (!result.ok() || result->Status != 200)
+    if (!result.ok() || result->Status != HttpResponse::Ok)
       return; // The next message of a peer leads to the next try.
     const auto snapshot = GossipCodec::decodeSnapshot(result->Body);
     if (!snapshot) {
@@ -277,7 +282,7 @@
       Loop, common::Endpoint{from.front(), Self.Port});
   CauseFetcher->get(
       "/causes", CauseFetchTime, [this, left](const auto &result) {
-        const auto causes = result.ok() && result->Status == 200
+        const auto causes = result.ok() && result->Status == HttpResponse::Ok
                                 ? GossipCodec::decodeCauses(result->Body)
                                 : std::nullopt;
         if (causes)
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -82,6 +82,7 @@
   /// After the start: takes over the causes of the hour from another host.
   void fetchCauses();
   void reportLost();
+  void logPeer(std::string_view change, const fleet::PeerInfo &peer);
   std::vector<fleet::ReportedSuspect> suspects(common::TimePoint now) const;
 
   boost::asio::io_context &Loop;
--- a/Source/Edge/RegistryClient.cpp
+++ b/Source/Edge/RegistryClient.cpp
@@ -8,16 +8,10 @@
 
 namespace auburnroute::edge {
 
+using common::HttpResponse;
 using fleet::RegistryFailure;
 using platform::StoreCodec;
 
-namespace {
-
-constexpr int StatusOk = 200;
-constexpr int StatusGone = 410;
-
-} // namespace
-
 RegistryClient::RegistryClient(boost::asio::io_context &loop,
                                common::Endpoint registry,
                                fleet::RegistryReader &reader,
@@ -38,15 +32,14 @@
       [this, call = *call](const auto &result) { onResult(call, result); });
 }
 
-void RegistryClient::onResult(
-    const fleet::RegistryCall &call,
-    const absl::StatusOr<common::HttpResponse> &result) {
+void RegistryClient::onResult(const fleet::RegistryCall &call,
+                              const absl::StatusOr<HttpResponse> &result) {
   if (!result.ok()) {
     onFailure(RegistryFailure::Unreachable,
               common::fromAbsl(result.status().message()));
-  } else if (result->Status == StatusGone) {
+  } else if (result->Status == HttpResponse::Gone) {
     onFailure(RegistryFailure::Compacted, "the history is gone");
-  } else if (result->Status != StatusOk) {
+  } else if (result->Status != HttpResponse::Ok) {
     onFailure(RegistryFailure::Refused,
               absl::StrCat("status ", result->Status));
   } else if (const auto page = StoreCodec::decode(call, result->Body);
@@ -69,9 +62,8 @@
 }
 
 void RegistryClient::report(bool reachable, std::string_view reason) {
-  if (Reported && reachable == Reachable)
+  if (Reachable == reachable)
     return;
-  Reported = true;
   Reachable = reachable;
   if (!reachable)
     History.recordOwn(state::Cause::PlatformUnreachable);
--- a/Source/Edge/RegistryClient.h
+++ b/Source/Edge/RegistryClient.h
@@ -6,6 +6,7 @@
 #include "Reactor/AsyncHttpClient.h"
 
 #include <functional>
+#include <optional>
 
 namespace auburnroute::edge {
 
@@ -35,8 +36,7 @@
   EventLog &Log;
   EdgeMetrics &Metrics;
   std::function<void()> OnAnswer;
-  bool Reachable = false;
-  bool Reported = false;
+  std::optional<bool> Reachable; ///< As last reported.
 };
 
 } // namespace auburnroute::edge
--- a/Source/Emulator/Emulation.cpp
+++ b/Source/Emulator/Emulation.cpp
@@ -60,7 +60,7 @@
   const auto end = Queue.now() + Plan.Length;
   Callers.start(end);
   for (const auto &it : Plan.Troubles)
-    schedule(it);
+    Queue.after(it.At, [this, &it] { strike(it); });
   milliseconds longest{0};
   for (const auto &it : Plan.Requests)
     longest = std::max(longest, it.TimeLimit);
@@ -147,10 +147,6 @@
   return chosen;
 }
 
-void Emulation::schedule(const Trouble &trouble) {
-  Queue.after(trouble.At, [this, &trouble] { strike(trouble); });
-}
-
 void Emulation::strike(const Trouble &trouble) {
   switch (trouble.Kind) {
   case TroubleKind::KillHosts:
--- a/Source/Emulator/Emulation.h
+++ b/Source/Emulator/Emulation.h
@@ -34,7 +34,6 @@
   };
 
   void addServer(std::size_t service, std::size_t zone, bool cold);
-  void schedule(const Trouble &trouble);
   void strike(const Trouble &trouble);
   void crash(std::size_t server, const Trouble &trouble);
   void replace(std::size_t server);
--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -1,7 +1,6 @@
 #include "Fleet/GossipCodec.h"
 
 #include "Common/Epoch.h"
-
 #include "Routing/Names.h"
 
 #include "Fleet.pb.h"
--- a/Source/Routing/FlowTable.cpp
+++ b/Source/Routing/FlowTable.cpp
@@ -1,18 +1,12 @@
 #include "Routing/FlowTable.h"
 
+#include "Common/SequenceNumber.h"
+
 namespace auburnroute::routing {
 
+using common::sequenceAfter;
 using common::TimePoint;
 
-namespace {
-
-/// Whether \p a is behind \p b in sequence space (RFC 9293, 3.4).
-bool isAfter(std::uint32_t a, std::uint32_t b) {
-  return static_cast<std::int32_t>(a - b) > 0;
-}
-
-} // namespace
-
 FlowState *FlowTable::find(const FlowId &id) {
   const auto it = Flows.find(id);
   return it == Flows.end() ? nullptr : &it->second;
@@ -84,7 +78,7 @@
     flow.NextSequence = packet.Sequence;
     flow.Acknowledged = packet.Acknowledgement;
     enter(flow, FlowPhase::Idle, now);
-  } else if (isAfter(packet.Acknowledgement, flow.Acknowledged)) {
+  } else if (sequenceAfter(packet.Acknowledgement, flow.Acknowledged)) {
     event = FlowEvent::Answered;
     flow.Acknowledged = packet.Acknowledgement;
     if (flow.Phase == FlowPhase::Busy) {
@@ -101,7 +95,7 @@
   }
   if (packet.PayloadSize == 0)
     return event;
-  if (isAfter(end, flow.NextSequence)) {
+  if (sequenceAfter(end, flow.NextSequence)) {
     flow.NextSequence = end;
     flow.Repeated = false;
     if (flow.Phase == FlowPhase::Busy)
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -186,19 +186,18 @@
   // The flow existed when the tag was seen first, so its server had been
   // registered by then. It is not registered any more if a directory that was
   // complete later does not hold it.
+  RefusedPacket refused{.Flow = id,
+                        .Why = Refusal::UnknownServer,
+                        .Silent = true,
+                        .Service = service};
   if (UnknownTags.size() >= MaxUnknownTags &&
       !UnknownTags.contains(packet.Echo))
-    return refuse({.Flow = id,
-                   .Why = Refusal::UnknownServer,
-                   .Silent = true,
-                   .Service = service});
+    return refuse(refused);
   const auto [it, added] = UnknownTags.try_emplace(packet.Echo, now);
   const bool ended = packet.Echo != ServerTag::None && !packet.Rst &&
                      DirectoryCompleteAt > it->second;
-  return refuse({.Flow = id,
-                 .Why = Refusal::UnknownServer,
-                 .Silent = !ended,
-                 .Service = service});
+  refused.Silent = !ended;
+  return refuse(refused);
 }
 
 void PacketRouter::onTick(TimePoint now) {
--- a/Source/StandIns/TcpConnection.cpp
+++ b/Source/StandIns/TcpConnection.cpp
@@ -1,7 +1,7 @@
 #include "StandIns/TcpConnection.h"
 
+#include "Common/SequenceNumber.h"
 #include "Protocol/PacketBuilder.h"
-#include "StandIns/SequenceNumber.h"
 
 #include <algorithm>
 
@@ -9,6 +9,7 @@
 
 namespace {
 
+using common::sequenceBefore;
 using protocol::PacketView;
 using std::chrono::milliseconds;
 
--- a/Source/State/ServiceComparison.cpp
+++ b/Source/State/ServiceComparison.cpp
@@ -134,9 +134,10 @@
     Warnings.push_back(
         {WarningKind::NumberReused,
          absl::StrCat(New.Name, ": number ", after.Number, " of ",
-                      formatAddress(before.Address), " (", before.Name,
-                      ") is reused for ", formatAddress(after.Address), " (",
-                      after.Name, "); established flows would reach it")});
+                      common::addressText(before.Address), " (", before.Name,
+                      ") is reused for ", common::addressText(after.Address),
+                      " (", after.Name,
+                      "); established flows would reach it")});
 }
 
 void ServiceComparison::addRemoved(const BackendServer &server) {
--- a/Source/State/ValueDescriptor.cpp
+++ b/Source/State/ValueDescriptor.cpp
@@ -177,7 +177,7 @@
   case ValueType::Secret:
     return "(hidden)";
   case ValueType::Address:
-    return formatAddress(
+    return common::addressText(
         static_cast<std::uint32_t>(std::get<std::int64_t>(value)));
   case ValueType::Endpoint:
     return common::toString(std::get<common::Endpoint>(value));
@@ -225,10 +225,4 @@
   return absl::StrCat(n, "ms");
 }
 
-std::string formatAddress(std::uint32_t address) {
-  auto text = common::toString({address, 1});
-  text.resize(text.rfind(':'));
-  return text;
-}
-
 } // namespace auburnroute::state
--- a/Source/State/ValueDescriptor.h
+++ b/Source/State/ValueDescriptor.h
@@ -87,7 +87,4 @@
 /// The shortest exact form with one of the units ms, s and m.
 std::string formatDuration(std::chrono::milliseconds duration);
 
-/// "a.b.c.d" of an address in host byte order.
-std::string formatAddress(std::uint32_t address);
-
 } // namespace auburnroute::state
--- a/Source/Tool/Fleet.cpp
+++ b/Source/Tool/Fleet.cpp
@@ -21,7 +21,7 @@
   auto response = client.get(path);
   if (!response.ok())
     return response.status();
-  if (response->Status != 200)
+  if (response->Status != common::HttpResponse::Ok)
     return absl::UnavailableError(absl::StrCat(
         common::toString(endpoint), " answers with status ", response->Status));
   return std::move(response->Body);
