--- a/Source/Edge/EdgeMetrics.cpp
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -44,6 +44,16 @@
     return "packets_dropped_total";
   case EdgeCounter::Suspicions:
     return "suspicions_total";
+  case EdgeCounter::SuspectedVerdicts:
+    return "verdicts_suspected_total";
+  case EdgeCounter::DeadVerdicts:
+    return "verdicts_dead_total";
+  case EdgeCounter::AnsweringVerdicts:
+    return "verdicts_answering_total";
+  case EdgeCounter::VerdictsRejected:
+    return "verdicts_rejected_total";
+  case EdgeCounter::FlowsAbandoned:
+    return "flows_abandoned_total";
   case EdgeCounter::RegistryCalls:
     return "registry_calls_total";
   case EdgeCounter::RegistryFailures:
@@ -54,6 +64,10 @@
     return "gossip_messages_sent_total";
   case EdgeCounter::GossipBytesSent:
     return "gossip_bytes_sent_total";
+  case EdgeCounter::EvidenceSent:
+    return "evidence_messages_sent_total";
+  case EdgeCounter::EvidenceBytesSent:
+    return "evidence_bytes_sent_total";
   case EdgeCounter::GossipReceived:
     return "gossip_messages_received_total";
   case EdgeCounter::GossipMalformed:
@@ -94,6 +108,7 @@
   appendSample(text, "ready_servers", "gauge", gauges.ReadyServers);
   appendSample(text, "flows", "gauge", gauges.Flows);
   appendSample(text, "peers", "gauge", gauges.Peers);
+  appendSample(text, "evidence_cases", "gauge", gauges.EvidenceCases);
   const auto name = absl::StrCat(common::toAbsl(Prefix), "answer_time_ms");
   absl::StrAppend(&text, "# TYPE ", name, " histogram\n");
   // Bin -1 is the underflow bin: values below the first bound.
--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -19,11 +19,18 @@
   FlowsReset,
   PacketsDropped,
   Suspicions,
+  SuspectedVerdicts,
+  DeadVerdicts,
+  AnsweringVerdicts,
+  VerdictsRejected,
+  FlowsAbandoned,
   RegistryCalls,
   RegistryFailures,
   EntriesUnreadable,
   GossipSent,
   GossipBytesSent,
+  EvidenceSent,
+  EvidenceBytesSent,
   GossipReceived,
   GossipMalformed,
   SnapshotsFetched,
@@ -42,6 +49,7 @@
   std::size_t ReadyServers = 0;
   std::size_t Flows = 0;
   std::size_t Peers = 0;
+  std::size_t EvidenceCases = 0;
 };
 
 /// Counters and the response time histogram of an edge daemon. Not thread-safe.
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -69,6 +69,7 @@
       Reader(View, fleet::RegistryReadTiming::forBound(Settings.ChangeBound)),
       Peers({Settings.Peers.Address, Settings.Zone, randomSeed()},
             randomSeed()),
+      Detector(Peers, Directory, Health, Recorder),
       Placement(Directory, Health, Directory.zoneNames().idOf(Settings.Zone),
                 randomSeed()),
       Router(Routes, Directory, Health, Placement, Recorder), ReadyServer(Loop),
@@ -104,10 +105,16 @@
   if (!peers.ok())
     return peers.status();
   Forwarder = std::make_unique<PacketForwarder>(
-      Loop, *std::move(packets), Router, Directory, Clock, Recorder);
+      Loop, *std::move(packets), Router, Directory, Clock, Recorder, [this] {
+        if (Health.hasNewRetransmissions())
+          Exchange->pollEvidence();
+      });
   Exchange = std::make_unique<PeerExchange>(
       Loop, *std::move(peers), Settings.Peers, Peers, View, Directory, Health,
-      Clock, History, Log, Recorder.metrics(), [this] { updateReadiness(); });
+      Detector, Clock, History, Log, Recorder.metrics(), [this] {
+        updateReadiness();
+        resetFlowsOfDeadServers();
+      });
   Registry = std::make_unique<RegistryClient>(Loop, Settings.Registry, Reader,
                                               Clock, History, Log,
                                               Recorder.metrics(), [this] {
@@ -198,6 +205,7 @@
   updateRegistryRole(now);
   Registry->poll();
   Exchange->poll();
+  resetFlowsOfDeadServers();
   if (StoppingSince && canExit(now)) {
     Loop.stop();
     return;
@@ -257,6 +265,11 @@
                          ",\"servers\":", Directory.readyCount()));
 }
 
+void EdgeNode::resetFlowsOfDeadServers() {
+  for (const auto id : Detector.takeDead())
+    Forwarder->resetFlows(Router.abandonFlowsOf(id));
+}
+
 void EdgeNode::reloadSettings() {
   const auto text = common::readFile(SettingsFile);
   if (!text.ok() || *text == SettingsText)
@@ -327,6 +340,7 @@
   gauges.ReadyServers = Directory.readyCount();
   gauges.Flows = Router.flowCount();
   gauges.Peers = Peers.aliveCount(now);
+  gauges.EvidenceCases = Detector.caseCount();
   return Recorder.metrics().text(gauges);
 }
 
--- a/Source/Edge/EdgeNode.h
+++ b/Source/Edge/EdgeNode.h
@@ -44,6 +44,8 @@
   /// registry from the host that does so normally.
   bool shouldTakeOverReading(common::TimePoint now) const;
   void updateReadiness();
+  /// Resets the flows of servers that were found dead.
+  void resetFlowsOfDeadServers();
   /// Drops queued input if the process was stopped since the last tick.
   void detectPause(common::TimePoint now);
   void reloadSettings();
@@ -70,6 +72,7 @@
   fleet::FleetView View;
   fleet::RegistryReader Reader;
   fleet::PeerTable Peers;
+  fleet::SharedFailureDetector Detector;
   routing::ServerPlacement Placement;
   routing::PacketRouter Router;
   std::unique_ptr<PacketForwarder> Forwarder;
--- a/Source/Edge/EventLog.cpp
+++ b/Source/Edge/EventLog.cpp
@@ -83,6 +83,10 @@
     return "suspected";
   case LogEvent::Cleared:
     return "cleared";
+  case LogEvent::Verdict:
+    return "verdict";
+  case LogEvent::VerdictRejected:
+    return "verdict_rejected";
   case LogEvent::Late:
     return "late";
   case LogEvent::LogDropped:
--- a/Source/Edge/EventLog.h
+++ b/Source/Edge/EventLog.h
@@ -30,6 +30,8 @@
   Refused,
   Suspected,
   Cleared,
+  Verdict,
+  VerdictRejected,
   Late,
   LogDropped,
   Count, ///< Number of kinds, not a kind itself.
--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -147,6 +147,39 @@
     Log.write(LogEvent::Cleared, serverField(server));
 }
 
+void EventRecorder::onVerdict(ServerId server, fleet::VerdictKind kind,
+                              std::chrono::milliseconds age,
+                              std::uint32_t decidedBy) {
+  switch (kind) {
+  case fleet::VerdictKind::Suspected:
+    Metrics.add(EdgeCounter::SuspectedVerdicts);
+    break;
+  case fleet::VerdictKind::Dead:
+    Metrics.add(EdgeCounter::DeadVerdicts);
+    break;
+  case fleet::VerdictKind::Answering:
+    Metrics.add(EdgeCounter::AnsweringVerdicts);
+    break;
+  }
+  if (Log.tryAdmit(LogEvent::Verdict))
+    Log.write(LogEvent::Verdict,
+              absl::StrCat(serverField(server), ",\"verdict\":\"",
+                           toAbsl(fleet::toString(kind)),
+                           "\",\"age_ms\":", age.count(), ",\"decided_by\":\"",
+                           common::addressToString(decidedBy), "\""));
+}
+
+void EventRecorder::onRejected(fleet::EvidenceRejection why,
+                               std::uint64_t identity, std::uint32_t sender) {
+  Metrics.add(EdgeCounter::VerdictsRejected);
+  if (Log.tryAdmit(LogEvent::VerdictRejected))
+    Log.write(LogEvent::VerdictRejected,
+              absl::StrCat("\"reason\":\"", toAbsl(fleet::toString(why)),
+                           "\",\"identity\":\"", absl::Hex(identity),
+                           "\",\"sender\":\"", common::addressToString(sender),
+                           "\""));
+}
+
 void EventRecorder::onAnswered(const FlowId &flow, ServerId server,
                                std::chrono::milliseconds time,
                                std::chrono::milliseconds objective) {
--- a/Source/Edge/EventRecorder.h
+++ b/Source/Edge/EventRecorder.h
@@ -4,6 +4,7 @@
 #include "Edge/EventLog.h"
 #include "Fleet/CauseHistory.h"
 #include "Fleet/FleetView.h"
+#include "Fleet/SharedFailureDetector.h"
 #include "Routing/RoutingObserver.h"
 
 #include <cstdint>
@@ -12,7 +13,8 @@
 namespace auburnroute::edge {
 
 /// Records routing decisions as log lines, metrics and causes.
-class EventRecorder final : public routing::RoutingObserver {
+class EventRecorder final : public routing::RoutingObserver,
+                            public fleet::VerdictObserver {
 public:
   /// References must outlive the object.
   EventRecorder(EventLog &log, const common::Clock &clock,
@@ -32,6 +34,11 @@
   void onAnswered(const routing::FlowId &flow, routing::ServerId server,
                   std::chrono::milliseconds time,
                   std::chrono::milliseconds objective) override;
+  void onVerdict(routing::ServerId server, fleet::VerdictKind kind,
+                 std::chrono::milliseconds age,
+                 std::uint32_t decidedBy) override;
+  void onRejected(fleet::EvidenceRejection why, std::uint64_t identity,
+                  std::uint32_t sender) override;
   void recordConfiguration(std::uint64_t version);
   /// Backend servers of the first view are not logged individually; the "ready"
   /// line has their number.
--- a/Source/Edge/PacketForwarder.cpp
+++ b/Source/Edge/PacketForwarder.cpp
@@ -21,9 +21,11 @@
                                  routing::PacketRouter &router,
                                  const routing::ServerDirectory &directory,
                                  const common::Clock &clock,
-                                 EventRecorder &recorder)
+                                 EventRecorder &recorder,
+                                 std::function<void()> onBatchHandled)
     : Socket(loop, std::move(socket)), Router(router), Directory(directory),
       Clock(clock), Recorder(recorder),
+      OnBatchHandled(std::move(onBatchHandled)),
       ClientPort(Socket.socket().localPort()) {
   static_assert(PacketCodec::HeaderSize ==
                 std::tuple_size_v<decltype(LeadingBytes)::value_type>);
@@ -41,19 +43,36 @@
                          Socket.discard(MaxBatches));
 }
 
+void PacketForwarder::resetFlows(
+    const std::vector<routing::FlowPacket> &packets) {
+  std::size_t index = 0;
+  for (const auto &it : packets) {
+    LeadingBytes[index] = PacketCodec::makeReset(it);
+    Socket.socket().queue({it.Source.Address, ClientPort}, LeadingBytes[index],
+                          {});
+    if (++index == LeadingBytes.size()) {
+      Socket.socket().flush();
+      index = 0;
+    }
+  }
+  Socket.socket().flush();
+  Recorder.metrics().add(EdgeCounter::FlowsAbandoned, packets.size());
+}
+
 void PacketForwarder::onReadable() {
   for (int i = 0; i < MaxBatches; ++i) {
     const auto batch = Socket.socket().receive(std::chrono::milliseconds(0));
     if (batch.empty())
-      return;
+      break;
     LastPacketAt = Clock.now();
     Recorder.metrics().add(EdgeCounter::CallerPackets, batch.size());
     for (std::size_t n = 0; n < batch.size(); ++n)
       handle(batch[n], n);
     Socket.socket().flush();
     if (batch.size() < UdpSocket::BatchSize)
-      return;
+      break;
   }
+  OnBatchHandled();
 }
 
 void PacketForwarder::handle(transport::Datagram &datagram, std::size_t index) {
--- a/Source/Edge/PacketForwarder.h
+++ b/Source/Edge/PacketForwarder.h
@@ -6,6 +6,8 @@
 #include "Routing/PacketRouter.h"
 
 #include <array>
+#include <functional>
+#include <vector>
 
 namespace auburnroute::edge {
 
@@ -13,11 +15,13 @@
 /// or drops each as the PacketRouter decides.
 class PacketForwarder {
 public:
-  /// References must outlive the object.
+  /// References must outlive the object. \p onBatchHandled is called after the
+  /// packets of a wake-up.
   PacketForwarder(boost::asio::io_context &loop, transport::UdpSocket socket,
                   routing::PacketRouter &router,
                   const routing::ServerDirectory &directory,
-                  const common::Clock &clock, EventRecorder &recorder);
+                  const common::Clock &clock, EventRecorder &recorder,
+                  std::function<void()> onBatchHandled);
 
   /// Starts to receive. Packets that arrived before are still in the socket's
   /// buffer and are handled first.
@@ -25,6 +29,8 @@
   /// Discards the packets in the socket's buffer. Used after the process was
   /// paused: clients have retransmitted or given up these packets.
   void discardBacklog();
+  /// Resets the flows of \p packets, each the last one of its flow.
+  void resetFlows(const std::vector<routing::FlowPacket> &packets);
   /// When the last batch of clients' packets was received.
   common::TimePoint lastPacketAt() const { return LastPacketAt; }
 
@@ -37,6 +43,7 @@
   const routing::ServerDirectory &Directory;
   const common::Clock &Clock;
   EventRecorder &Recorder;
+  std::function<void()> OnBatchHandled;
   std::uint16_t ClientPort; ///< UDP port on which clients receive resets; same
                             ///< as the local port.
   common::TimePoint LastPacketAt;
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -40,11 +40,12 @@
     boost::asio::io_context &loop, transport::UdpSocket socket,
     common::Endpoint self, fleet::PeerTable &peers, fleet::FleetView &view,
     routing::ServerDirectory &directory, routing::ServerHealthTracker &health,
-    const common::Clock &clock, fleet::CauseHistory &history, EventLog &log,
-    EdgeMetrics &metrics, std::function<void()> onViewChanged)
+    fleet::SharedFailureDetector &detector, const common::Clock &clock,
+    fleet::CauseHistory &history, EventLog &log, EdgeMetrics &metrics,
+    std::function<void()> onViewChanged)
     : Loop(loop), Socket(loop, std::move(socket)), Self(self), Peers(peers),
-      View(view), Directory(directory), Health(health), Clock(clock),
-      History(history), Log(log), Metrics(metrics),
+      View(view), Directory(directory), Health(health), Detector(detector),
+      Clock(clock), History(history), Log(log), Metrics(metrics),
       OnViewChanged(std::move(onViewChanged)) {}
 
 void PeerExchange::start(const std::vector<common::Endpoint> &seeds) {
@@ -64,6 +65,7 @@
 void PeerExchange::poll() {
   const auto now = Clock.now();
   announceIfChanged();
+  pollEvidence();
   if (now < NextRound)
     return;
   NextRound = now + RoundInterval;
@@ -177,6 +179,20 @@
   Socket.socket().flush();
 }
 
+void PeerExchange::pollEvidence() {
+  Detector.poll(Clock.now());
+  sendEvidence();
+}
+
+void PeerExchange::sendEvidence() {
+  for (const auto &[message, to] : Detector.takeOutgoing()) {
+    const auto bytes = GossipCodec::encode(message).size();
+    Metrics.add(EdgeCounter::EvidenceSent, to.size());
+    Metrics.add(EdgeCounter::EvidenceBytesSent, bytes * to.size());
+    send(message, to);
+  }
+}
+
 std::vector<fleet::ReportedSuspect>
 PeerExchange::localSuspects(TimePoint now) const {
   std::vector<fleet::ReportedSuspect> list;
@@ -212,6 +228,7 @@
       break;
   }
   announceIfChanged();
+  sendEvidence();
   OnViewChanged();
 }
 
@@ -243,6 +260,7 @@
   const auto now = Clock.now();
   mergeHosts(message);
   mergeSuspects(message);
+  Detector.onMessage(message, now);
   History.merge(message.Causes);
   if (message.Changes.To != 0) {
     const bool complete =
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -5,6 +5,7 @@
 #include "Edge/EventRecorder.h"
 #include "Fleet/GossipMessage.h"
 #include "Fleet/PeerTable.h"
+#include "Fleet/SharedFailureDetector.h"
 #include "Reactor/AsyncHttpClient.h"
 #include "Routing/ServerHealthTracker.h"
 
@@ -13,10 +14,10 @@
 
 namespace auburnroute::edge {
 
-/// Gossip protocol: exchanges views, suspected backend servers and membership
-/// with other hosts. Each round and each change sends a datagram to a few
-/// hosts. A host that lacks changes between its view and a peer's fetches a
-/// snapshot over HTTP.
+/// Gossip protocol: exchanges views, suspected backend servers, verdicts on
+/// them and membership with other hosts. Each round and each change sends a
+/// datagram to a few hosts. A host that lacks changes between its view and a
+/// peer's fetches a snapshot over HTTP.
 class PeerExchange {
 public:
   static constexpr std::chrono::milliseconds RoundInterval{500};
@@ -47,14 +48,18 @@
   PeerExchange(boost::asio::io_context &loop, transport::UdpSocket socket,
                common::Endpoint self, fleet::PeerTable &peers,
                fleet::FleetView &view, routing::ServerDirectory &directory,
-               routing::ServerHealthTracker &health, const common::Clock &clock,
-               fleet::CauseHistory &history, EventLog &log,
-               EdgeMetrics &metrics, std::function<void()> onViewChanged);
+               routing::ServerHealthTracker &health,
+               fleet::SharedFailureDetector &detector,
+               const common::Clock &clock, fleet::CauseHistory &history,
+               EventLog &log, EdgeMetrics &metrics,
+               std::function<void()> onViewChanged);
 
   void start(const std::vector<common::Endpoint> &seeds);
   void setSeeds(const std::vector<common::Endpoint> &seeds);
   /// Sends the messages that are due. Must be called at least every 100 ms.
   void poll();
+  /// Sends the reports and verdicts that are due.
+  void pollEvidence();
   /// Sends the latest changes of the view to other hosts now.
   void announce();
   /// Announces that this host leaves, and sends the causes not sent yet.
@@ -80,6 +85,7 @@
                 std::uint64_t since, bool withHosts);
   void send(const fleet::GossipMessage &message,
             const std::vector<std::uint32_t> &addresses);
+  void sendEvidence();
   /// Announces the view if it changed or became more current since the last
   /// announcement.
   void announceIfChanged();
@@ -101,6 +107,7 @@
   fleet::FleetView &View;
   routing::ServerDirectory &Directory;
   routing::ServerHealthTracker &Health;
+  fleet::SharedFailureDetector &Detector;
   const common::Clock &Clock;
   fleet::CauseHistory &History;
   EventLog &Log;
--- /dev/null
+++ b/Source/Fleet/FailureAggregator.cpp
@@ -0,0 +1,127 @@
+#include "Fleet/FailureAggregator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnroute::fleet {
+
+using common::TimePoint;
+using routing::SilenceEvidence;
+using std::chrono::milliseconds;
+
+void FailureAggregator::onReport(std::uint64_t identity,
+                                 std::int64_t startTimeMs,
+                                 std::uint32_t reporter,
+                                 const SilenceEvidence &evidence,
+                                 TimePoint now) {
+  if (Cases.size() >= Limits.MaxServers && !Cases.contains(identity))
+    return;
+  auto &known = Cases[identity];
+  if (known.StartTimeMs != startTimeMs) {
+    known = Case();
+    known.StartTimeMs = startTimeMs;
+  }
+  if (evidence.Since <= known.AnsweredAt)
+    return;
+  const auto it = std::ranges::find(known.Reports, reporter, &Report::Reporter);
+  if (it != known.Reports.end())
+    *it = {reporter, evidence, now};
+  else if (known.Reports.size() < Limits.MaxReporters)
+    known.Reports.push_back({reporter, evidence, now});
+  // The reporter missed the verdict, or started after it.
+  if (known.Verdict == VerdictKind::Dead)
+    Decisions.push_back(
+        {{identity, startTimeMs, *known.Verdict, {}}, known.Since, reporter});
+}
+
+void FailureAggregator::onAnswer(std::uint64_t identity, TimePoint answeredAt) {
+  const auto it = Cases.find(identity);
+  if (it == Cases.end() || answeredAt <= it->second.AnsweredAt)
+    return;
+  auto &known = it->second;
+  known.AnsweredAt = answeredAt;
+  std::erase_if(known.Reports, [&](const Report &report) {
+    return report.Evidence.Since <= answeredAt;
+  });
+  if (!known.Verdict || known.Since > answeredAt)
+    return;
+  known.Verdict.reset();
+  Decisions.push_back(
+      {{identity, known.StartTimeMs, VerdictKind::Answering, {}},
+       answeredAt,
+       {}});
+}
+
+SilenceEvidence FailureAggregator::total(const Case &it) {
+  SilenceEvidence sum;
+  sum.Since = TimePoint::max();
+  for (const auto &report : it.Reports) {
+    const auto &evidence = report.Evidence;
+    sum.HasSeveralCallers |= evidence.HasSeveralCallers ||
+                             (sum.Caller != 0 && evidence.Caller != sum.Caller);
+    sum.Caller = evidence.Caller;
+    sum.RequestCount += evidence.RequestCount;
+    sum.SynCount += evidence.SynCount;
+    sum.Since = std::min(sum.Since, evidence.Since);
+  }
+  return sum;
+}
+
+bool FailureAggregator::isDead(const Case &it, const SilenceEvidence &evidence,
+                               const AnswerQuality &quality,
+                               TimePoint now) const {
+  const bool isEnough =
+      quality.HasManyRetransmissions
+          ? evidence.RequestCount >= Limits.DeadRequestsUnderLoss
+          : evidence.RequestCount >= Limits.DeadRequests ||
+                (evidence.RequestCount > 0 &&
+                 evidence.RequestCount + evidence.SynCount >= Limits.DeadTotal);
+  const auto silence = std::max(Limits.MinDeadSilence,
+                                Limits.DeadLatencyFactor * quality.Slowest);
+  return isEnough && now - evidence.Since >= silence &&
+         now - it.DecidedAt >= Limits.RefutationTime;
+}
+
+void FailureAggregator::decide(std::uint64_t identity, Case &it,
+                               VerdictKind kind, TimePoint since,
+                               TimePoint now) {
+  it.Verdict = kind;
+  it.DecidedAt = now;
+  it.Since = since;
+  it.AnnouncementsLeft = Limits.Announcements - 1;
+  Decisions.push_back({{identity, it.StartTimeMs, kind, {}}, since, {}});
+}
+
+std::vector<FailureAggregator::Decision>
+FailureAggregator::takeDecisions(const AnswerQuality &quality, TimePoint now) {
+  for (auto &[identity, it] : Cases) {
+    if (it.Verdict == VerdictKind::Dead)
+      continue;
+    std::erase_if(it.Reports, [&](const Report &report) {
+      return now - report.ReceivedAt > Limits.EvidenceWindow;
+    });
+    const auto evidence = total(it);
+    if (!evidence.HasSeveralCallers ||
+        evidence.RequestCount + evidence.SynCount < Limits.SuspectedCount)
+      continue;
+    if (!it.Verdict)
+      decide(identity, it, VerdictKind::Suspected, evidence.Since, now);
+    else if (isDead(it, evidence, quality, now))
+      decide(identity, it, VerdictKind::Dead, evidence.Since, now);
+    else if (it.AnnouncementsLeft-- > 0)
+      Decisions.push_back(
+          {{identity, it.StartTimeMs, *it.Verdict, {}}, it.Since, {}});
+  }
+  absl::erase_if(Cases, [&](const auto &entry) {
+    const auto &it = entry.second;
+    if (it.Verdict)
+      return now - it.DecidedAt > Limits.Hold;
+    return it.Reports.empty() && now - it.AnsweredAt > Limits.EvidenceWindow;
+  });
+  auto decisions = std::exchange(Decisions, {});
+  for (auto &it : decisions)
+    it.Verdict.Age = std::chrono::duration_cast<milliseconds>(now - it.Since);
+  return decisions;
+}
+
+} // namespace auburnroute::fleet
--- /dev/null
+++ b/Source/Fleet/FailureAggregator.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Fleet/GossipMessage.h"
+#include "Routing/ServerHealthTracker.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace auburnroute::fleet {
+
+/// How fast and how reliably servers answer the requests of this host.
+struct AnswerQuality {
+  std::chrono::milliseconds Slowest{0}; ///< Of the recent answers.
+  /// Many requests were answered only after a retransmission.
+  bool HasManyRetransmissions = false;
+};
+
+/// Thresholds of the verdicts.
+struct VerdictLimits {
+  /// Unanswered packets, of several callers, that make a server suspected.
+  std::uint32_t SuspectedCount = 2;
+  /// A server is dead if this many requests on open flows, or one of them and
+  /// this many packets in total, went unanswered. SYNs alone do not show it: a
+  /// server without a free place for a flow ignores them.
+  std::uint32_t DeadRequests = 2;
+  std::uint32_t DeadTotal = 3;
+  /// The number of requests while this host sees many retransmissions: then
+  /// several requests in a row are lost now and then.
+  std::uint32_t DeadRequestsUnderLoss = 3;
+  /// Shortest silence of a dead server. Callers retransmit after 200 ms, so at
+  /// least one retransmission went unanswered, too.
+  std::chrono::milliseconds MinDeadSilence{400};
+  /// A dead server is silent for this many times the slowest recent answer.
+  int DeadLatencyFactor = 2;
+  /// Time between the announcement of a suspicion and the verdict, in which
+  /// any host of the zone can tell of an answer.
+  std::chrono::milliseconds RefutationTime{100};
+  /// Announcements of a suspicion, one at each call of takeDecisions(): a lost
+  /// datagram must not keep a host from refuting it.
+  int Announcements = 2;
+  /// Reports that are not renewed for this long do not count.
+  std::chrono::milliseconds EvidenceWindow{1000};
+  /// How long a verdict stands. Then the server is tried again.
+  std::chrono::milliseconds Hold{4000};
+  /// Reports come from other hosts, so their number is bounded.
+  std::size_t MaxServers = 2048;
+  std::size_t MaxReporters = 64;
+};
+
+/// Collects the evidence of the hosts of a zone on the backend servers that
+/// this host is responsible for.
+///
+/// A host of a large zone sees too few packets of one server to tell its death
+/// from a lost packet. All hosts together see a dead server's requests go
+/// unanswered within half a second. A verdict takes two steps: the suspicion is
+/// announced to the zone, and the server is dead if no host knows of an answer.
+class FailureAggregator {
+public:
+  /// A verdict to send to the zone, or to one host.
+  struct Decision {
+    ServerVerdict Verdict;
+    /// When the first unanswered packet was sent; for Answering, when the
+    /// answer was seen.
+    common::TimePoint Since;
+    /// Only this host needs it.
+    std::optional<std::uint32_t> OnlyTo;
+  };
+
+  explicit FailureAggregator(VerdictLimits limits = {}) : Limits(limits) {}
+
+  /// What \p reporter (IPv4 address) has seen of the run \p startTimeMs of a
+  /// server; replaces its previous report.
+  void onReport(std::uint64_t identity, std::int64_t startTimeMs,
+                std::uint32_t reporter,
+                const routing::SilenceEvidence &evidence,
+                common::TimePoint now);
+  /// Some host saw an answer at \p answeredAt.
+  void onAnswer(std::uint64_t identity, common::TimePoint answeredAt);
+  /// The decisions since the last call.
+  std::vector<Decision> takeDecisions(const AnswerQuality &quality,
+                                      common::TimePoint now);
+  /// Discards all evidence, for example after a pause of the process.
+  void clear() { Cases.clear(); }
+
+  /// Number of servers with evidence or a verdict.
+  std::size_t size() const { return Cases.size(); }
+
+private:
+  struct Report {
+    std::uint32_t Reporter = 0;
+    routing::SilenceEvidence Evidence;
+    common::TimePoint ReceivedAt;
+  };
+  struct Case {
+    std::int64_t StartTimeMs = 0;
+    std::vector<Report> Reports;
+    std::optional<VerdictKind> Verdict;
+    common::TimePoint DecidedAt;
+    int AnnouncementsLeft = 0;
+    common::TimePoint Since; ///< First unanswered packet.
+    common::TimePoint AnsweredAt;
+  };
+  /// The sum of the reports.
+  static routing::SilenceEvidence total(const Case &it);
+  bool isDead(const Case &it, const routing::SilenceEvidence &evidence,
+              const AnswerQuality &quality, common::TimePoint now) const;
+  void decide(std::uint64_t identity, Case &it, VerdictKind kind,
+              common::TimePoint since, common::TimePoint now);
+
+  VerdictLimits Limits;
+  absl::flat_hash_map<std::uint64_t, Case> Cases;
+  std::vector<Decision> Decisions;
+};
+
+} // namespace auburnroute::fleet
--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -149,6 +149,18 @@
 
 } // namespace
 
+std::string_view toString(VerdictKind kind) {
+  switch (kind) {
+  case VerdictKind::Suspected:
+    return "suspected";
+  case VerdictKind::Dead:
+    return "dead";
+  case VerdictKind::Answering:
+    return "answering";
+  }
+  return "invalid";
+}
+
 std::string GossipCodec::encode(const GossipMessage &message) {
   wire::Gossip out;
   write(message.Sender, *out.mutable_sender());
@@ -165,6 +177,22 @@
     auto &suspect = *out.add_suspects();
     suspect.set_identity(it.Identity);
     suspect.set_silent_ms(clampedMilliseconds(it.SilentFor));
+    suspect.set_requests(it.RequestCount);
+    suspect.set_syns(it.SynCount);
+    suspect.set_caller(it.Caller);
+    suspect.set_several_callers(it.HasSeveralCallers);
+  }
+  for (const auto &it : message.Verdicts) {
+    auto &verdict = *out.add_verdicts();
+    verdict.set_identity(it.Identity);
+    verdict.set_lifetime(it.StartTimeMs);
+    verdict.set_kind(static_cast<std::uint32_t>(it.Kind));
+    verdict.set_age_ms(clampedMilliseconds(it.Age));
+  }
+  for (const auto &it : message.Answers) {
+    auto &answer = *out.add_answers();
+    answer.set_identity(it.Identity);
+    answer.set_age_ms(clampedMilliseconds(it.Age));
   }
   for (const auto &it : message.Causes)
     write(it, *out.add_causes());
@@ -195,7 +223,18 @@
   message.ViewAge = milliseconds(in.age_ms());
   message.ConfigurationVersion = in.configuration_version();
   for (const auto &it : in.suspects())
-    message.Suspects.push_back({it.identity(), milliseconds(it.silent_ms())});
+    message.Suspects.push_back({it.identity(), milliseconds(it.silent_ms()),
+                                it.requests(), it.syns(), it.caller(),
+                                it.several_callers()});
+  // Answering is the highest value of VerdictKind. Unknown ones are skipped: a
+  // newer version may have more.
+  for (const auto &it : in.verdicts())
+    if (it.kind() <= static_cast<std::uint32_t>(VerdictKind::Answering))
+      message.Verdicts.push_back({it.identity(), it.lifetime(),
+                                  static_cast<VerdictKind>(it.kind()),
+                                  milliseconds(it.age_ms())});
+  for (const auto &it : in.answers())
+    message.Answers.push_back({it.identity(), milliseconds(it.age_ms())});
   // Invalid causes are skipped: a newer version may have causes that are
   // unknown here.
   for (const auto &it : in.causes())
--- a/Source/Fleet/GossipCodec.h
+++ b/Source/Fleet/GossipCodec.h
@@ -18,6 +18,9 @@
   static constexpr std::size_t MaxChanges = 8;
   static constexpr std::size_t MaxHosts = 8;
   static constexpr std::size_t MaxSuspects = 16;
+  /// Maximum number of verdicts, and of answers, in one datagram. A verdict
+  /// takes 24 bytes.
+  static constexpr std::size_t MaxVerdicts = 24;
 
   static std::string encode(const GossipMessage &message);
   /// Returns nullopt if \p bytes are not a valid message.
--- a/Source/Fleet/GossipMessage.h
+++ b/Source/Fleet/GossipMessage.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string_view>
 #include <vector>
 
 namespace auburnroute::fleet {
@@ -14,6 +15,39 @@
 struct ReportedSuspect {
   std::uint64_t Identity = 0;
   std::chrono::milliseconds SilentFor{0}; ///< Since the unanswered packet.
+  /// Unanswered packets of the server; 0 if the message is periodic gossip.
+  std::uint32_t RequestCount = 0;
+  std::uint32_t SynCount = 0;
+  std::uint32_t Caller = 0; ///< IPv4 address of one of the callers.
+  bool HasSeveralCallers = false;
+
+  bool hasEvidence() const { return RequestCount + SynCount > 0; }
+};
+
+/// What the hosts of a zone hold of a backend server that was silent.
+enum class VerdictKind : std::uint8_t {
+  Suspected, ///< Gets no new flows while others can take them.
+  Dead,      ///< Its open flows are reset.
+  Answering, ///< It answered, which refutes the others.
+};
+
+std::string_view toString(VerdictKind kind);
+
+/// A verdict on one run of a backend server.
+struct ServerVerdict {
+  std::uint64_t Identity = 0;
+  /// Start time of the run, see ServerRegistration.
+  std::int64_t StartTimeMs = 0;
+  VerdictKind Kind = VerdictKind::Suspected;
+  /// Time since the first unanswered packet was sent; for Answering, since the
+  /// answer.
+  std::chrono::milliseconds Age{0};
+};
+
+/// An answer of a backend server.
+struct ReportedAnswer {
+  std::uint64_t Identity = 0;
+  std::chrono::milliseconds Age{0};
 };
 
 /// Content of one gossip datagram.
@@ -24,6 +58,8 @@
   ViewChanges Changes;
   std::chrono::milliseconds ViewAge{0};
   std::vector<ReportedSuspect> Suspects;
+  std::vector<ServerVerdict> Verdicts;
+  std::vector<ReportedAnswer> Answers;
   /// Causes that the sender recorded. Copies keep the last hour available after
   /// the sender is gone.
   std::vector<state::CauseEntry> Causes;
--- a/Source/Fleet/PeerTable.cpp
+++ b/Source/Fleet/PeerTable.cpp
@@ -83,6 +83,16 @@
   return addresses;
 }
 
+std::vector<std::uint32_t> PeerTable::hostsInZone(TimePoint now) const {
+  std::vector<std::uint32_t> addresses{Self.Address};
+  for (const auto &[address, peer] : Peers)
+    if (isAlive(peer, now) && !peer.Info.IsLeaving &&
+        peer.Info.Zone == Self.Zone)
+      addresses.push_back(address);
+  std::ranges::sort(addresses);
+  return addresses;
+}
+
 std::size_t PeerTable::aliveCount(TimePoint now) const {
   return static_cast<std::size_t>(std::ranges::count_if(
       Peers, [&](const auto &it) { return isAlive(it.second, now); }));
--- a/Source/Fleet/PeerTable.h
+++ b/Source/Fleet/PeerTable.h
@@ -68,6 +68,9 @@
   /// Number of live hosts of the own zone that are not leaving and have a lower
   /// address than this host.
   std::size_t rankInZone(common::TimePoint now) const;
+  /// Sorted addresses of the live hosts of the own zone that are not leaving,
+  /// and of this host.
+  std::vector<std::uint32_t> hostsInZone(common::TimePoint now) const;
   /// Whether no other live host that is not leaving has a lower address.
   bool hasLowestAddress(common::TimePoint now) const;
   /// Removes hosts whose heartbeat has not increased for RemovalTimeout.
--- a/Source/Routing/FlowTable.cpp
+++ b/Source/Routing/FlowTable.cpp
@@ -2,6 +2,8 @@
 
 #include "Common/SequenceNumber.h"
 
+#include <algorithm>
+
 namespace auburnroute::routing {
 
 using common::sequenceAfter;
@@ -84,7 +86,7 @@
     if (flow.Phase == FlowPhase::Busy) {
       Health.onAnswerTime(std::chrono::duration_cast<std::chrono::milliseconds>(
                               now - flow.PhaseSince),
-                          now);
+                          flow.RetransmissionCount > 0, now);
       setPhase(flow, FlowPhase::Idle, now);
     }
   }
@@ -96,15 +98,18 @@
     return event;
   if (sequenceAfter(end, flow.NextSequence)) {
     flow.NextSequence = end;
-    flow.IsRetransmitted = false;
+    flow.RetransmissionCount = 0;
     if (flow.Phase == FlowPhase::Busy)
       flow.PhaseSince = now;
     setPhase(flow, FlowPhase::Busy, now);
   } else if (event == FlowEvent::None && flow.Phase == FlowPhase::Busy &&
              now - flow.PhaseSince >= MinRetransmissionDelay) {
-    event = flow.IsRetransmitted ? FlowEvent::RetransmittedAgain
-                                 : FlowEvent::Retransmitted;
-    flow.IsRetransmitted = true;
+    if (flow.RetransmissionCount == 0)
+      event = FlowEvent::Retransmitted;
+    else if (flow.RetransmissionCount == 1)
+      event = FlowEvent::RetransmittedAgain;
+    flow.RetransmissionCount =
+        std::min<std::uint8_t>(flow.RetransmissionCount + 1, 3);
   }
   return event;
 }
@@ -121,13 +126,22 @@
       Flows.erase(it++);
       continue;
     }
-    if (flow.Phase == FlowPhase::Busy && !flow.IsRetransmitted &&
+    if (flow.Phase == FlowPhase::Busy && flow.RetransmissionCount == 0 &&
         now - flow.PhaseSince > AnswerAssumedAfter)
       setPhase(flow, FlowPhase::Idle, now);
     ++it;
   }
 }
 
+std::vector<std::pair<FlowId, std::uint32_t>>
+FlowTable::busyFlowsOf(ServerId server) const {
+  std::vector<std::pair<FlowId, std::uint32_t>> flows;
+  for (const auto &[id, flow] : Flows)
+    if (flow.Server == server && flow.Phase == FlowPhase::Busy)
+      flows.emplace_back(id, flow.Acknowledged);
+  return flows;
+}
+
 void FlowTable::erase(const FlowId &id) {
   const auto it = Flows.find(id);
   if (it == Flows.end())
--- a/Source/Routing/FlowTable.h
+++ b/Source/Routing/FlowTable.h
@@ -9,6 +9,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <utility>
+#include <vector>
 
 namespace auburnroute::routing {
 
@@ -25,7 +27,8 @@
 struct FlowState {
   ServerId Server = 0;
   FlowPhase Phase = FlowPhase::Opening;
-  bool IsRetransmitted = false;   ///< The last request was retransmitted.
+  /// How often the last request was retransmitted, up to 3.
+  std::uint8_t RetransmissionCount = 0;
   std::uint32_t NextSequence = 0; ///< One past the highest byte seen.
   std::uint32_t Acknowledged = 0; ///< Highest acknowledgement seen.
   common::TimePoint LastSeen;
@@ -35,10 +38,10 @@
 /// What a packet reveals about the backend server of its flow.
 enum class FlowEvent : std::uint8_t {
   None,
-  Answered,      ///< The server has answered since the last packet.
-  Retransmitted, ///< First retransmission of data: the caller has seen no
-                 ///< answer.
-  RetransmittedAgain,
+  Answered,           ///< The server has answered since the last packet.
+  Retransmitted,      ///< First retransmission of data: the caller has seen no
+                      ///< answer.
+  RetransmittedAgain, ///< The second retransmission of the same data.
 };
 
 /// The flows of which this host recently saw packets, bounded in number.
@@ -74,6 +77,10 @@
   /// Removes flows that were idle for \p idleTimeout and marks requests older
   /// than AnswerAssumedAfter as answered.
   void expire(common::TimePoint now, std::chrono::milliseconds idleTimeout);
+  /// The flows with a pending request to \p server, each with the caller's
+  /// highest acknowledgement.
+  std::vector<std::pair<FlowId, std::uint32_t>>
+  busyFlowsOf(ServerId server) const;
   /// Removes \p id immediately.
   void erase(const FlowId &id);
 
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -94,9 +94,10 @@
         std::chrono::duration_cast<milliseconds>(now - sentAt));
 }
 
-void PacketRouter::recordAnswer(ServerId server, TimePoint now) {
+void PacketRouter::recordAnswer(ServerId server, TimePoint sentAt,
+                                TimePoint now) {
   const bool wasSuspect = Health.isSuspect(server, now);
-  Health.onAnswer(server, now);
+  Health.onAnswer(server, Directory.at(server).Zone, sentAt, now);
   if (wasSuspect)
     Observer.onSuspicionCleared(server);
 }
@@ -141,6 +142,8 @@
     return true;
   if (server.Registration.State != ServerState::Lapsed)
     return false;
+  if (server.IsAddressReused)
+    return true;
   // A server that drained before its entry lapsed has shut down. Otherwise the
   // registry may be at fault, and a single retransmission may be due to packet
   // loss.
@@ -161,9 +164,11 @@
   const auto *known = Flows.find(id);
   const auto sentAt = known == nullptr ? now : known->PhaseSince;
   const bool wasBusy = known != nullptr && known->Phase == FlowPhase::Busy;
+  const bool wasOpening =
+      known != nullptr && known->Phase == FlowPhase::Opening;
   switch (Flows.onPacket(id, serverId, packet, now)) {
   case FlowEvent::Answered:
-    recordAnswer(serverId, now);
+    recordAnswer(serverId, wasBusy || wasOpening ? sentAt : TimePoint(), now);
     if (wasBusy)
       Observer.onAnswered(
           id, serverId, std::chrono::duration_cast<milliseconds>(now - sentAt),
@@ -174,6 +179,8 @@
                          now);
     break;
   case FlowEvent::RetransmittedAgain:
+    Health.onSecondRetransmission(serverId);
+    break;
   case FlowEvent::None:
     break;
   }
@@ -189,6 +196,26 @@
   return ForwardPacket{serverId, packet.Echo};
 }
 
+std::vector<FlowPacket> PacketRouter::abandonFlowsOf(ServerId server) {
+  std::vector<FlowPacket> abandoned;
+  for (const auto &[id, acknowledged] : Flows.busyFlowsOf(server)) {
+    const auto *route = Routes.find(id.Service);
+    if (route == nullptr || route->Kind == RequestKind::NonIdempotent)
+      continue;
+    Flows.erase(id);
+    refuse({.Flow = id,
+            .Why = RefusalReason::ServerGone,
+            .Service = serviceOf(*route, id),
+            .Server = server});
+    FlowPacket packet;
+    packet.Source = id.Caller;
+    packet.Destination = id.Service;
+    packet.Acknowledgement = acknowledged;
+    abandoned.push_back(packet);
+  }
+  return abandoned;
+}
+
 RoutingOutcome PacketRouter::onUnknownTag(const FlowId &id,
                                           NameTable::Id service,
                                           const FlowPacket &packet,
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -29,6 +29,12 @@
         PlacementPolicy(placement), Observer(observer) {}
 
   RoutingOutcome onPacket(const FlowPacket &packet, common::TimePoint now);
+  /// Gives up the flows with a pending request to \p server, which is dead:
+  /// its callers would otherwise wait for a retransmission or their timeout.
+  /// Non-idempotent requests are left until they are retransmitted: a reset
+  /// gains their callers nothing, and the server may be slow after all. Returns
+  /// the last packet of each flow as far as a reset needs it.
+  std::vector<FlowPacket> abandonFlowsOf(ServerId server);
   /// Removes expired state. Call at least once a second.
   void onTick(common::TimePoint now);
   /// Whether servers whose entry lapsed without draining may get new flows when
@@ -70,7 +76,10 @@
   void recordRetransmission(ServerId server, SuspicionReason why,
                             const FlowId &id, common::TimePoint sentAt,
                             common::TimePoint now);
-  void recordAnswer(ServerId server, common::TimePoint now);
+  /// \p sentAt: when the answered packet was sent; the default value if that
+  /// is unknown.
+  void recordAnswer(ServerId server, common::TimePoint sentAt,
+                    common::TimePoint now);
   /// Whether the server has certainly ended, so that its flows can be reset.
   bool hasEnded(const KnownServer &server, common::TimePoint now);
 
--- a/Source/Routing/ServerDirectory.cpp
+++ b/Source/Routing/ServerDirectory.cpp
@@ -32,11 +32,14 @@
     return DirectoryChange::None;
   const auto id = idOf(server);
   removeFromIndexes(id);
+  if (before.Address != registration.Address)
+    releaseAddress(id);
   server.Registration = registration;
   server.Service = Services.idOf(registration.Service);
   server.Zone = Zones.idOf(registration.Zone);
   server.ColdUntil = now + registration.WarmUpLeft;
   addToIndexes(id);
+  claimAddress(id);
   if (registration.State == ServerState::Draining &&
       before.State != registration.State)
     return DirectoryChange::Draining;
@@ -90,12 +93,36 @@
     highest = std::max(highest, server.Registration.Revision);
     removeFromIndexes(id);
     ByName.erase(server.Registration.Name);
+    releaseAddress(id);
     server = KnownServer{};
     FreeIds.push_back(id);
   }
   return highest;
 }
 
+void ServerDirectory::claimAddress(ServerId id) {
+  auto &server = Servers[id];
+  const auto [it, added] =
+      ByAddress.try_emplace(server.Registration.Address.key(), id);
+  if (added || it->second == id)
+    return;
+  auto &other = Servers[it->second];
+  // Entries may arrive in any order.
+  const bool isNewer =
+      server.Registration.Revision > other.Registration.Revision ||
+      other.Registration.State == ServerState::Lapsed;
+  (isNewer ? other : server).IsAddressReused = true;
+  (isNewer ? server : other).IsAddressReused = false;
+  if (isNewer)
+    it->second = id;
+}
+
+void ServerDirectory::releaseAddress(ServerId id) {
+  const auto it = ByAddress.find(Servers[id].Registration.Address.key());
+  if (it != ByAddress.end() && it->second == id)
+    ByAddress.erase(it);
+}
+
 ServerId ServerDirectory::allocateId() {
   if (!FreeIds.empty()) {
     const auto id = FreeIds.back();
--- a/Source/Routing/ServerDirectory.h
+++ b/Source/Routing/ServerDirectory.h
@@ -29,6 +29,8 @@
   bool IsOccupied = false;    ///< This slot of the directory holds a server.
   /// Lapsed directly from Ready, as after a crash or a registry fault.
   bool LapsedWithoutDraining = false;
+  /// Another server has registered with its address since.
+  bool IsAddressReused = false;
 };
 
 /// Effect of an update on the directory.
@@ -92,6 +94,10 @@
   ServerId allocateId();
   void addToIndexes(ServerId id);
   void removeFromIndexes(ServerId id);
+  /// Updates ByAddress and IsAddressReused after a new entry of \p id.
+  void claimAddress(ServerId id);
+  /// Removes \p id from ByAddress.
+  void releaseAddress(ServerId id);
   DirectoryChange update(KnownServer &server,
                          const ServerRegistration &registration,
                          common::TimePoint now);
@@ -102,6 +108,8 @@
   std::vector<KnownServer> Servers;
   std::vector<ServerId> FreeIds;
   absl::flat_hash_map<std::string, ServerId> ByName;
+  /// The server with the newest entry of each address, by Endpoint::key().
+  absl::flat_hash_map<std::uint64_t, ServerId> ByAddress;
   absl::flat_hash_map<std::uint32_t, std::vector<ServerId>> ByTag;
   std::vector<std::vector<ServerId>> ByService;
 };
--- a/Source/Routing/ServerHealthTracker.cpp
+++ b/Source/Routing/ServerHealthTracker.cpp
@@ -1,6 +1,7 @@
 #include "Routing/ServerHealthTracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburnroute::routing {
 
@@ -65,13 +66,39 @@
   decrement(activityRef(id).PendingRequests);
 }
 
-void ServerHealthTracker::onAnswer(ServerId id, TimePoint now) {
-  auto &server = activityRef(id);
-  server.LastAnswer = now;
+void ServerHealthTracker::clearSuspicion(ServerActivity &server) {
   server.Why = SuspicionReason::None;
   server.RetransmissionCount = 0;
+  server.RetransmittedRequests = 0;
+  server.TwiceRetransmittedRequests = 0;
   server.HasSeveralCallers = false;
   server.DeadUntil = {};
+}
+
+void ServerHealthTracker::recordZoneAnswer(ServerId id, NameTable::Id zone,
+                                           TimePoint sentAt) {
+  if (AnswersByZone.size() <= zone)
+    AnswersByZone.resize(zone + 1);
+  auto &answers = AnswersByZone[zone];
+  if (answers.Server == id) {
+    answers.SentAt = std::max(answers.SentAt, sentAt);
+  } else if (sentAt > answers.SentAt) {
+    answers.OtherSentAt = answers.SentAt;
+    answers.SentAt = sentAt;
+    answers.Server = id;
+  } else {
+    answers.OtherSentAt = std::max(answers.OtherSentAt, sentAt);
+  }
+}
+
+void ServerHealthTracker::onAnswer(ServerId id, NameTable::Id zone,
+                                   TimePoint sentAt, TimePoint now) {
+  auto &server = activityRef(id);
+  server.LastAnswer = now;
+  clearSuspicion(server);
+  if (std::exchange(server.IsWatched, false))
+    Answered.push_back(id);
+  recordZoneAnswer(id, zone, sentAt);
   if (LastAnsweringServer != id) {
     OtherAnswerAt = LastAnswerAt;
     LastAnsweringServer = id;
@@ -79,7 +106,14 @@
   LastAnswerAt = now;
 }
 
-void ServerHealthTracker::onAnswerTime(milliseconds time, TimePoint now) {
+void ServerHealthTracker::onAnswerTime(milliseconds time, bool wasRetransmitted,
+                                       TimePoint now) {
+  if (now - AnswersSince > Limits.RetransmittedShareWindow) {
+    PreviousAnswers = std::exchange(Answers, {});
+    AnswersSince = now;
+  }
+  ++Answers.All;
+  Answers.Retransmitted += wasRetransmitted;
   if (now - WindowStartedAt > Limits.SlowestAnswerWindow) {
     SlowestInPreviousWindow = SlowestInWindow;
     SlowestInWindow = milliseconds(0);
@@ -88,6 +122,14 @@
   SlowestInWindow = std::max(SlowestInWindow, time);
 }
 
+bool ServerHealthTracker::hasManyRetransmissions() const {
+  const auto all = Answers.All + PreviousAnswers.All;
+  const auto retransmitted =
+      Answers.Retransmitted + PreviousAnswers.Retransmitted;
+  return all < Limits.MinAnswersForShare ||
+         retransmitted > Limits.MaxRetransmittedShare * all;
+}
+
 milliseconds ServerHealthTracker::slowestAnswer() const {
   return std::max(SlowestInWindow, SlowestInPreviousWindow);
 }
@@ -118,17 +160,36 @@
   return dead;
 }
 
+void ServerHealthTracker::addRetransmission(ServerId id,
+                                            ServerActivity &server) {
+  if (!std::exchange(server.HasNewRetransmission, true))
+    Retransmissions.push_back(id);
+}
+
+void ServerHealthTracker::onSecondRetransmission(ServerId id) {
+  auto &server = activityRef(id);
+  // Otherwise the server has answered since.
+  if (server.TwiceRetransmittedRequests >= server.RetransmittedRequests)
+    return;
+  ++server.TwiceRetransmittedRequests;
+  addRetransmission(id, server);
+}
+
 bool ServerHealthTracker::onRetransmission(ServerId id, SuspicionReason why,
                                            std::uint32_t caller,
                                            TimePoint sentAt, TimePoint now) {
   auto &server = activityRef(id);
-  if (server.LastAnswer > sentAt ||
+  if (std::max(server.LastAnswer, server.PeerAnswerAt) > sentAt ||
       now - sentAt < Limits.MinRetransmissionDelay)
     return false;
   if (now - server.LastRetransmissionAt > Limits.RetransmissionWindow) {
     server.RetransmissionCount = 0;
+    server.RetransmittedRequests = 0;
+    server.TwiceRetransmittedRequests = 0;
     server.HasSeveralCallers = false;
   }
+  server.RetransmittedRequests += why == SuspicionReason::DataUnanswered;
+  addRetransmission(id, server);
   server.LastRetransmissionAt = now;
   if (server.RetransmissionCount++ == 0) {
     server.FirstUnansweredAt = sentAt;
@@ -152,12 +213,85 @@
     return false;
   server.Why = SuspicionReason::Reported;
   server.SuspectedAt = now;
+  server.ReportedSince = since;
   server.SuspectUntil = since + Limits.SuspicionHold;
   return server.SuspectUntil > now;
 }
 
+bool ServerHealthTracker::onDeadVerdict(ServerId id, TimePoint since,
+                                        TimePoint now) {
+  auto &server = activityRef(id);
+  if (server.LastAnswer > since ||
+      server.PeerAnswerAt > since + Limits.MaxReportedAgeError)
+    return false;
+  if (!isSuspect(id, now)) {
+    server.Why = SuspicionReason::Reported;
+    server.SuspectedAt = now;
+  }
+  server.ReportedSince = since;
+  server.SuspectUntil = server.DeadUntil = now + Limits.SuspicionHold;
+  return true;
+}
+
+void ServerHealthTracker::onPeerAnswer(ServerId id, TimePoint answeredAt) {
+  auto &server = activityRef(id);
+  server.PeerAnswerAt = std::max(server.PeerAnswerAt, answeredAt);
+  const auto since =
+      server.RetransmissionCount > 0
+          ? std::max(server.FirstUnansweredAt, server.ReportedSince)
+          : server.ReportedSince;
+  if (answeredAt > since)
+    clearSuspicion(server);
+}
+
+bool ServerHealthTracker::hasRetransmissions(ServerId id, TimePoint now) const {
+  const auto &server = activity(id);
+  return server.RetransmissionCount > 0 &&
+         now - server.LastRetransmissionAt <= Limits.RetransmissionWindow;
+}
+
+std::optional<SilenceEvidence>
+ServerHealthTracker::evidence(ServerId id, NameTable::Id zone,
+                              TimePoint now) const {
+  if (!hasRetransmissions(id, now) || zone >= AnswersByZone.size())
+    return std::nullopt;
+  const auto &server = activity(id);
+  const auto &answers = AnswersByZone[zone];
+  const auto otherSentAt =
+      answers.Server == id ? answers.OtherSentAt : answers.SentAt;
+  if (otherSentAt <= server.FirstUnansweredAt)
+    return std::nullopt;
+  const bool isDoubtful = hasManyRetransmissions();
+  if (isDoubtful && server.TwiceRetransmittedRequests == 0)
+    return std::nullopt;
+  SilenceEvidence evidence;
+  evidence.Since = server.FirstUnansweredAt;
+  evidence.Caller = server.FirstRetransmittingCaller;
+  evidence.HasSeveralCallers = server.HasSeveralCallers;
+  evidence.RequestCount = isDoubtful ? server.TwiceRetransmittedRequests
+                                     : server.RetransmittedRequests;
+  if (!isDoubtful)
+    evidence.SynCount =
+        server.RetransmissionCount - server.RetransmittedRequests;
+  return evidence;
+}
+
+std::vector<ServerId> ServerHealthTracker::takeRetransmissions() {
+  auto list = std::exchange(Retransmissions, {});
+  for (const auto id : list)
+    activityRef(id).HasNewRetransmission = false;
+  return list;
+}
+
+std::vector<ServerId> ServerHealthTracker::takeAnswered() {
+  return std::exchange(Answered, {});
+}
+
 void ServerHealthTracker::reset(ServerId id) {
+  // The id may be listed for takeRetransmissions() already.
+  const bool isListed = activityRef(id).HasNewRetransmission;
   activityRef(id) = ServerActivity{};
+  activityRef(id).HasNewRetransmission = isListed;
 }
 
 bool ServerHealthTracker::isSuspect(ServerId id, TimePoint now) const {
--- a/Source/Routing/ServerHealthTracker.h
+++ b/Source/Routing/ServerHealthTracker.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace auburnroute::routing {
@@ -35,6 +36,10 @@
   common::TimePoint SuspectUntil;
   /// Number of requests and SYNs retransmitted since the last answer.
   std::uint32_t RetransmissionCount = 0;
+  /// Number of requests on open flows among them.
+  std::uint32_t RetransmittedRequests = 0;
+  /// Number of these that were retransmitted twice.
+  std::uint32_t TwiceRetransmittedRequests = 0;
   /// Whether more than one caller retransmitted. A single caller that lost its
   /// own connectivity also retransmits packets that were answered.
   bool HasSeveralCallers = false;
@@ -45,6 +50,26 @@
   common::TimePoint LastRetransmissionAt;
   /// Considered dead until then, or until it answers.
   common::TimePoint DeadUntil;
+  /// When the packet was sent on whose silence a peer's report or verdict
+  /// rests.
+  common::TimePoint ReportedSince;
+  /// Time of the last answer that a peer told of.
+  common::TimePoint PeerAnswerAt;
+  /// Listed for takeRetransmissions().
+  bool HasNewRetransmission = false;
+  /// Listed for takeAnswered() at the next answer.
+  bool IsWatched = false;
+};
+
+/// Unanswered packets of one backend server, as one host saw them.
+struct SilenceEvidence {
+  /// When the first unanswered packet was sent.
+  common::TimePoint Since;
+  /// Retransmitted requests on open flows.
+  std::uint32_t RequestCount = 0;
+  std::uint32_t SynCount = 0;
+  std::uint32_t Caller = 0; ///< IPv4 address of one of the callers.
+  bool HasSeveralCallers = false;
 };
 
 /// Thresholds of the failure detection. The defaults are those of the daemon.
@@ -74,6 +99,17 @@
   /// Length of each of the two windows over which the slowest answer is
   /// tracked.
   std::chrono::seconds SlowestAnswerWindow{30};
+  /// Times that peers report are wrong by their rounding and the time in
+  /// transit.
+  std::chrono::milliseconds MaxReportedAgeError{10};
+  /// If a larger share of the answered requests was retransmitted, packets are
+  /// lost or servers are slow, and requests count as unanswered only after the
+  /// second retransmission.
+  double MaxRetransmittedShare = 0.02;
+  /// With fewer answers the share is unknown and treated as large.
+  std::uint32_t MinAnswersForShare = 20;
+  /// Length of each of the two windows over which that share is taken.
+  std::chrono::seconds RetransmittedShareWindow{10};
 
   /// Limits for servers that renew their entry every \p heartbeat, with
   /// registry changes visible within \p changeBound. An entry lapses after
@@ -97,10 +133,16 @@
   void onRequestDone(ServerId id);
   /// The SYN got no answer, or its flow was discarded before one.
   void onSynAbandoned(ServerId id);
-  /// The server answered a SYN or a request.
-  void onAnswer(ServerId id, common::TimePoint now);
-  /// A request was answered after \p time.
-  void onAnswerTime(std::chrono::milliseconds time, common::TimePoint now);
+  /// A server of \p zone answered a packet that was sent at \p sentAt; the
+  /// default value if that time is unknown.
+  void onAnswer(ServerId id, NameTable::Id zone, common::TimePoint sentAt,
+                common::TimePoint now);
+  /// A request was answered after \p time; \p wasRetransmitted: not before its
+  /// caller had sent it again.
+  void onAnswerTime(std::chrono::milliseconds time, bool wasRetransmitted,
+                    common::TimePoint now);
+  /// A request that had been retransmitted was so again.
+  void onSecondRetransmission(ServerId id);
   /// \p caller (IPv4 address) retransmitted a packet that was first sent at
   /// \p sentAt. Returns whether a suspicion was raised.
   bool onRetransmission(ServerId id, SuspicionReason why, std::uint32_t caller,
@@ -108,6 +150,30 @@
   /// A peer has seen no answer since \p since. Returns whether a suspicion was
   /// raised.
   bool onReport(ServerId id, common::TimePoint since, common::TimePoint now);
+  /// The hosts of the zone agree that the server has not answered since \p
+  /// since. Returns false if this host has seen a later answer.
+  bool onDeadVerdict(ServerId id, common::TimePoint since,
+                     common::TimePoint now);
+  /// A peer saw an answer at \p answeredAt, which refutes older suspicions.
+  void onPeerAnswer(ServerId id, common::TimePoint answeredAt);
+  /// Unanswered packets of a server of \p zone. None unless another server of
+  /// the zone answered a packet that was sent after the first unanswered one:
+  /// otherwise the way to the zone, or this host, may be slow or cut.
+  std::optional<SilenceEvidence> evidence(ServerId id, NameTable::Id zone,
+                                          common::TimePoint now) const;
+  /// Whether many answered requests were retransmitted lately, or too few were
+  /// answered to know.
+  bool hasManyRetransmissions() const;
+  /// Whether packets of \p id were retransmitted lately, and none answered.
+  bool hasRetransmissions(ServerId id, common::TimePoint now) const;
+  /// Makes the next answer of \p id appear in takeAnswered().
+  void watch(ServerId id) { activityRef(id).IsWatched = true; }
+  bool hasNewRetransmissions() const { return !Retransmissions.empty(); }
+  /// Servers with retransmissions since the last call.
+  std::vector<ServerId> takeRetransmissions();
+  /// Watched servers that answered since the last call. They are not watched
+  /// any more.
+  std::vector<ServerId> takeAnswered();
   /// Discards the state of \p id, which now stands for another server or
   /// another run of the same one.
   void reset(ServerId id);
@@ -130,10 +196,32 @@
                                      common::TimePoint now) const;
 
 private:
+  /// The latest sending times of answered packets in a zone, by two servers.
+  struct ZoneAnswers {
+    ServerId Server = 0;
+    common::TimePoint SentAt;
+    common::TimePoint OtherSentAt; ///< Of any server but Server.
+  };
+
+  struct AnswerCounts {
+    std::uint32_t All = 0;
+    std::uint32_t Retransmitted = 0;
+  };
+
   ServerActivity &activityRef(ServerId id);
+  void addRetransmission(ServerId id, ServerActivity &server);
+  void clearSuspicion(ServerActivity &server);
+  void recordZoneAnswer(ServerId id, NameTable::Id zone,
+                        common::TimePoint sentAt);
 
   HealthLimits Limits;
   std::vector<ServerActivity> Activities;
+  std::vector<ZoneAnswers> AnswersByZone; ///< By zone id.
+  AnswerCounts Answers;
+  AnswerCounts PreviousAnswers;
+  common::TimePoint AnswersSince;
+  std::vector<ServerId> Retransmissions;
+  std::vector<ServerId> Answered;
   // Times of the last answer and of the last answer by a different server, to
   // tell for any server whether another one answered recently.
   ServerId LastAnsweringServer = 0;
--- a/Source/Tool/FlowExplanation.cpp
+++ b/Source/Tool/FlowExplanation.cpp
@@ -46,6 +46,11 @@
                         " ms");
   if (line.Event == "cleared")
     return absl::StrCat(server, " responds again");
+  if (line.Event == "verdict")
+    return absl::StrCat("the hosts of the zone consider ", server, " ",
+                        line.text("verdict"), " (decided by ",
+                        line.text("decided_by"), ", ", line.number("age_ms"),
+                        " ms after the first unanswered packet or the answer)");
   if (line.Event == "server")
     return absl::StrCat(server, " of service ", line.text("service"), " is ",
                         line.text("state"), " (", line.text("change"), ")");
@@ -142,7 +147,7 @@
     const bool isOfServer =
         contains(Servers, line.text("server")) &&
         (line.Event == "server" || line.Event == "cleared" ||
-         line.Event == "suspected");
+         line.Event == "suspected" || line.Event == "verdict");
     const bool isOfHost = contains(Hosts, line.Host) &&
                           (line.Event == "pause" || line.Event == "start" ||
                            line.Event == "stop" || line.Event == "registry" ||
--- a/Source/UnitTests/Fleet/GossipCodecTest.cpp
+++ b/Source/UnitTests/Fleet/GossipCodecTest.cpp
@@ -34,6 +34,21 @@
   return message;
 }
 
+/// The largest message with evidence, which is sent apart from views.
+GossipMessage largestEvidence() {
+  GossipMessage message;
+  message.Sender = {0x0a010101, "availability-zone-1", 1769245012022, 1000};
+  for (std::size_t n = 0; n < GossipCodec::MaxSuspects; ++n)
+    message.Suspects.push_back(
+        {0xff1234567890 + n, 1500ms, 100, 100, 0x64400001, true});
+  for (std::size_t n = 0; n < GossipCodec::MaxVerdicts; ++n) {
+    message.Verdicts.push_back({0xff1234567890 + n, 1769245012022,
+                                fleet::VerdictKind::Answering, 1500ms});
+    message.Answers.push_back({0xff1234567890 + n, 1500ms});
+  }
+  return message;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(GossipCodecTest)
@@ -54,6 +69,29 @@
   BOOST_TEST((decoded->Suspects.back().SilentFor == 1500ms));
 }
 
+// Reports, verdicts and answers must survive encoding. A kind of verdict of a
+// newer version is skipped.
+BOOST_AUTO_TEST_CASE(EvidenceSurvivesItsEncoding) {
+  auto message = largestEvidence();
+  message.Verdicts.front().Kind = static_cast<fleet::VerdictKind>(17);
+  const auto decoded = GossipCodec::decode(GossipCodec::encode(message));
+  BOOST_REQUIRE(decoded.has_value());
+  const auto &suspect = decoded->Suspects.back();
+  BOOST_TEST(suspect.hasEvidence());
+  BOOST_TEST(suspect.RequestCount == 100U);
+  BOOST_TEST(suspect.SynCount == 100U);
+  BOOST_TEST(suspect.Caller == 0x64400001U);
+  BOOST_TEST(suspect.HasSeveralCallers);
+  BOOST_TEST(decoded->Verdicts.size() == GossipCodec::MaxVerdicts - 1);
+  const auto &verdict = decoded->Verdicts.back();
+  BOOST_TEST(verdict.Identity == message.Verdicts.back().Identity);
+  BOOST_TEST(verdict.StartTimeMs == 1769245012022);
+  BOOST_TEST((verdict.Kind == fleet::VerdictKind::Answering));
+  BOOST_TEST((verdict.Age == 1500ms));
+  BOOST_TEST(decoded->Answers.size() == GossipCodec::MaxVerdicts);
+  BOOST_TEST((decoded->Answers.back().Age == 1500ms));
+}
+
 // Causes must survive encoding. Entries with an unknown cause of a newer
 // version, a name that would break a log line, or a time that overflows the
 // clock are skipped.
@@ -85,6 +123,8 @@
 BOOST_AUTO_TEST_CASE(LargestMessageFitsIntoADatagram) {
   BOOST_TEST(GossipCodec::encode(largestMessage()).size() <=
              GossipCodec::MaxDatagramBytes);
+  BOOST_TEST(GossipCodec::encode(largestEvidence()).size() <=
+             GossipCodec::MaxDatagramBytes);
 }
 
 // No input may crash the decoder, or yield a server without an address or
--- a/Source/UnitTests/Routing/PacketRouterTest.cpp
+++ b/Source/UnitTests/Routing/PacketRouterTest.cpp
@@ -143,6 +143,85 @@
       it.data(10, dead.Tag, 1000, 5000, 100)));
 }
 
+// At a verdict of the zone the callers of pending requests are reset without
+// waiting for their next packet, up to 1.4 s later. A non-idempotent request is
+// left: its server may be slow, and its caller may not retry it.
+BOOST_AUTO_TEST_CASE(VerdictResetsPendingRequests) {
+  RoutingFixture it;
+  it.add(1);
+  const auto dead = it.Directory.at(0).Tag;
+  it.data(1, dead, 1000, 5000, 100);
+  it.data(2, dead, 1000, 7000, 100);
+  it.data(3, dead, 1000, 5000, 0);
+  auto abandoned = it.Router.abandonFlowsOf(0);
+  BOOST_REQUIRE(abandoned.size() == 2U);
+  for (const auto &packet : abandoned)
+    BOOST_TEST(packet.Acknowledgement ==
+               (packet.Source.Port == 1 ? 5000U : 7000U));
+  BOOST_TEST(it.Observer.Refused.size() == 2U);
+  BOOST_TEST(it.Router.abandonFlowsOf(0).empty());
+
+  auto configuration = it.Routes.configuration();
+  configuration.Version = 2;
+  for (auto &route : configuration.Routes)
+    route.Kind = routing::RequestKind::NonIdempotent;
+  it.Routes.apply(configuration);
+  it.data(4, dead, 1000, 5000, 100);
+  BOOST_TEST(it.Router.abandonFlowsOf(0).empty());
+}
+
+// Once another server has registered at its address, a lapsed server has ended
+// for certain, and its packets would reach the other one.
+BOOST_AUTO_TEST_CASE(ReusedAddressEndsTheFlowsOfItsFormerServer) {
+  for (const bool lapsesFirst : {true, false}) {
+    RoutingFixture it;
+    it.add(1);
+    const auto tag = it.Directory.at(0).Tag;
+    const auto registerSuccessor = [&] {
+      auto successor = it.Directory.at(0).Registration;
+      successor.Name = "s2";
+      successor.Identity = 2;
+      successor.Service = "sheets";
+      successor.State = ServerState::Ready;
+      successor.Revision = ++it.Revision;
+      it.Directory.apply(successor, it.Clock.now());
+    };
+    if (!lapsesFirst)
+      registerSuccessor();
+    it.lapse(1);
+    // A lapsed entry alone ends no flow.
+    if (lapsesFirst) {
+      BOOST_TEST(std::holds_alternative<ForwardPacket>(
+          it.data(1, tag, 1000, 5000, 100)));
+      registerSuccessor();
+    }
+    BOOST_TEST(
+        std::holds_alternative<ResetFlow>(it.data(2, tag, 1000, 5000, 100)));
+  }
+}
+
+// A server that moves away leaves its address to others, and its own flows go
+// on.
+BOOST_AUTO_TEST_CASE(ServerThatMovedIsNotReplacedAtItsOldAddress) {
+  RoutingFixture it;
+  it.add(1);
+  const auto tag = it.Directory.at(0).Tag;
+  auto moved = it.Directory.at(0).Registration;
+  const auto address = moved.Address;
+  moved.Address.Port = 9000;
+  moved.Revision = ++it.Revision;
+  it.Directory.apply(moved, it.Clock.now());
+  auto successor = moved;
+  successor.Name = "s2";
+  successor.Identity = 2;
+  successor.Address = address;
+  successor.Revision = ++it.Revision;
+  it.Directory.apply(successor, it.Clock.now());
+  it.lapse(1);
+  BOOST_TEST(
+      std::holds_alternative<ForwardPacket>(it.data(1, tag, 1000, 5000, 100)));
+}
+
 // Single retransmissions seconds apart, on flows whose other packets pass
 // through other hosts, do not show that a server is dead. A day drawn at random
 // showed such a reset.
--- a/Source/UnitTests/Tool/ExplainTest.cpp
+++ b/Source/UnitTests/Tool/ExplainTest.cpp
@@ -26,6 +26,7 @@
          R"(","server":"s-2","copy":1,"busy":3,"open":2,"revision":7,"view_age_ms":500}
 {"time_ms":1001400,"event":"late","flow":")" +
          Flow + R"(","server":"s-2","answer_ms":190,"objective_ms":100,"busy":3}
+{"time_ms":1001500,"event":"verdict","server":"s-1","verdict":"dead","age_ms":480,"decided_by":"10.1.0.7"}
 {"time_ms":1003000,"event":"server","server":"s-1","service":"orders","state":"lapsed","change":"lapsed"}
 {"time_ms":1003100,"event":"server","server":"s-9","service":"orders","state":"lapsed","change":"lapsed"}
 {"time_ms":1003200,"event":"log_dropped","kind":"placed","lines":4}
@@ -51,6 +52,7 @@
   BOOST_TEST(contains(text, "server s-1 did not respond"));
   BOOST_TEST(contains(text, "server s-1 was lapsed"));
   BOOST_TEST(contains(text, "server s-2 took 190 ms"));
+  BOOST_TEST(contains(text, "consider s-1 dead (decided by 10.1.0.7"));
   BOOST_TEST(!contains(text, "s-9"));
   BOOST_TEST(contains(text, "4 lines were left out"));
   BOOST_TEST(contains(text, "1 lines could not be read"));
