Take the first view of a starting host from its peers

Each start of a host read the whole registry: 3 or 4 calls.

Stale reads at a tenth of the price: a restarted host could use a server that has left, or a route that was removed, seconds ago. Views from the seeds only: a roll of the fleet would send each restarted host 50 kB from the same three hosts. Longer waits for peers after a power loss of all hosts: callers wait then.

InitialViewSource decides where the first view comes from: a peer if one answers within 40 ms and its view is younger than half of the bound on changes, otherwise the registry. The seeds only name other hosts, one of which sends its view. At the first start of a fleet (new setting "start", filled from the platform's field) only the seeds read at once; the others get the view by gossip, or read after 3 s.

--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -70,6 +70,7 @@
       Peers({Settings.Peers.Address, Settings.Zone, randomSeed()},
             randomSeed()),
       Detector(Peers, Directory, Health, Recorder),
+      InitialView(fleet::InitialViewTiming::forBound(Settings.ChangeBound)),
       Placement(Directory, Health, Directory.zoneNames().idOf(Settings.Zone),
                 randomSeed()),
       Router(Routes, Directory, Health, Placement, Recorder), ReadyServer(Loop),
@@ -87,8 +88,7 @@
   History.recordForHost(state::Cause::HostStarted);
   std::signal(SIGPIPE, SIG_IGN);
   waitForSignal();
-  Exchange->start(Settings.Seeds);
-  Registry->poll();
+  Exchange->start(Settings.Seeds, Settings.Start);
   LastTick = Clock.now();
   tick();
   Loop.run();
@@ -111,7 +111,7 @@
       });
   Exchange = std::make_unique<PeerExchange>(
       Loop, *std::move(peers), Settings.Peers, Peers, View, Directory, Health,
-      Detector, Clock, History, Log, Recorder.metrics(), [this] {
+      Detector, InitialView, Clock, History, Log, Recorder.metrics(), [this] {
         updateReadiness();
         resetFlowsOfDeadServers();
       });
@@ -218,8 +218,10 @@
 }
 
 void EdgeNode::updateRegistryRole(TimePoint now) {
-  Reader.setActive(!View.isComplete() || shouldTakeOverReading(now) ||
-                   (!StoppingSince && Peers.hasLowestAddress(now)));
+  Reader.setActive(View.isComplete()
+                       ? shouldTakeOverReading(now) ||
+                             (!StoppingSince && Peers.hasLowestAddress(now))
+                       : InitialView.shouldAskRegistry(now));
   Router.setDirectoryCompleteAt(View.freshAt());
   Router.setUsesLapsed(Reader.isRegistryUnavailable() ||
                        View.age(now) > Reader.timing().TakeoverAge * 2);
--- a/Source/Edge/EdgeNode.h
+++ b/Source/Edge/EdgeNode.h
@@ -73,6 +73,7 @@
   fleet::RegistryReader Reader;
   fleet::PeerTable Peers;
   fleet::SharedFailureDetector Detector;
+  fleet::InitialViewSource InitialView;
   routing::ServerPlacement Placement;
   routing::PacketRouter Router;
   std::unique_ptr<PacketForwarder> Forwarder;
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -40,21 +40,36 @@
     boost::asio::io_context &loop, transport::UdpSocket socket,
     common::Endpoint self, fleet::PeerTable &peers, fleet::FleetView &view,
     routing::ServerDirectory &directory, routing::ServerHealthTracker &health,
-    fleet::SharedFailureDetector &detector, const common::Clock &clock,
+    fleet::SharedFailureDetector &detector,
+    fleet::InitialViewSource &initialView, const common::Clock &clock,
     fleet::CauseHistory &history, EventLog &log, EdgeMetrics &metrics,
     std::function<void()> onViewChanged)
     : Loop(loop), Socket(loop, std::move(socket)), Self(self), Peers(peers),
       View(view), Directory(directory), Health(health), Detector(detector),
-      Clock(clock), History(history), Log(log), Metrics(metrics),
-      OnViewChanged(std::move(onViewChanged)) {}
+      InitialView(initialView), Clock(clock), History(history), Log(log),
+      Metrics(metrics), OnViewChanged(std::move(onViewChanged)) {}
 
-void PeerExchange::start(const std::vector<common::Endpoint> &seeds) {
+void PeerExchange::start(const std::vector<common::Endpoint> &seeds,
+                         state::StartMode mode) {
   setSeeds(seeds);
   StartedAt = Clock.now();
+  const bool isSeed = Seeds.size() < seeds.size();
+  Mode = mode;
+  InitialView.start(startModeOf(mode, isSeed), StartedAt);
   Socket.start([this] { onReadable(); });
   sendView(Seeds, /*wantsAnswer=*/true, /*since=*/0, /*withHosts=*/true);
 }
 
+fleet::InitialViewSource::Mode PeerExchange::startModeOf(state::StartMode mode,
+                                                         bool isSeed) const {
+  using ViewMode = fleet::InitialViewSource::Mode;
+  if (Seeds.empty())
+    return ViewMode::WithoutPeers;
+  if (mode == state::StartMode::Restart)
+    return ViewMode::Restart;
+  return isSeed ? ViewMode::FirstAsSeed : ViewMode::First;
+}
+
 void PeerExchange::setSeeds(const std::vector<common::Endpoint> &seeds) {
   Seeds.clear();
   for (const auto &it : seeds)
@@ -233,9 +248,9 @@
 }
 
 void PeerExchange::onRegistryFailure() {
-  if (View.isComplete() || StartedAt == TimePoint())
+  if (View.isComplete())
     return;
-  StartedAt = TimePoint();
+  InitialView.onRegistryFailed();
   sendView(Seeds, /*wantsAnswer=*/true, /*since=*/0, /*withHosts=*/true);
 }
 
@@ -267,34 +282,47 @@
         View.applyPeerChanges(message.Changes, message.ViewAge, now);
     if ((!complete && message.Changes.To > View.revision()) ||
         message.ConfigurationVersion > View.configurationVersion())
-      fetchSnapshot(from);
+      fetchSnapshot(from, message.ViewAge);
   }
   if (message.WantsAnswer)
     sendView({from}, /*wantsAnswer=*/false, /*since=*/0, /*withHosts=*/true);
 }
 
-void PeerExchange::fetchSnapshot(std::uint32_t address) {
+void PeerExchange::fetchSnapshot(std::uint32_t address, milliseconds age) {
+  const auto now = Clock.now();
   if (IsFetchingSnapshot ||
-      (!View.isComplete() && Clock.now() - StartedAt < InitialListTimeout))
+      (!View.isComplete() && !InitialView.onPeerView(age, now)))
     return;
+  // All hosts that restart ask the same seeds, which send their lists of hosts.
+  // Whole views are taken from any of these hosts, so that a roll of the fleet
+  // does not load the seeds. At a first start the others have none.
+  if (!View.isComplete() && Mode == state::StartMode::Restart)
+    if (const auto any = Peers.choose(1, now); !any.empty())
+      address = any.front();
   IsFetchingSnapshot = true;
   SnapshotClient = std::make_unique<reactor::AsyncHttpClient>(
       Loop, common::Endpoint{address, Self.Port});
   const auto target = absl::StrCat("/view?after=", View.revision(),
                                    "&version=", View.configurationVersion());
-  SnapshotClient->get(target, SnapshotTimeout, [this](const auto &result) {
-    IsFetchingSnapshot = false;
-    if (!result.ok() || result->Status != HttpResponse::Ok)
-      return; // The next message of a peer triggers a retry.
-    const auto snapshot = GossipCodec::decodeSnapshot(result->Body);
-    if (!snapshot) {
+  SnapshotClient->get(target, SnapshotTimeout,
+                      [this](const auto &result) { onSnapshot(result); });
+}
+
+void PeerExchange::onSnapshot(const absl::StatusOr<HttpResponse> &result) {
+  IsFetchingSnapshot = false;
+  const auto snapshot = result.ok() && result->Status == HttpResponse::Ok
+                            ? GossipCodec::decodeSnapshot(result->Body)
+                            : std::nullopt;
+  if (!snapshot) {
+    // The next message of a peer triggers a retry.
+    InitialView.onFetchFailed();
+    if (result.ok() && result->Status == HttpResponse::Ok)
       Metrics.add(EdgeCounter::GossipMalformed);
-      return;
-    }
-    Metrics.add(EdgeCounter::SnapshotsFetched);
-    View.applySnapshot(snapshot->View, snapshot->Age, Clock.now());
-    OnViewChanged();
-  });
+    return;
+  }
+  Metrics.add(EdgeCounter::SnapshotsFetched);
+  View.applySnapshot(snapshot->View, snapshot->Age, Clock.now());
+  OnViewChanged();
 }
 
 void PeerExchange::fetchCauses() {
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -4,10 +4,12 @@
 #include "Edge/AsyncUdpSocket.h"
 #include "Edge/EventRecorder.h"
 #include "Fleet/GossipMessage.h"
+#include "Fleet/InitialViewSource.h"
 #include "Fleet/PeerTable.h"
 #include "Fleet/SharedFailureDetector.h"
 #include "Reactor/AsyncHttpClient.h"
 #include "Routing/ServerHealthTracker.h"
+#include "State/EdgeSettings.h"
 
 #include <functional>
 #include <vector>
@@ -39,9 +41,6 @@
   /// Number of hosts that a starting host asks in turn for their causes, until
   /// one responds.
   static constexpr int MaxCauseFetchAttempts = 3;
-  /// A starting host waits this long for its own list from the registry before
-  /// it fetches a snapshot from a peer.
-  static constexpr std::chrono::milliseconds InitialListTimeout{400};
 
   /// References must outlive the object. \p onViewChanged is called after the
   /// view may have changed.
@@ -50,11 +49,12 @@
                fleet::FleetView &view, routing::ServerDirectory &directory,
                routing::ServerHealthTracker &health,
                fleet::SharedFailureDetector &detector,
+               fleet::InitialViewSource &initialView,
                const common::Clock &clock, fleet::CauseHistory &history,
                EventLog &log, EdgeMetrics &metrics,
                std::function<void()> onViewChanged);
 
-  void start(const std::vector<common::Endpoint> &seeds);
+  void start(const std::vector<common::Endpoint> &seeds, state::StartMode mode);
   void setSeeds(const std::vector<common::Endpoint> &seeds);
   /// Sends the messages that are due. Must be called at least every 100 ms.
   void poll();
@@ -68,13 +68,15 @@
   /// paused, when the ages in them are no longer correct.
   void discardBacklog();
   /// Called when a registry call fails. A host without a view then asks its
-  /// seeds, without waiting for InitialListTimeout.
+  /// seeds again and takes any view.
   void onRegistryFailure();
   /// The response body to GET /view?after=REVISION&version=VERSION, where \p
   /// query is the part after '?'.
   std::string snapshot(std::string_view query) const;
 
 private:
+  fleet::InitialViewSource::Mode startModeOf(state::StartMode mode,
+                                             bool isSeed) const;
   void onReadable();
   void onMessage(const fleet::GossipMessage &message, std::uint32_t from);
   void mergeHosts(const fleet::GossipMessage &message);
@@ -89,7 +91,9 @@
   /// Announces the view if it changed or became more current since the last
   /// announcement.
   void announceIfChanged();
-  void fetchSnapshot(std::uint32_t address);
+  /// Fetches what this host lacks from a peer whose view has \p age.
+  void fetchSnapshot(std::uint32_t address, std::chrono::milliseconds age);
+  void onSnapshot(const absl::StatusOr<common::HttpResponse> &result);
   /// Sends the causes that are new or changed, at most one batch per
   /// CauseSendInterval.
   void sendCauses();
@@ -108,12 +112,14 @@
   routing::ServerDirectory &Directory;
   routing::ServerHealthTracker &Health;
   fleet::SharedFailureDetector &Detector;
+  fleet::InitialViewSource &InitialView;
   const common::Clock &Clock;
   fleet::CauseHistory &History;
   EventLog &Log;
   EdgeMetrics &Metrics;
   std::function<void()> OnViewChanged;
   std::vector<std::uint32_t> Seeds;
+  state::StartMode Mode = state::StartMode::Restart;
   common::TimePoint NextRound;
   std::size_t RoundCount = 0;
   std::uint64_t AnnouncedChangeCount = 0;
--- a/Source/State/EdgeSettings.cpp
+++ b/Source/State/EdgeSettings.cpp
@@ -41,6 +41,10 @@
           V::endpoints("seeds", 64,
                        "Control endpoints of hosts to ask first; "
                        "may be out of date.")),
+      field<E, &E::Start>(
+          V::choice("start", {"restart", "first"},
+                    "Whether the whole fleet starts for the first time. Then "
+                    "only the seeds read the registry at once.")),
       field<E, &E::ServerHeartbeat>(
           V::duration("serverHeartbeat", 1ms, 10min,
                       "Interval in which backend servers write their entry.")),
--- a/Source/State/EdgeSettings.h
+++ b/Source/State/EdgeSettings.h
@@ -5,12 +5,19 @@
 #include "absl/status/statusor.h"
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace auburnroute::state {
 
+/// How a host starts.
+enum class StartMode : std::uint8_t {
+  Restart, ///< Other hosts may run already, and callers may wait.
+  First,   ///< The whole fleet starts for the first time.
+};
+
 /// Settings of one edge daemon, from a local file.
 struct EdgeSettings {
   std::string Host;
@@ -22,6 +29,7 @@
   common::Endpoint Peers;    ///< UDP and TCP, other hosts.
   common::Endpoint Registry; ///< TCP, HTTP; configuration and servers.
   std::vector<common::Endpoint> Seeds; ///< Control endpoints of other hosts.
+  StartMode Start = StartMode::Restart;
   std::chrono::milliseconds ServerHeartbeat{1000};
   /// The shortest bound on the time until a change is in force.
   std::chrono::milliseconds ChangeBound{3000};
--- a/Source/platform/SettingsTemplate.cpp
+++ b/Source/platform/SettingsTemplate.cpp
@@ -44,7 +44,9 @@
   return values;
 }
 
-bool isKnownSection(std::string_view name) { return name == "seeds"; }
+bool isKnownSection(std::string_view name) {
+  return name == "seeds" || name == "bootstrap";
+}
 
 } // namespace
 
@@ -79,7 +81,7 @@
     position = close + 2;
     if (name.starts_with('#') || name.starts_with('/')) {
       if (!isKnownSection(name.substr(1)))
-        return errorAt("unknown section, expected seeds", name);
+        return errorAt("unknown section, expected seeds or bootstrap", name);
       continue;
     }
     const auto it = samples().find(name);
