Drop stale HTTP answers, truncated ones and servers that have left

A second copy of an answer: the HTTP client reused a connection with unread bytes and took them for the answer to the next request. A late copy of a watch's answer made the view count as current though it was not.

An answer that breaks off: without a length the end of the connection completed the body, so half of a peer's view was a whole one, and the other servers lapsed.

A server that has left, in use again: a peer that was suspended for longer than removals are remembered (65 s) gossips entries of servers that have left, and hosts that had forgotten the removal added them.

A connection for each request: slower reads, and the fault would only move to answers in flight. Ages of gossip as the criterion: a host that was cut off and reads again has old entries in a fresh view.

AsyncHttpClient replaces a connection that holds unread bytes, and rejects answers without a length. FleetView ignores an entry of a peer that its own view covers but does not hold. edge_fleet.py can run hosts with odd numbers on another build.

The three faults are mended; an answer that arrives late while the next request is already under way can still be mistaken, which the pause between two watches makes unlikely.

--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -32,6 +32,16 @@
     Observer.onServer(known->Registration, change);
 }
 
+void FleetView::applyPeerServer(const ServerRegistration &server,
+                                TimePoint now) {
+  // The view holds all servers up to its revision, so an unknown one has been
+  // removed, so long ago that its removal was discarded.
+  if (server.Revision <= Revision &&
+      Directory.findByName(server.Name) == nullptr)
+    return;
+  applyServer(server, now);
+}
+
 void FleetView::applyConfiguration(
     const routing::RoutingConfiguration &configuration) {
   if (!Routes.apply(configuration))
@@ -88,7 +98,7 @@
 bool FleetView::applyPeerChanges(const ViewChanges &changes,
                                  milliseconds peerViewAge, TimePoint now) {
   for (const auto &it : changes.Servers)
-    applyServer(it, now);
+    applyPeerServer(it, now);
   if (Revision < changes.From || Revision == 0)
     return false;
   if (changes.To >= Revision)
@@ -99,7 +109,7 @@
 void FleetView::applySnapshot(const ViewSnapshot &snapshot,
                               milliseconds peerViewAge, TimePoint now) {
   for (const auto &it : snapshot.Servers)
-    applyServer(it, now);
+    applyPeerServer(it, now);
   if (snapshot.Configuration.Version != 0)
     applyConfiguration(snapshot.Configuration);
   if (snapshot.Revision < Revision || snapshot.From > Revision)
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -114,6 +114,9 @@
   };
   void applyServer(const routing::ServerRegistration &server,
                    common::TimePoint now);
+  /// Applies a server of a peer's view, which may be older than this one.
+  void applyPeerServer(const routing::ServerRegistration &server,
+                       common::TimePoint now);
   void applyConfiguration(const routing::RoutingConfiguration &configuration);
   void advance(std::uint64_t revision, common::TimePoint freshAt);
 
--- a/Source/Reactor/AsyncHttpClient.cpp
+++ b/Source/Reactor/AsyncHttpClient.cpp
@@ -30,7 +30,16 @@
   Connection(asio::io_context &loop, common::Endpoint server)
       : Stream(loop), Server(server) {}
 
-  bool isIdle() const { return !OnResult && !IsBroken; }
+  /// Whether the next request can be sent on this connection. Unread bytes
+  /// after an answer are no answer to a later request, so the connection that
+  /// holds them is not used again.
+  bool isReusable() {
+    if (OnResult || IsBroken)
+      return false;
+    beast::error_code ec;
+    return Buffer.size() == 0 &&
+           (!IsConnected || Stream.socket().available(ec) == 0) && !ec;
+  }
 
   void get(const std::string &target, std::chrono::milliseconds timeout,
            Handler handler) {
@@ -82,6 +91,10 @@
                                   self->Parser->content_length();
                               if (!ec && length && *length > MaxBodyBytes)
                                 ec = http::error::body_limit;
+                              // The end of the connection would be the only
+                              // sign that the body is complete.
+                              if (!ec && self->Parser->need_eof())
+                                ec = http::error::need_more;
                               if (ec)
                                 return self->fail("receive", ec);
                               self->receiveBody();
@@ -142,7 +155,7 @@
 
 void AsyncHttpClient::get(const std::string &target,
                           std::chrono::milliseconds timeout, Handler handler) {
-  if (ActiveConnection && !ActiveConnection->isIdle())
+  if (ActiveConnection && !ActiveConnection->isReusable())
     cancel();
   if (!ActiveConnection)
     ActiveConnection = std::make_shared<Connection>(Loop, Server);
--- a/Source/UnitTests/Fleet/FleetViewTest.cpp
+++ b/Source/UnitTests/Fleet/FleetViewTest.cpp
@@ -197,4 +197,29 @@
   }
 }
 
+// A peer that was suspended for longer than removals are remembered, and then
+// gossips what it knew, must not bring back a server that has left.
+BOOST_AUTO_TEST_CASE(RemovedServerIsNotBroughtBackByAPeer) {
+  for (const bool isSnapshot : {false, true}) {
+    common::ManualClock clock;
+    ViewFixture it;
+    load(it, clock.now());
+    auto page = samplePage(20, {});
+    page.Removed.push_back({"s1", 20});
+    it.View.applyChanges(page, clock.now(), clock.now());
+    clock.advance(unittests::LapsedServerRetention + 1s);
+    it.View.discardExpired(clock.now());
+    BOOST_REQUIRE(it.Directory.findByName("s1") == nullptr);
+    if (isSnapshot)
+      it.View.applySnapshot({0, 12, {}, {sampleServer(1, 3)}}, 70s,
+                            clock.now());
+    else
+      it.View.applyPeerChanges({0, 12, {sampleServer(1, 3)}}, 70s, clock.now());
+    BOOST_TEST((it.stateOf("s1") == ServerState::Lapsed));
+    // One that has registered since is new.
+    it.View.applyPeerChanges({20, 31, {sampleServer(3, 31)}}, 0ms, clock.now());
+    BOOST_TEST((it.stateOf("s3") == ServerState::Ready));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Process/edge_fleet.py
+++ b/Source/UnitTests/Process/edge_fleet.py
@@ -302,7 +302,7 @@
                        "serverHeartbeat": "700ms", "changeBound": "3s", "stopTimeout": "6s"}, out)
         log = open(os.path.join(self.fleet.folder, f"{self.name}.log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
-            os.path.join(self.fleet.bin_dir, "auburnedge"), "--settings", file, stdout=log, stderr=log)
+            os.path.join(self.fleet.bin_dir_of(self.number), "auburnedge"), "--settings", file, stdout=log, stderr=log)
         log.close()
 
     def mark_disturbed(self):
@@ -456,8 +456,9 @@
     ROUTES = {"orders": ("198.18.0.1", 443), "sheets": ("198.18.0.2", 443)}
     IDLE_ROUTE = ("198.18.0.9", 443)
 
-    def __init__(self, bin_dir, seed, folder, net):
+    def __init__(self, bin_dir, seed, folder, net, odd_bin_dir=None):
         self.bin_dir, self.folder, self.net = bin_dir, folder, net
+        self.odd_bin_dir = odd_bin_dir or bin_dir
         self.random = random.Random(seed)
         self.registry = Registry()
         self.hosts, self.servers, self.callers = [], [], []
@@ -470,6 +471,9 @@
         self.cut_zone = None  # zone without links to other zones
         self.log = []
 
+    def bin_dir_of(self, host_number):
+        return self.odd_bin_dir if host_number % 2 else self.bin_dir
+
     def address(self, group, high, low=1):
         """Returns a loopback address; fleets with different nets can run concurrently."""
         return f"127.{10 * self.net + group}.{high}.{low}"
@@ -760,12 +764,13 @@
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--calm", action="store_true", help="planned changes only, no faults")
     parser.add_argument("--net", type=int, default=0, choices=range(25), help="loopback network, to run several at once")
+    parser.add_argument("--odd-bin-dir", help="programs of the hosts with odd numbers, for a fleet of two versions")
     parser.add_argument("--logs", help="folder for the logs; kept")
     options = parser.parse_args()
     folder = options.logs or tempfile.mkdtemp(prefix="edge-fleet-")
     os.makedirs(folder, exist_ok=True)
     random.seed(options.seed)
-    fleet = Fleet(options.bin_dir, options.seed, folder, options.net)
+    fleet = Fleet(options.bin_dir, options.seed, folder, options.net, options.odd_bin_dir)
     try:
         asyncio.run(fleet.run(options.seconds, options.calm))
     finally:
--- a/Source/UnitTests/Reactor/AsyncHttpTest.cpp
+++ b/Source/UnitTests/Reactor/AsyncHttpTest.cpp
@@ -6,7 +6,10 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <optional>
+#include <string>
+#include <vector>
 
 using namespace auburnroute;
 using namespace std::chrono_literals;
@@ -38,6 +41,56 @@
   return *std::move(result);
 }
 
+/// Accepts connections one after the other and answers the requests on each
+/// with the next of \p answers; closes the connection after the last one.
+class ScriptedServer {
+public:
+  ScriptedServer(boost::asio::io_context &loop, common::Endpoint address,
+                 std::vector<std::string> answers)
+      : Acceptor(loop,
+                 {boost::asio::ip::address_v4(address.Address), address.Port}),
+        Answers(std::move(answers)) {
+    accept();
+  }
+
+  int connectionCount() const { return Connections; }
+
+private:
+  void accept() {
+    Acceptor.async_accept([this](auto ec, tcp::socket peer) {
+      if (ec)
+        return;
+      ++Connections;
+      Peer.emplace(std::move(peer));
+      read();
+      accept();
+    });
+  }
+  void read() {
+    Peer->async_read_some(boost::asio::buffer(Input), [this](auto ec, auto) {
+      if (ec || Next == Answers.size())
+        return;
+      boost::asio::write(*Peer, boost::asio::buffer(Answers[Next++]));
+      if (Next == Answers.size())
+        Peer->shutdown(tcp::socket::shutdown_send);
+      else
+        read();
+    });
+  }
+
+  tcp::acceptor Acceptor;
+  std::vector<std::string> Answers;
+  std::size_t Next = 0;
+  int Connections = 0;
+  std::optional<tcp::socket> Peer;
+  std::array<char, 4096> Input{};
+};
+
+std::string answerWith(const std::string &body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(AsyncHttpTest)
@@ -145,4 +198,36 @@
   BOOST_TEST(call(loop, client, "/x").ok());
 }
 
+// A server that sends an answer twice: the second copy must not be taken for
+// the answer to the next request on the connection.
+BOOST_AUTO_TEST_CASE(SecondCopyOfAnAnswerIsNotTheNextAnswer) {
+  boost::asio::io_context loop;
+  const auto address = freeEndpoint(loop);
+  ScriptedServer server(
+      loop, address,
+      {answerWith("first") + answerWith("first"), answerWith("second"), ""});
+  AsyncHttpClient client(loop, address);
+  BOOST_TEST(call(loop, client, "/a")->Body == "first");
+  const auto second = call(loop, client, "/b");
+  BOOST_REQUIRE(second.ok());
+  BOOST_TEST(second->Body == "second");
+  BOOST_TEST(server.connectionCount() == 2);
+}
+
+// An answer that breaks off must not look complete, also if the server gave no
+// length: a view that lacks half of its servers would make them lapse.
+BOOST_AUTO_TEST_CASE(TruncatedAnswersAreErrors) {
+  for (const auto *answer :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+        "\r\n\r\n4\r\nhalf\r\n"}) {
+    boost::asio::io_context loop;
+    const auto address = freeEndpoint(loop);
+    ScriptedServer server(loop, address, {answer});
+    AsyncHttpClient client(loop, address);
+    BOOST_TEST(!call(loop, client, "/x").ok(), answer);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
