Suspect servers that leave a SYN without an answer for 150 ms

A server that crashed on a machine that is up resets SYNs past the hosts. Its callers retry on new flows, so no copy of a SYN comes, and hosts went on to place flows there until the entry lapsed after 2.3 s.

A flow that moved to another host between SYN and acknowledgement (a router's change) looks alike, but is rare, and its server's next answer clears it.

FlowTable lists the flows that have been opening for 150 ms; their servers become suspected, and are reported to the zone as unanswered SYNs.

--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -204,6 +204,7 @@
   }
   updateRegistryRole(now);
   Registry->poll();
+  Router.checkOpeningFlows(now);
   Exchange->poll();
   resetFlowsOfDeadServers();
   if (StoppingSince && canExit(now)) {
--- a/Source/Routing/FlowTable.cpp
+++ b/Source/Routing/FlowTable.cpp
@@ -50,6 +50,23 @@
   flow.NextSequence = packet.Sequence;
   flow.LastSeen = now;
   setPhase(flow, FlowPhase::Opening, now);
+  SentSyns.emplace_back(id, now);
+}
+
+std::vector<UnansweredSyn> FlowTable::takeUnansweredSyns(TimePoint now) {
+  std::vector<UnansweredSyn> list;
+  while (!SentSyns.empty() && now - SentSyns.front().second >= MaxOpeningTime) {
+    const auto [id, sentAt] = SentSyns.front();
+    SentSyns.pop_front();
+    auto *flow = find(id);
+    // A copy of the SYN has an entry of its own.
+    if (flow == nullptr || flow->Phase != FlowPhase::Opening ||
+        flow->PhaseSince != sentAt)
+      continue;
+    flow->IsSynReported = true;
+    list.push_back({id, flow->Server, sentAt});
+  }
+  return list;
 }
 
 FlowEvent FlowTable::onPacket(const FlowId &id, ServerId server,
--- a/Source/Routing/FlowTable.h
+++ b/Source/Routing/FlowTable.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <utility>
 #include <vector>
 
@@ -29,6 +30,8 @@
   FlowPhase Phase = FlowPhase::Opening;
   /// How often the last request was retransmitted, up to 3.
   std::uint8_t RetransmissionCount = 0;
+  /// The SYN was returned by takeUnansweredSyns().
+  bool IsSynReported = false;
   std::uint32_t NextSequence = 0; ///< One past the highest byte seen.
   std::uint32_t Acknowledged = 0; ///< Highest acknowledgement seen.
   common::TimePoint LastSeen;
@@ -44,6 +47,13 @@
   RetransmittedAgain, ///< The second retransmission of the same data.
 };
 
+/// A SYN that its server has not answered in time.
+struct UnansweredSyn {
+  FlowId Flow;
+  ServerId Server = 0;
+  common::TimePoint SentAt;
+};
+
 /// The flows of which this host recently saw packets, bounded in number.
 ///
 /// Upstream routers may move flows between hosts at any time, so a flow may
@@ -60,6 +70,9 @@
   /// Separates retransmissions, which callers send after 200 ms, from packets
   /// of one request that arrive out of order.
   static constexpr std::chrono::milliseconds MinRetransmissionDelay{150};
+  /// A caller answers a SYN-ACK at once, so a flow that is still opening after
+  /// this time got none, or a reset that went past this host.
+  static constexpr std::chrono::milliseconds MaxOpeningTime{150};
   /// How long a closed flow, or a SYN without an answer, is kept for late
   /// packets.
   static constexpr std::chrono::milliseconds ClosedFlowLifetime{2000};
@@ -74,6 +87,8 @@
   /// Records a packet after the SYN, which is forwarded to \p server.
   FlowEvent onPacket(const FlowId &id, ServerId server,
                      const FlowPacket &packet, common::TimePoint now);
+  /// The flows that have been opening for MaxOpeningTime, each returned once.
+  std::vector<UnansweredSyn> takeUnansweredSyns(common::TimePoint now);
   /// Removes flows that were idle for \p idleTimeout and marks requests older
   /// than AnswerAssumedAfter as answered.
   void expire(common::TimePoint now, std::chrono::milliseconds idleTimeout);
@@ -92,6 +107,8 @@
 
   ServerHealthTracker &Health;
   absl::flat_hash_map<FlowId, FlowState> Flows;
+  /// Flows in the order of their SYNs, and when these were forwarded.
+  std::deque<std::pair<FlowId, common::TimePoint>> SentSyns;
 };
 
 } // namespace auburnroute::routing
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -115,7 +115,8 @@
       now - pending.LastSent > SynLifetime)
     pending.TriedServers.clear();
   else if (const auto *flow = Flows.find(id);
-           flow != nullptr && flow->Phase == FlowPhase::Opening)
+           flow != nullptr && flow->Phase == FlowPhase::Opening &&
+           !flow->IsSynReported)
     recordRetransmission(flow->Server, SuspicionReason::SynUnanswered, id,
                          flow->LastSeen, now);
   const auto service = serviceOf(route, id);
@@ -236,6 +237,12 @@
   return refuse(refused);
 }
 
+void PacketRouter::checkOpeningFlows(TimePoint now) {
+  for (const auto &it : Flows.takeUnansweredSyns(now))
+    recordRetransmission(it.Server, SuspicionReason::SynUnanswered, it.Flow,
+                         it.SentAt, now);
+}
+
 void PacketRouter::onTick(TimePoint now) {
   absl::erase_if(UnknownTags, [&](const auto &it) {
     return now - it.second > UnknownTagMemory;
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -35,6 +35,10 @@
   /// gains their callers nothing, and the server may be slow after all. Returns
   /// the last packet of each flow as far as a reset needs it.
   std::vector<FlowPacket> abandonFlowsOf(ServerId server);
+  /// Suspects servers that did not answer a SYN. A server that crashed on a
+  /// machine that is up resets SYNs past this host, so that callers send no
+  /// copies. Call every 50 to 100 ms.
+  void checkOpeningFlows(common::TimePoint now);
   /// Removes expired state. Call at least once a second.
   void onTick(common::TimePoint now);
   /// Whether servers whose entry lapsed without draining may get new flows when
--- a/Source/UnitTests/Routing/PacketRouterTest.cpp
+++ b/Source/UnitTests/Routing/PacketRouterTest.cpp
@@ -104,6 +104,47 @@
   BOOST_TEST(used.contains(lost.Server));
 }
 
+// Load pattern: a quarter of the servers crash while their machines stay up.
+// Their resets go past the host and the callers retry on new flows, so no SYN
+// is ever sent again. From 150 ms on new flows must avoid such a server.
+BOOST_AUTO_TEST_CASE(ServerThatResetsSynsIsAvoided) {
+  RoutingFixture it;
+  it.add(1);
+  it.add(2);
+  const auto lost = forwardOf(it.syn(1));
+  it.Clock.advance(149ms);
+  it.Router.checkOpeningFlows(it.Clock.now());
+  BOOST_TEST(it.Observer.Suspected.empty());
+  it.Clock.advance(1ms);
+  it.Router.checkOpeningFlows(it.Clock.now());
+  it.Router.checkOpeningFlows(it.Clock.now());
+  BOOST_TEST(it.Observer.Suspected.size() == 1U);
+  for (std::uint16_t port = 10; port < 60; ++port)
+    BOOST_TEST(forwardOf(it.syn(port)).Server != lost.Server);
+}
+
+// A SYN that was answered, or whose copy went elsewhere, must raise no (second)
+// suspicion.
+BOOST_AUTO_TEST_CASE(AnsweredSynsRaiseNoSuspicion) {
+  RoutingFixture it;
+  it.add(1);
+  it.add(2);
+  const auto sent = forwardOf(it.syn(1));
+  it.Clock.advance(5ms);
+  it.request(1, sent);
+  it.Clock.advance(300ms);
+  it.Router.checkOpeningFlows(it.Clock.now());
+  BOOST_TEST(it.Observer.Suspected.empty());
+  const auto first = forwardOf(it.syn(2));
+  it.Clock.advance(160ms);
+  it.Router.checkOpeningFlows(it.Clock.now());
+  it.Clock.advance(40ms);
+  it.syn(2, 1);
+  BOOST_TEST(it.Observer.Suspected == std::vector{first.Server},
+             boost::test_tools::per_element());
+  BOOST_TEST(it.Health.activity(first.Server).RetransmissionCount == 1U);
+}
+
 // When a server with long flows dies without a reset, its flows are reset so
 // that callers need not wait for their timeout. This requires that several
 // callers got no answer while other servers answered.
