Let four hosts of a zone take over reading, not all of them

A host whose view is older than half of the bound waited one step for each host of its zone before it, but at most four steps.

More steps for all: at 59 hosts a zone they exceed the bound. Longer back-off: it delays the change that comes right after the outage.

RegistryReadTiming::takeoverAge: the fifth and later hosts wait for twice the age and a step for each four. A host that hears no peer depends on itself and reads at once, whatever its rank.

Calls during an outage no longer grow with the zone.

--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -234,10 +234,8 @@
   // Skips the rank, which needs a scan of all peers, while the view is current.
   if (age <= timing.TakeoverAge)
     return false;
-  const auto rank = std::min(Peers.rankInZone(now),
-                             fleet::RegistryReadTiming::MaxTakeoverSteps);
-  return age >
-         timing.TakeoverAge + timing.TakeoverStep * static_cast<int>(rank);
+  const bool hearsPeers = now - Exchange->lastMessageAt() <= timing.TakeoverAge;
+  return age > timing.takeoverAge(Peers.rankInZone(now), hearsPeers);
 }
 
 void EdgeNode::detectPause(TimePoint now) {
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -273,6 +273,7 @@
 
 void PeerExchange::onMessage(const GossipMessage &message, std::uint32_t from) {
   const auto now = Clock.now();
+  LastMessageAt = now;
   mergeHosts(message);
   mergeSuspects(message);
   Detector.onMessage(message, now);
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -64,6 +64,8 @@
   void announce();
   /// Announces that this host leaves, and sends the causes not sent yet.
   void announceStop();
+  /// When the last message of another host arrived.
+  common::TimePoint lastMessageAt() const { return LastMessageAt; }
   /// Discards the datagrams in the socket's buffer. Used after the process was
   /// paused, when the ages in them are no longer correct.
   void discardBacklog();
@@ -126,6 +128,7 @@
   std::uint64_t AnnouncedRevision = 0;
   common::TimePoint NextAnnounce;
   common::TimePoint StartedAt;
+  common::TimePoint LastMessageAt;
   common::TimePoint AnnouncedFreshAt;
   bool IsFetchingSnapshot = false;
   std::unique_ptr<reactor::AsyncHttpClient> SnapshotClient;
--- a/Source/Fleet/RegistryReader.cpp
+++ b/Source/Fleet/RegistryReader.cpp
@@ -16,6 +16,16 @@
   return timing;
 }
 
+milliseconds RegistryReadTiming::takeoverAge(std::size_t rank,
+                                             bool hearsPeers) const {
+  if (!hearsPeers)
+    return TakeoverAge;
+  if (rank < MaxTakeoverSteps)
+    return TakeoverAge + TakeoverStep * static_cast<int>(rank);
+  return 2 * TakeoverAge +
+         TakeoverStep * static_cast<int>(rank / MaxTakeoverSteps);
+}
+
 std::optional<RegistryCall> RegistryReader::nextCall(TimePoint now) {
   if (!IsActive || IsCallPending || now < NextCallAt)
     return std::nullopt;
--- a/Source/Fleet/RegistryReader.h
+++ b/Source/Fleet/RegistryReader.h
@@ -26,6 +26,9 @@
   /// Each further host of a zone waits this much longer, so that one of them
   /// takes over first.
   std::chrono::milliseconds TakeoverStep{200};
+  /// Hosts of a zone that take over within the bound. The others could not read
+  /// either if the registry is away; if these are turned away, hosts of other
+  /// zones pass changes on.
   static constexpr std::size_t MaxTakeoverSteps = 4;
   /// Time allowed for an answer beyond the wait. A slow registry takes 240 ms.
   std::chrono::milliseconds AnswerTimeout{900};
@@ -36,6 +39,11 @@
   /// until another host takes over, a quarter for the staggering of takeovers,
   /// and a quarter for the answer and its distribution.
   static RegistryReadTiming forBound(std::chrono::milliseconds bound);
+  /// The age of the view at which a host takes over. \p rank: number of hosts
+  /// of the zone that come before it. \p hearsPeers: it received a message of a
+  /// peer within TakeoverAge; without one it depends on itself.
+  std::chrono::milliseconds takeoverAge(std::size_t rank,
+                                        bool hearsPeers) const;
 };
 
 /// Keeps a FleetView current by reading the registry: first a list of all
--- a/Source/UnitTests/Fleet/RegistryReaderTest.cpp
+++ b/Source/UnitTests/Fleet/RegistryReaderTest.cpp
@@ -141,4 +141,25 @@
   }
 }
 
+// Load pattern: the registry is away and 59 hosts of a zone have an old view.
+// All of them read at the same time, 77 of 89 hosts in an incident; each call
+// has a price and fails. Up to the bound only four of a zone may.
+BOOST_AUTO_TEST_CASE(OutageIsReadByAFewHostsOfAZone) {
+  const auto timing = fleet::RegistryReadTiming::forBound(6s);
+  std::size_t readers = 0;
+  for (std::size_t rank = 0; rank < 59; ++rank)
+    readers += timing.takeoverAge(rank, true) < 6s;
+  BOOST_TEST(readers == 4U);
+  // Hosts before them may be turned away, so the others follow one by one.
+  for (std::size_t rank = 4; rank < 59; ++rank)
+    BOOST_TEST((timing.takeoverAge(rank, true) <= 12s));
+}
+
+// A host that is cut off from all others, but not from the registry, must learn
+// of changes within the bound, whatever rank it believes to have.
+BOOST_AUTO_TEST_CASE(IsolatedHostReadsForItself) {
+  const auto timing = fleet::RegistryReadTiming::forBound(3s);
+  BOOST_TEST((timing.takeoverAge(58, false) <= 1500ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
