Require two hosts for a verdict in larger zones, also after pauses

Found in the read-through. A message that is handled after a pause of the process, before the next poll, made an owner decide on what it had collected before the pause. And one host that has lost only its own way to a server could end the flows that others forward to it.

Two hosts in every zone: one of two or three hosts may be the only one that sees the server.

SharedFailureDetector discards outdated evidence before any message as well. In zones of four hosts and more a verdict needs the reports of two.

--- a/Source/Fleet/FailureAggregator.cpp
+++ b/Source/Fleet/FailureAggregator.cpp
@@ -69,7 +69,10 @@
 
 bool FailureAggregator::isDead(const Case &it, const SilenceEvidence &evidence,
                                const AnswerQuality &quality,
-                               TimePoint now) const {
+                               std::size_t zoneHostCount, TimePoint now) const {
+  if (zoneHostCount >= Limits.MinHostsForReporters &&
+      it.Reports.size() < Limits.DeadReporters)
+    return false;
   const bool isEnough =
       quality.HasManyRetransmissions
           ? evidence.RequestCount >= Limits.DeadRequestsUnderLoss
@@ -93,7 +96,8 @@
 }
 
 std::vector<FailureAggregator::Decision>
-FailureAggregator::takeDecisions(const AnswerQuality &quality, TimePoint now) {
+FailureAggregator::takeDecisions(const AnswerQuality &quality,
+                                 std::size_t zoneHostCount, TimePoint now) {
   for (auto &[identity, it] : Cases) {
     if (it.Verdict == VerdictKind::Dead)
       continue;
@@ -106,7 +110,7 @@
       continue;
     if (!it.Verdict)
       decide(identity, it, VerdictKind::Suspected, evidence.Since, now);
-    else if (isDead(it, evidence, quality, now))
+    else if (isDead(it, evidence, quality, zoneHostCount, now))
       decide(identity, it, VerdictKind::Dead, evidence.Since, now);
     else if (it.AnnouncementsLeft-- > 0)
       Decisions.push_back(
--- a/Source/Fleet/FailureAggregator.h
+++ b/Source/Fleet/FailureAggregator.h
@@ -32,6 +32,10 @@
   /// The number of requests while this host sees many retransmissions: then
   /// several requests in a row are lost now and then.
   std::uint32_t DeadRequestsUnderLoss = 3;
+  /// In a zone of at least MinHostsForReporters hosts this many of them must
+  /// have reported the server: one alone may have lost only its own way to it.
+  std::size_t DeadReporters = 2;
+  std::size_t MinHostsForReporters = 4;
   /// Shortest silence of a dead server. Callers retransmit after 200 ms, so at
   /// least one retransmission went unanswered, too.
   std::chrono::milliseconds MinDeadSilence{400};
@@ -81,8 +85,10 @@
                 common::TimePoint now);
   /// Some host saw an answer at \p answeredAt.
   void onAnswer(std::uint64_t identity, common::TimePoint answeredAt);
-  /// The decisions since the last call.
+  /// The decisions since the last call. \p zoneHostCount: number of hosts that
+  /// may report, including this one.
   std::vector<Decision> takeDecisions(const AnswerQuality &quality,
+                                      std::size_t zoneHostCount,
                                       common::TimePoint now);
   /// Discards all evidence, for example after a pause of the process.
   void clear() { Cases.clear(); }
@@ -108,7 +114,8 @@
   /// The sum of the reports.
   static routing::SilenceEvidence total(const Case &it);
   bool isDead(const Case &it, const routing::SilenceEvidence &evidence,
-              const AnswerQuality &quality, common::TimePoint now) const;
+              const AnswerQuality &quality, std::size_t zoneHostCount,
+              common::TimePoint now) const;
   void decide(std::uint64_t identity, Case &it, VerdictKind kind,
               common::TimePoint since, common::TimePoint now);
 
--- a/Source/Fleet/SharedFailureDetector.cpp
+++ b/Source/Fleet/SharedFailureDetector.cpp
@@ -18,7 +18,7 @@
 /// one by gossip, which takes longer.
 constexpr milliseconds ZoneHostsLifetime{500};
 /// After a longer pause the ages of the collected evidence are wrong.
-constexpr milliseconds MaxPollGap{300};
+constexpr milliseconds MaxRunGap{300};
 
 milliseconds ageOf(TimePoint time, TimePoint now) {
   return std::chrono::duration_cast<milliseconds>(now - time);
@@ -69,14 +69,17 @@
   return messages.back();
 }
 
-void SharedFailureDetector::poll(TimePoint now) {
-  const bool wasPaused = LastPoll != TimePoint() && now - LastPoll > MaxPollGap;
-  LastPoll = now;
-  if (wasPaused) {
+void SharedFailureDetector::discardIfPaused(TimePoint now) {
+  if (LastRunAt != TimePoint() && now - LastRunAt > MaxRunGap) {
     Aggregator.clear();
     Unreported.clear();
     Health.takeRetransmissions();
   }
+  LastRunAt = now;
+}
+
+void SharedFailureDetector::poll(TimePoint now) {
+  discardIfPaused(now);
   reportRetransmissions(now);
   reportAnswers(now);
   decide(now);
@@ -135,7 +138,8 @@
   };
   const AnswerQuality quality{Health.slowestAnswer(),
                               Health.hasManyRetransmissions()};
-  for (const auto &it : Aggregator.takeDecisions(quality, now)) {
+  for (const auto &it :
+       Aggregator.takeDecisions(quality, zoneHosts(now).size(), now)) {
     // The verdict of a host that has seen a later answer itself is void.
     const bool isValid = apply(it.Verdict, Peers.self().Address, now);
     if (!isValid)
@@ -193,6 +197,7 @@
 
 void SharedFailureDetector::onMessage(const GossipMessage &message,
                                       TimePoint now) {
+  discardIfPaused(now);
   for (const auto &it : message.Suspects)
     if (it.hasEvidence())
       onSuspect(it, message.Sender.Address, now);
--- a/Source/Fleet/SharedFailureDetector.h
+++ b/Source/Fleet/SharedFailureDetector.h
@@ -78,6 +78,9 @@
   std::size_t caseCount() const { return Aggregator.size(); }
 
 private:
+  /// Discards what was collected if the process did not run for a while. Must
+  /// come before any decision.
+  void discardIfPaused(common::TimePoint now);
   void reportRetransmissions(common::TimePoint now);
   void reportAnswers(common::TimePoint now);
   void decide(common::TimePoint now);
@@ -111,7 +114,7 @@
   std::vector<Outgoing> ToZone;
   std::vector<std::uint32_t> ZoneHosts;
   common::TimePoint ZoneHostsAt;
-  common::TimePoint LastPoll;
+  common::TimePoint LastRunAt; ///< Of poll() or onMessage().
 };
 
 } // namespace auburnroute::fleet
--- a/Source/UnitTests/Fleet/FailureAggregatorTest.cpp
+++ b/Source/UnitTests/Fleet/FailureAggregatorTest.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::uint64_t Server = 0x1234567890;
 constexpr std::int64_t Run = 1769245012022;
+constexpr std::size_t ZoneHosts = 60;
 
 struct AggregatorFixture {
   common::ManualClock Clock;
@@ -31,7 +32,7 @@
   std::vector<VerdictKind> decisions(std::chrono::milliseconds slowest = 50ms) {
     std::vector<VerdictKind> kinds;
     for (const auto &it :
-         Aggregator.takeDecisions({slowest, false}, Clock.now()))
+         Aggregator.takeDecisions({slowest, false}, ZoneHosts, Clock.now()))
       kinds.push_back(it.Verdict.Kind);
     return kinds;
   }
@@ -72,6 +73,21 @@
   BOOST_TEST(!isDead(200ms));
 }
 
+// A host of a larger zone that lost only its own way to a server must not end
+// the flows that pass the others; in a zone of two hosts one sees enough.
+BOOST_AUTO_TEST_CASE(OneHostOfALargeZoneIsNotEnough) {
+  routing::SilenceEvidence evidence;
+  evidence.Since = Clock.now() - 500ms;
+  evidence.RequestCount = 5;
+  evidence.HasSeveralCallers = true;
+  Aggregator.onReport(Server, Run, 1, evidence, Clock.now());
+  BOOST_TEST(!isDead(300ms));
+  const auto decisions =
+      Aggregator.takeDecisions({50ms, false}, /*zoneHostCount=*/2, Clock.now());
+  BOOST_REQUIRE(!decisions.empty());
+  BOOST_TEST((decisions.front().Verdict.Kind == VerdictKind::Dead));
+}
+
 // A server without a free place for a flow ignores SYNs, but answers the
 // requests on its open flows.
 BOOST_AUTO_TEST_CASE(SynsAloneDoNotShowADeath) {
@@ -127,12 +143,13 @@
   const fleet::AnswerQuality lossy{50ms, true};
   report(1, 100, 300ms);
   report(2, 200, 300ms);
-  Aggregator.takeDecisions(lossy, Clock.now());
+  Aggregator.takeDecisions(lossy, ZoneHosts, Clock.now());
   Clock.advance(300ms);
-  for (const auto &it : Aggregator.takeDecisions(lossy, Clock.now()))
+  for (const auto &it : Aggregator.takeDecisions(lossy, ZoneHosts, Clock.now()))
     BOOST_TEST((it.Verdict.Kind != VerdictKind::Dead));
   report(3, 300, 300ms);
-  const auto decisions = Aggregator.takeDecisions(lossy, Clock.now());
+  const auto decisions =
+      Aggregator.takeDecisions(lossy, ZoneHosts, Clock.now());
   BOOST_REQUIRE(!decisions.empty());
   BOOST_TEST((decisions.front().Verdict.Kind == VerdictKind::Dead));
 }
@@ -160,7 +177,8 @@
   report(2, 200, 300ms);
   BOOST_TEST(isDead(200ms));
   report(3, 300, 200ms);
-  const auto decisions = Aggregator.takeDecisions({50ms, false}, Clock.now());
+  const auto decisions =
+      Aggregator.takeDecisions({50ms, false}, ZoneHosts, Clock.now());
   BOOST_REQUIRE(decisions.size() == 1U);
   BOOST_TEST((decisions.front().Verdict.Kind == VerdictKind::Dead));
   BOOST_TEST(decisions.front().OnlyTo.value_or(0) == 3U);
--- a/Source/UnitTests/Fleet/SharedFailureDetectorTest.cpp
+++ b/Source/UnitTests/Fleet/SharedFailureDetectorTest.cpp
@@ -183,6 +183,20 @@
   BOOST_TEST(it.Host.Detector.takeOutgoing().empty());
 }
 
+// After a pause a message may be handled before the next poll.
+BOOST_AUTO_TEST_CASE(PausedOwnerDiscardsItsEvidenceBeforeAMessage) {
+  VerdictFixture it;
+  fleet::GossipMessage message;
+  message.Sender = {DetectorZone::FirstAddress + 5, "a", 1, 1};
+  message.Suspects.push_back({1, 200ms, 2, 0, 100, true});
+  it.Host.Detector.poll(it.Clock.now());
+  it.Host.Detector.onMessage(message, it.Clock.now());
+  it.Clock.advance(900ms);
+  message.Sender.Address += 1;
+  it.Host.Detector.onMessage(message, it.Clock.now());
+  BOOST_TEST(it.Host.Detector.takeDead().empty());
+}
+
 // A verdict of an owner is applied once, and repeated ones change nothing.
 BOOST_AUTO_TEST_CASE(VerdictsOfOwnersAreApplied) {
   VerdictFixture it;
