--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -183,8 +183,8 @@
   send(message, addresses);
 }
 
-void PeerExchange::send(const GossipMessage &message,
-                        const std::vector<std::uint32_t> &addresses) {
+std::size_t PeerExchange::send(const GossipMessage &message,
+                               const std::vector<std::uint32_t> &addresses) {
   const auto bytes = GossipCodec::encode(message);
   for (const auto it : addresses) {
     Socket.socket().queue({it, Self.Port}, std::as_bytes(std::span(bytes)), {});
@@ -192,6 +192,7 @@
     Metrics.add(EdgeCounter::GossipBytesSent, bytes.size());
   }
   Socket.socket().flush();
+  return bytes.size() * addresses.size();
 }
 
 void PeerExchange::pollEvidence() {
@@ -201,10 +202,8 @@
 
 void PeerExchange::sendEvidence() {
   for (const auto &[message, to] : Detector.takeOutgoing()) {
-    const auto bytes = GossipCodec::encode(message).size();
     Metrics.add(EdgeCounter::EvidenceSent, to.size());
-    Metrics.add(EdgeCounter::EvidenceBytesSent, bytes * to.size());
-    send(message, to);
+    Metrics.add(EdgeCounter::EvidenceBytesSent, send(message, to));
   }
 }
 
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -87,8 +87,9 @@
   /// sample of the known hosts.
   void sendView(const std::vector<std::uint32_t> &addresses, bool wantsAnswer,
                 std::uint64_t since, bool withHosts);
-  void send(const fleet::GossipMessage &message,
-            const std::vector<std::uint32_t> &addresses);
+  /// Returns the number of bytes sent to all \p addresses together.
+  std::size_t send(const fleet::GossipMessage &message,
+                   const std::vector<std::uint32_t> &addresses);
   void sendEvidence();
   /// Announces the view if it changed or became more current since the last
   /// announcement.
