Log registry answers with their era, and eras of the registry

The logs could not tell a watch that skips reused revisions from a list that is read but not applied. New log events registry_read and registry_era, the metrics registry_lists_total, registry_era_changes_total, entries_outdated_total and registry_era. The header Store-Era is decoded in platform/ and used for nothing else yet.

--- a/Source/Edge/EdgeMetrics.cpp
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -58,8 +58,14 @@
     return "registry_calls_total";
   case EdgeCounter::RegistryFailures:
     return "registry_failures_total";
+  case EdgeCounter::RegistryLists:
+    return "registry_lists_total";
+  case EdgeCounter::EraChanges:
+    return "registry_era_changes_total";
   case EdgeCounter::EntriesUnreadable:
     return "entries_unreadable_total";
+  case EdgeCounter::EntriesOutdated:
+    return "entries_outdated_total";
   case EdgeCounter::GossipSent:
     return "gossip_messages_sent_total";
   case EdgeCounter::GossipBytesSent:
@@ -104,6 +110,7 @@
   appendSample(text, "configuration_version", "gauge",
                gauges.ConfigurationVersion);
   appendSample(text, "view_revision", "gauge", gauges.ViewRevision);
+  appendSample(text, "registry_era", "gauge", gauges.RegistryEra);
   appendSample(text, "view_age_ms", "gauge", gauges.ViewAge.count());
   appendSample(text, "ready_servers", "gauge", gauges.ReadyServers);
   appendSample(text, "flows", "gauge", gauges.Flows);
--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -26,7 +26,10 @@
   FlowsAbandoned,
   RegistryCalls,
   RegistryFailures,
+  RegistryLists,
+  EraChanges,
   EntriesUnreadable,
+  EntriesOutdated,
   GossipSent,
   GossipBytesSent,
   EvidenceSent,
@@ -45,6 +48,7 @@
   bool Ready = false;
   std::uint64_t ConfigurationVersion = 0;
   std::uint64_t ViewRevision = 0;
+  std::uint64_t RegistryEra = 0;
   std::chrono::milliseconds ViewAge{0};
   std::size_t ReadyServers = 0;
   std::size_t Flows = 0;
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -196,6 +196,7 @@
     History.expire();
     Log.flush();
     Recorder.metrics().set(EdgeCounter::EntriesUnreadable, View.unreadable());
+    Recorder.metrics().set(EdgeCounter::EntriesOutdated, View.outdated());
     Recorder.metrics().set(EdgeCounter::LogLinesDropped, Log.dropped());
   }
   if (now >= NextFileCheck) {
@@ -337,6 +338,7 @@
   gauges.Ready = Ready;
   gauges.ConfigurationVersion = Routes.version();
   gauges.ViewRevision = View.revision();
+  gauges.RegistryEra = Registry->era();
   gauges.ViewAge = View.age(now);
   gauges.ReadyServers = Directory.readyCount();
   gauges.Flows = Router.flowCount();
--- a/Source/Edge/EventLog.cpp
+++ b/Source/Edge/EventLog.cpp
@@ -73,6 +73,10 @@
     return "server";
   case LogEvent::Registry:
     return "registry";
+  case LogEvent::RegistryRead:
+    return "registry_read";
+  case LogEvent::RegistryEra:
+    return "registry_era";
   case LogEvent::Peer:
     return "peer";
   case LogEvent::Placed:
--- a/Source/Edge/EventLog.h
+++ b/Source/Edge/EventLog.h
@@ -25,6 +25,8 @@
   Configuration,
   Server,
   Registry,
+  RegistryRead,
+  RegistryEra,
   Peer,
   Placed,
   Refused,
--- a/Source/Edge/RegistryClient.cpp
+++ b/Source/Edge/RegistryClient.cpp
@@ -37,21 +37,68 @@
   if (!result.ok()) {
     onFailure(RegistryFailure::Unreachable,
               common::fromAbsl(result.status().message()));
-  } else if (result->Status == HttpResponse::Gone) {
-    onFailure(RegistryFailure::Compacted,
-              "the requested revision is compacted");
-  } else if (result->Status != HttpResponse::Ok) {
-    onFailure(RegistryFailure::Refused,
-              absl::StrCat("HTTP status ", result->Status, ", expected 200"));
-  } else if (const auto page = StoreCodec::decode(call, result->Body);
-             page.ok()) {
-    reportReachability(true, "answered");
-    Reader.onPage(*page, Clock.now());
+  } else if (const auto era = StoreCodec::eraOf(*result); !era.ok()) {
+    onFailure(RegistryFailure::Malformed,
+              common::fromAbsl(era.status().message()));
   } else {
+    reportEra(*era);
+    if (result->Status == HttpResponse::Gone) {
+      reportRead(call, result->Status, *era, 0, 0, 0);
+      onFailure(RegistryFailure::Compacted,
+                "the requested revision is compacted");
+    } else if (result->Status != HttpResponse::Ok) {
+      onFailure(RegistryFailure::Refused,
+                absl::StrCat("HTTP status ", result->Status, ", expected 200"));
+    } else {
+      onBody(call, *era, result->Body);
+    }
+  }
+  OnAnswer();
+}
+
+void RegistryClient::onBody(const fleet::RegistryCall &call, std::uint64_t era,
+                            std::string_view body) {
+  auto page = StoreCodec::decode(call, body);
+  if (!page.ok()) {
     onFailure(RegistryFailure::Malformed,
               common::fromAbsl(page.status().message()));
+    return;
   }
-  OnAnswer();
+  page->Era = era;
+  reportReachability(true, "answered");
+  const auto outdated = Reader.view().outdated();
+  Reader.onPage(*page, Clock.now());
+  const auto entries = page->Servers.size() + page->Removed.size() +
+                       (page->Configuration ? 1 : 0);
+  if (call.Kind == fleet::RegistryCallKind::List || entries != 0)
+    reportRead(call, HttpResponse::Ok, era, page->Revision, entries,
+               Reader.view().outdated() - outdated);
+}
+
+void RegistryClient::reportEra(std::uint64_t era) {
+  const auto before = std::exchange(LastEra, era);
+  if (!before || *before == era)
+    return;
+  Metrics.add(EdgeCounter::EraChanges);
+  if (Log.tryAdmit(LogEvent::RegistryEra))
+    Log.write(LogEvent::RegistryEra,
+              absl::StrCat("\"from\":", *before, ",\"to\":", era,
+                           ",\"revision\":", Reader.view().revision()));
+}
+
+void RegistryClient::reportRead(const fleet::RegistryCall &call, int status,
+                                std::uint64_t era, std::uint64_t revision,
+                                std::size_t entries, std::uint64_t outdated) {
+  const bool isList = call.Kind == fleet::RegistryCallKind::List;
+  if (isList)
+    Metrics.add(EdgeCounter::RegistryLists);
+  if (Log.tryAdmit(LogEvent::RegistryRead))
+    Log.write(LogEvent::RegistryRead,
+              absl::StrCat("\"call\":\"", isList ? "list" : "watch",
+                           "\",\"after\":", call.Revision,
+                           ",\"status\":", status, ",\"era\":", era,
+                           ",\"revision\":", revision, ",\"entries\":", entries,
+                           ",\"outdated\":", outdated));
 }
 
 void RegistryClient::onFailure(RegistryFailure failure,
--- a/Source/Edge/RegistryClient.h
+++ b/Source/Edge/RegistryClient.h
@@ -21,6 +21,8 @@
                  fleet::CauseHistory &history, EventLog &log,
                  EdgeMetrics &metrics, std::function<void()> onAnswer);
 
+  /// Era of the registry in its last answer; 0 before the first.
+  std::uint64_t era() const { return LastEra.value_or(0); }
   /// Sends the next call if one is due.
   void poll();
 
@@ -28,6 +30,16 @@
   void onResult(const fleet::RegistryCall &call,
                 const absl::StatusOr<common::HttpResponse> &result);
   void onFailure(fleet::RegistryFailure failure, std::string_view reason);
+  /// Takes the page out of a response to \p call with status 200.
+  void onBody(const fleet::RegistryCall &call, std::uint64_t era,
+              std::string_view body);
+  /// Logs \p era if it differs from that of the last answer.
+  void reportEra(std::uint64_t era);
+  /// Logs an answer that tells more than that nothing has changed. \p entries
+  /// and \p outdated: number of entries in it, and of those not applied.
+  void reportRead(const fleet::RegistryCall &call, int status,
+                  std::uint64_t era, std::uint64_t revision,
+                  std::size_t entries, std::uint64_t outdated);
   /// Logs \p reachable if it differs from the value reported last.
   void reportReachability(bool reachable, std::string_view reason);
 
@@ -39,6 +51,7 @@
   EdgeMetrics &Metrics;
   std::function<void()> OnAnswer;
   std::optional<bool> ReportedReachable; ///< Unset before the first report.
+  std::optional<std::uint64_t> LastEra;  ///< Era of the last answer.
 };
 
 } // namespace auburnroute::edge
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -51,8 +51,12 @@
 }
 
 void FleetView::applyEntries(const RegistryPage &page, TimePoint now) {
-  for (const auto &it : page.Servers)
+  for (const auto &it : page.Servers) {
+    const auto *known = Directory.findByName(it.Name);
+    if (known != nullptr && known->Registration.Revision > it.Revision)
+      ++Outdated;
     applyServer(it, now);
+  }
   for (const auto &it : page.Removed) {
     ServerRegistration lapsed;
     lapsed.Name = it.Name;
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -102,6 +102,9 @@
   /// Number of registry entries that could not be parsed.
   std::uint64_t unreadable() const { return Unreadable; }
   void countUnreadable(std::uint32_t n) { Unreadable += n; }
+  /// Number of registry entries that were not applied because this host knew a
+  /// later state.
+  std::uint64_t outdated() const { return Outdated; }
   /// Discards changes older than HistoryRetention, and lapsed servers after
   /// the retention time of the directory.
   void discardExpired(common::TimePoint now);
@@ -127,6 +130,7 @@
   common::TimePoint FreshAt;
   std::uint64_t ChangeCount = 0;
   std::uint64_t Unreadable = 0;
+  std::uint64_t Outdated = 0;
   std::deque<Change> History;
   /// History contains all changes after this revision.
   std::uint64_t HistoryStart = 0;
--- a/Source/Fleet/RegistryCall.h
+++ b/Source/Fleet/RegistryCall.h
@@ -38,6 +38,9 @@
 struct RegistryPage {
   /// Revision of the registry at the time of the answer.
   std::uint64_t Revision = 0;
+  /// History that the revisions belong to. It rises when the registry is
+  /// restored from a backup: revisions then go back and are given out again.
+  std::uint64_t Era = 0;
   std::vector<routing::ServerRegistration> Servers;
   std::vector<RegistryRemoval> Removed;
   std::optional<routing::RoutingConfiguration> Configuration;
--- a/Source/Fleet/RegistryReader.h
+++ b/Source/Fleet/RegistryReader.h
@@ -64,6 +64,7 @@
   /// cancelled.
   void setActive(bool active) { IsActive = active; }
   const RegistryReadTiming &timing() const { return Timing; }
+  const FleetView &view() const { return View; }
   /// Makes the next call due at \p now at the latest, for example after a pause
   /// of the process.
   void scheduleNextCallAt(common::TimePoint now);
--- a/Source/Reactor/AsyncHttpClient.cpp
+++ b/Source/Reactor/AsyncHttpClient.cpp
@@ -1,5 +1,6 @@
 #include "Reactor/AsyncHttpClient.h"
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -115,8 +116,14 @@
     auto answer = Parser->release();
     if (!answer.keep_alive())
       markBroken();
-    complete(common::HttpResponse{static_cast<int>(answer.result_int()),
-                                  std::move(answer.body())});
+    common::HttpResponse response{
+        static_cast<int>(answer.result_int()), std::move(answer.body()), {}};
+    for (const auto &it : answer)
+      response.Headers.emplace_back(
+          absl::AsciiStrToLower(
+              {it.name_string().data(), it.name_string().size()}),
+          std::string(it.value()));
+    complete(std::move(response));
   }
 
   void fail(const char *step, beast::error_code ec) {
--- a/Source/platform/StoreCodec.cpp
+++ b/Source/platform/StoreCodec.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::string_view ServerPrefix = "servers/";
 constexpr std::string_view ConfigurationKey = "op/config";
+constexpr std::string_view EraHeader = "store-era";
 
 /// The member \p name as a string or non-negative integer; nullopt if it is
 /// absent or of another type.
@@ -239,6 +240,18 @@
       "/kv-range?prefix=", call.After.empty() ? "" : "&after=", call.After);
 }
 
+absl::StatusOr<std::uint64_t>
+StoreCodec::eraOf(const common::HttpResponse &response) {
+  const auto *text = response.header(EraHeader);
+  if (text == nullptr)
+    return 0;
+  std::uint64_t era = 0;
+  if (!absl::SimpleAtoi(*text, &era))
+    return absl::InvalidArgumentError(
+        "the header field \"Store-Era\" is not an unsigned integer");
+  return era;
+}
+
 absl::StatusOr<RegistryPage> StoreCodec::decode(const RegistryCall &call,
                                                 std::string_view body) {
   const auto object = parseObject(body);
--- a/Source/platform/StoreCodec.h
+++ b/Source/platform/StoreCodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/HttpResponse.h"
 #include "Fleet/RegistryReader.h"
 #include "Routing/BackendServer.h"
 #include "Routing/RouteTable.h"
@@ -7,6 +8,7 @@
 #include "absl/status/statusor.h"
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -18,6 +20,11 @@
 public:
   /// The HTTP request target, path and query, of \p call.
   static std::string requestTarget(const fleet::RegistryCall &call);
+  /// The era of the store that sent \p response, see RegistryPage::Era; 0 if
+  /// the response does not have it. Errors: InvalidArgument if it is not a
+  /// number.
+  static absl::StatusOr<std::uint64_t>
+  eraOf(const common::HttpResponse &response);
   /// Decodes the body of a response to \p call with status 200. Malformed
   /// entries are skipped and counted in the page. Errors: InvalidArgument if
   /// the body is not a response to that kind of call.
