Hold back a view until it has the configuration of the peer's changes

Callers see: a route that was added is not served, or a dropped one is, on all hosts, until the next change of the configuration.

Cause: gossip carries changes of servers and only the number of the configuration's version. A host applied the changes and took its view as complete up to their revision, though it lacked the version. If the host that had read it ended before a peer fetched it, nobody read it again: the next watch asked for what came after it.

ChangesNeedTheConfigurationToBeComplete failed before.

Change: the version belongs to ViewChanges, and a view that lacks it doesn't advance, so a watch asks for it.

--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -177,7 +177,6 @@
     message.Hosts = Peers.sample(GossipCodec::MaxHosts, now);
   message.Changes = View.recentChanges(GossipCodec::MaxChanges, since);
   message.ViewAge = View.age(now);
-  message.ConfigurationVersion = View.configurationVersion();
   message.Suspects = localSuspects(now);
   message.WantsAnswer = wantsAnswer;
   send(message, addresses);
@@ -278,10 +277,7 @@
   Detector.onMessage(message, now);
   History.merge(message.Causes);
   if (message.Changes.To != 0) {
-    const bool complete =
-        View.applyPeerChanges(message.Changes, message.ViewAge, now);
-    if ((!complete && message.Changes.To > View.revision()) ||
-        message.ConfigurationVersion > View.configurationVersion())
+    if (!View.applyPeerChanges(message.Changes, message.ViewAge, now))
       fetchSnapshot(from, message.ViewAge);
   }
   if (message.WantsAnswer)
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -103,7 +103,8 @@
                                  milliseconds peerViewAge, TimePoint now) {
   for (const auto &it : changes.Servers)
     applyPeerServer(it, now);
-  if (Revision < changes.From || Revision == 0)
+  if (Revision < changes.From || Revision == 0 ||
+      changes.ConfigurationVersion > Routes.version())
     return false;
   if (changes.To >= Revision)
     advance(changes.To, now - peerViewAge - TransitTime);
@@ -145,6 +146,7 @@
   ViewChanges changes;
   changes.From = std::max(HistoryStart, since);
   changes.To = Revision;
+  changes.ConfigurationVersion = Routes.version();
   std::set<std::string_view> seen;
   for (auto it = History.rbegin(); it != History.rend(); ++it) {
     if (it->Revision <= since || !seen.insert(it->Name).second)
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -19,6 +19,8 @@
   std::uint64_t From = 0;
   std::uint64_t To = 0;
   std::vector<routing::ServerRegistration> Servers;
+  /// Version of the configuration at To, which is not part of the changes.
+  std::uint64_t ConfigurationVersion = 0;
 };
 
 /// Full or partial content of a view, for a host that lacks too much to catch
@@ -69,7 +71,7 @@
                   std::uint64_t baseRevision, common::TimePoint askedAt,
                   common::TimePoint now);
   /// Applies a peer's changes. Returns whether the view is now complete up to
-  /// \p changes.To; if not, a snapshot is needed.
+  /// \p changes.To, configuration included; if not, a snapshot is needed.
   /// \p peerViewAge: age of the peer's view when it sent the changes.
   bool applyPeerChanges(const ViewChanges &changes,
                         std::chrono::milliseconds peerViewAge,
--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -169,7 +169,7 @@
   // Revision of the sender's view.
   out.set_revision(message.Changes.To);
   out.set_age_ms(clampedMilliseconds(message.ViewAge));
-  out.set_configuration_version(message.ConfigurationVersion);
+  out.set_configuration_version(message.Changes.ConfigurationVersion);
   out.set_changes_from(message.Changes.From);
   for (const auto &it : message.Changes.Servers)
     write(it, *out.add_changes());
@@ -221,7 +221,7 @@
     message.Changes.Servers.push_back(*std::move(server));
   }
   message.ViewAge = milliseconds(in.age_ms());
-  message.ConfigurationVersion = in.configuration_version();
+  message.Changes.ConfigurationVersion = in.configuration_version();
   for (const auto &it : in.suspects())
     message.Suspects.push_back({it.identity(), milliseconds(it.silent_ms()),
                                 it.requests(), it.syns(), it.caller(),
--- a/Source/Fleet/GossipMessage.h
+++ b/Source/Fleet/GossipMessage.h
@@ -54,7 +54,6 @@
 struct GossipMessage {
   PeerInfo Sender;
   std::vector<PeerInfo> Hosts;
-  std::uint64_t ConfigurationVersion = 0;
   ViewChanges Changes;
   std::chrono::milliseconds ViewAge{0};
   std::vector<ReportedSuspect> Suspects;
--- a/Source/UnitTests/Fleet/FleetModel.cpp
+++ b/Source/UnitTests/Fleet/FleetModel.cpp
@@ -141,7 +141,6 @@
                     false};
   message.Changes = view.recentChanges(GossipCodec::MaxChanges);
   message.ViewAge = view.age(now);
-  message.ConfigurationVersion = view.configurationVersion();
   const auto bytes = GossipCodec::encode(message);
   for (std::size_t to = 0; to < HostCount; ++to) {
     if (to == n || (!toAll && below(2) == 0) || (!IsCalm && below(10) == 0))
@@ -171,11 +170,8 @@
     const auto message = GossipCodec::decode(it.Bytes);
     if (!message || message->Changes.To == 0)
       continue;
-    const bool complete =
-        view.applyPeerChanges(message->Changes, message->ViewAge, now);
-    if (!host.Fetch &&
-        ((!complete && message->Changes.To > view.revision()) ||
-         message->ConfigurationVersion > view.configurationVersion()))
+    if (!view.applyPeerChanges(message->Changes, message->ViewAge, now) &&
+        !host.Fetch)
       host.Fetch = SnapshotFetch{now + milliseconds(10 + below(100)), it.From};
   }
 }
--- a/Source/UnitTests/Fleet/FleetViewTest.cpp
+++ b/Source/UnitTests/Fleet/FleetViewTest.cpp
@@ -222,4 +222,23 @@
   }
 }
 
+// Changes do not carry the configuration. A view that advances past a version
+// that it lacks never learns of it if the only host that read it ends before it
+// was asked.
+BOOST_AUTO_TEST_CASE(ChangesNeedTheConfigurationToBeComplete) {
+  common::ManualClock clock;
+  ViewFixture reader;
+  ViewFixture it;
+  load(reader, clock.now());
+  load(it, clock.now());
+  reader.View.applyChanges(samplePage(20, {}, 5), clock.now(), clock.now());
+  BOOST_TEST(!it.View.applyPeerChanges(reader.View.recentChanges(8), 0ms,
+                                       clock.now()));
+  // The next watch must ask for what was written after revision 10.
+  BOOST_TEST(it.View.revision() == 10U);
+  it.View.applySnapshot(reader.View.snapshotSince(10, 1), 0ms, clock.now());
+  BOOST_TEST(it.View.revision() == 20U);
+  BOOST_TEST(it.View.configurationVersion() == 5U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
