--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -93,9 +93,12 @@
                            std::uint64_t baseRevision, TimePoint askedAt,
                            TimePoint now) {
   markMissingAsLapsed(listed, baseRevision, now);
-  // Peers with an older view need a snapshot.
-  if (baseRevision > Revision)
+  // Peers with an older view need a full snapshot: what was removed before the
+  // list was read does not show in it.
+  if (baseRevision > Revision) {
     HistoryStart = std::max(HistoryStart, baseRevision);
+    RemovalsUnknownUpTo = std::max(RemovalsUnknownUpTo, baseRevision);
+  }
   advance(baseRevision, askedAt);
 }
 
@@ -124,6 +127,8 @@
     for (const auto &it : snapshot.Servers)
       present.insert(it.Name);
     markMissingAsLapsed(present, snapshot.Revision, now);
+    // The sender may have discarded removals.
+    RemovalsUnknownUpTo = std::max(RemovalsUnknownUpTo, snapshot.Revision);
   }
   advance(snapshot.Revision, now - peerViewAge - TransitTime);
 }
@@ -168,9 +173,8 @@
                                       std::uint64_t version) const {
   ViewSnapshot snapshot;
   snapshot.Revision = Revision;
-  // A partial snapshot is possible only if no removal after \p after was
-  // discarded.
-  if (after >= HighestDiscardedRemoval)
+  // Without a removal, a partial snapshot would leave the server in place.
+  if (after >= RemovalsUnknownUpTo)
     snapshot.From = after;
   if (version < Routes.version())
     snapshot.Configuration = Routes.configuration();
@@ -185,8 +189,8 @@
     HistoryStart = std::max(HistoryStart, History.front().Revision);
     History.pop_front();
   }
-  HighestDiscardedRemoval =
-      std::max(HighestDiscardedRemoval, Directory.discardExpired(now));
+  RemovalsUnknownUpTo =
+      std::max(RemovalsUnknownUpTo, Directory.discardExpired(now));
 }
 
 } // namespace auburnroute::fleet
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -86,8 +86,8 @@
   ViewChanges recentChanges(std::size_t maxServers,
                             std::uint64_t since = 0) const;
   /// What a host lacks whose view is complete up to \p after and has
-  /// configuration \p version; a full snapshot if removals after \p after were
-  /// discarded.
+  /// configuration \p version; a full snapshot if removals after \p after may
+  /// be unknown here.
   ViewSnapshot snapshotSince(std::uint64_t after, std::uint64_t version) const;
 
   /// The view is complete up to this revision; 0 if it is empty.
@@ -136,8 +136,9 @@
   std::deque<Change> History;
   /// History contains all changes after this revision.
   std::uint64_t HistoryStart = 0;
-  /// Highest revision among the lapsed servers that were discarded.
-  std::uint64_t HighestDiscardedRemoval = 0;
+  /// Servers that were removed up to this revision are not all in the
+  /// directory: they were discarded, or were gone before this host read a list.
+  std::uint64_t RemovalsUnknownUpTo = 0;
   /// Marks each server as lapsed at \p revision that is not in \p present and
   /// has a lower revision.
   void markMissingAsLapsed(const std::set<std::string> &present,
--- a/Source/UnitTests/Fleet/FleetViewTest.cpp
+++ b/Source/UnitTests/Fleet/FleetViewTest.cpp
@@ -241,4 +241,28 @@
   BOOST_TEST(it.View.configurationVersion() == 5U);
 }
 
+// A host that starts after a server was removed reads a list without it, and
+// knows no removal. Peers that ask it for what they lack must not keep the
+// server: one that had left was in use until it was registered again.
+BOOST_AUTO_TEST_CASE(RemovalBeforeAListReachesPeersWithAnOlderView) {
+  for (const bool isRelayed : {false, true}) {
+    common::ManualClock clock;
+    ViewFixture late;
+    ViewFixture started;
+    ViewFixture relay;
+    load(late, clock.now());
+    started.View.applyEntries(samplePage(30, {sampleServer(2, 4)}, 1),
+                              clock.now());
+    started.View.finishList({"s2"}, 30, clock.now(), clock.now());
+    relay.View.applySnapshot(started.View.snapshotSince(0, 0), 0ms,
+                             clock.now());
+    const auto &peer = isRelayed ? relay : started;
+    late.View.applySnapshot(peer.View.snapshotSince(late.View.revision(), 1),
+                            0ms, clock.now());
+    BOOST_TEST(late.View.revision() == 30U);
+    BOOST_TEST((late.stateOf("s1") == ServerState::Lapsed));
+    BOOST_TEST((late.stateOf("s2") == ServerState::Ready));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
