--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -65,7 +65,8 @@
               clock),
       Recorder(Log, clock, Directory, Health, History),
       ViewChangeListener(Recorder, Directory, Health),
-      View(Routes, Directory, ViewChangeListener),
+      View(Routes, Directory, ViewChangeListener,
+           fleet::FleetView::rewriteTimeFor(Settings.ServerHeartbeat)),
       Reader(View, fleet::RegistryReadTiming::forBound(Settings.ChangeBound)),
       Peers({Settings.Peers.Address, Settings.Zone, randomSeed()},
             randomSeed()),
@@ -192,6 +193,7 @@
   if (now >= NextHousekeeping) {
     NextHousekeeping = now + HousekeepingInterval;
     Router.onTick(now);
+    View.reconcileEra(now);
     View.discardExpired(now);
     History.expire();
     Log.flush();
@@ -224,7 +226,9 @@
                        ? shouldTakeOverReading(now) ||
                              (!StoppingSince && Peers.hasLowestAddress(now))
                        : InitialView.shouldAskRegistry(now));
-  Router.setDirectoryCompleteAt(View.freshAt());
+  // A restored registry lacks servers until they have written again.
+  if (View.isReconciled())
+    Router.setDirectoryCompleteAt(View.freshAt());
   Router.setUsesLapsed(Reader.isRegistryUnavailable() ||
                        View.age(now) > Reader.timing().TakeoverAge * 2);
 }
@@ -326,7 +330,7 @@
       "{\"host\":\"", Settings.Host, "\",\"zone\":\"", Settings.Zone,
       "\",\"ready\":", Ready ? "true" : "false",
       ",\"version\":", Routes.version(), ",\"revision\":", View.revision(),
-      ",\"view_age_ms\":", View.age(now).count(),
+      ",\"era\":", View.era(), ",\"view_age_ms\":", View.age(now).count(),
       ",\"servers\":", Directory.readyCount(),
       ",\"flows\":", Router.flowCount(), ",\"peers\":", alive.size(),
       ",\"hosts\":[", hosts, "]}\n");
@@ -338,7 +342,7 @@
   gauges.Ready = Ready;
   gauges.ConfigurationVersion = Routes.version();
   gauges.ViewRevision = View.revision();
-  gauges.RegistryEra = Registry->era();
+  gauges.RegistryEra = View.era();
   gauges.ViewAge = View.age(now);
   gauges.ReadyServers = Directory.readyCount();
   gauges.Flows = Router.flowCount();
--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -205,6 +205,26 @@
               absl::StrCat("\"version\":", version, viewFields()));
 }
 
+void EventRecorder::recordEra(const fleet::EraChange &change) {
+  Metrics.add(EdgeCounter::EraChanges);
+  History.recordForHost(state::Cause::PlatformRestored);
+  if (Log.tryAdmit(LogEvent::RegistryEra))
+    Log.write(LogEvent::RegistryEra,
+              absl::StrCat("\"phase\":\"entered\",\"from\":", change.From,
+                           ",\"to\":", change.To,
+                           ",\"revision_before\":", change.RevisionBefore,
+                           ",\"revision\":", change.Revision));
+}
+
+void EventRecorder::recordReconciliation(
+    const fleet::EraReconciliation &result) {
+  if (Log.tryAdmit(LogEvent::RegistryEra))
+    Log.write(LogEvent::RegistryEra,
+              absl::StrCat("\"phase\":\"reconciled\",\"to\":", result.Era,
+                           ",\"lapsed\":", result.Lapsed,
+                           ",\"confirmed\":", result.Confirmed));
+}
+
 void EventRecorder::recordServer(const routing::ServerRegistration &server,
                                  DirectoryChange change) {
   const bool isInitialView = View != nullptr && View->revision() == 0 &&
--- a/Source/Edge/EventRecorder.h
+++ b/Source/Edge/EventRecorder.h
@@ -40,6 +40,8 @@
   void onRejected(fleet::EvidenceRejection why, std::uint64_t identity,
                   std::uint32_t sender) override;
   void recordConfiguration(std::uint64_t version);
+  void recordEra(const fleet::EraChange &change);
+  void recordReconciliation(const fleet::EraReconciliation &result);
   /// Backend servers of the first view are not logged individually; the "ready"
   /// line has their number.
   void recordServer(const routing::ServerRegistration &server,
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -112,6 +112,8 @@
 
 void PeerExchange::announce() {
   AnnouncedChangeCount = View.changeCount();
+  if (std::exchange(AnnouncedEra, View.era()) != View.era())
+    AnnouncedRevision = 0;
   AnnouncedFreshAt = View.freshAt();
   const auto now = Clock.now();
   NextAnnounce = now + MinAnnounceInterval;
@@ -299,7 +301,8 @@
   SnapshotClient = std::make_unique<reactor::AsyncHttpClient>(
       Loop, common::Endpoint{address, Self.Port});
   const auto target = absl::StrCat("/view?after=", View.revision(),
-                                   "&version=", View.configurationVersion());
+                                   "&version=", View.configurationVersion(),
+                                   "&era=", View.era());
   SnapshotClient->get(target, SnapshotTimeout,
                       [this](const auto &result) { onSnapshot(result); });
 }
@@ -349,8 +352,12 @@
   // Without these parameters the requesting host has no view.
   const auto after = reactor::numberInQuery(query, "after").value_or(0);
   const auto version = reactor::numberInQuery(query, "version").value_or(0);
-  return GossipCodec::encode(fleet::AgedSnapshot{
-      View.snapshotSince(after, version), View.age(Clock.now())});
+  const auto era = reactor::numberInQuery(query, "era").value_or(0);
+  const auto now = Clock.now();
+  fleet::AgedSnapshot snapshot{View.snapshotSince(after, version, era),
+                               View.age(now)};
+  snapshot.View.EraAge = View.eraAge(now);
+  return GossipCodec::encode(snapshot);
 }
 
 } // namespace auburnroute::edge
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -72,8 +72,8 @@
   /// Called when a registry call fails. A host without a view then asks its
   /// seeds again and takes any view.
   void onRegistryFailure();
-  /// The response body to GET /view?after=REVISION&version=VERSION, where \p
-  /// query is the part after '?'.
+  /// The response body to GET /view?after=REVISION&version=VERSION&era=ERA,
+  /// where \p query is the part after '?'.
   std::string snapshot(std::string_view query) const;
 
 private:
@@ -126,7 +126,8 @@
   common::TimePoint NextRound;
   std::size_t RoundCount = 0;
   std::uint64_t AnnouncedChangeCount = 0;
-  std::uint64_t AnnouncedRevision = 0;
+  std::uint64_t AnnouncedRevision = 0; ///< In era AnnouncedEra.
+  std::uint64_t AnnouncedEra = 0;
   common::TimePoint NextAnnounce;
   common::TimePoint StartedAt;
   common::TimePoint LastMessageAt;
--- a/Source/Edge/RegistryClient.cpp
+++ b/Source/Edge/RegistryClient.cpp
@@ -41,7 +41,7 @@
     onFailure(RegistryFailure::Malformed,
               common::fromAbsl(era.status().message()));
   } else {
-    reportEra(*era);
+    Reader.onEra(*era);
     if (result->Status == HttpResponse::Gone) {
       reportRead(call, result->Status, *era, 0, 0, 0);
       onFailure(RegistryFailure::Compacted,
@@ -75,17 +75,6 @@
                Reader.view().outdated() - outdated);
 }
 
-void RegistryClient::reportEra(std::uint64_t era) {
-  const auto before = std::exchange(LastEra, era);
-  if (!before || *before == era)
-    return;
-  Metrics.add(EdgeCounter::EraChanges);
-  if (Log.tryAdmit(LogEvent::RegistryEra))
-    Log.write(LogEvent::RegistryEra,
-              absl::StrCat("\"from\":", *before, ",\"to\":", era,
-                           ",\"revision\":", Reader.view().revision()));
-}
-
 void RegistryClient::reportRead(const fleet::RegistryCall &call, int status,
                                 std::uint64_t era, std::uint64_t revision,
                                 std::size_t entries, std::uint64_t outdated) {
--- a/Source/Edge/RegistryClient.h
+++ b/Source/Edge/RegistryClient.h
@@ -21,8 +21,6 @@
                  fleet::CauseHistory &history, EventLog &log,
                  EdgeMetrics &metrics, std::function<void()> onAnswer);
 
-  /// Era of the registry in its last answer; 0 before the first.
-  std::uint64_t era() const { return LastEra.value_or(0); }
   /// Sends the next call if one is due.
   void poll();
 
@@ -33,8 +31,6 @@
   /// Takes the page out of a response to \p call with status 200.
   void onBody(const fleet::RegistryCall &call, std::uint64_t era,
               std::string_view body);
-  /// Logs \p era if it differs from that of the last answer.
-  void reportEra(std::uint64_t era);
   /// Logs an answer that tells more than that nothing has changed. \p entries
   /// and \p outdated: number of entries in it, and of those not applied.
   void reportRead(const fleet::RegistryCall &call, int status,
@@ -51,7 +47,6 @@
   EdgeMetrics &Metrics;
   std::function<void()> OnAnswer;
   std::optional<bool> ReportedReachable; ///< Unset before the first report.
-  std::optional<std::uint64_t> LastEra;  ///< Era of the last answer.
 };
 
 } // namespace auburnroute::edge
--- a/Source/Edge/ViewListener.h
+++ b/Source/Edge/ViewListener.h
@@ -19,6 +19,12 @@
   void onConfiguration(std::uint64_t version) override;
   void onServer(const routing::ServerRegistration &server,
                 routing::DirectoryChange change) override;
+  void onEra(const fleet::EraChange &change) override {
+    Recorder.recordEra(change);
+  }
+  void onEraReconciled(const fleet::EraReconciliation &result) override {
+    Recorder.recordReconciliation(result);
+  }
 
 private:
   EventRecorder &Recorder;
--- a/Source/Emulator/EmulatedHost.h
+++ b/Source/Emulator/EmulatedHost.h
@@ -22,7 +22,7 @@
   }
   void remove(const std::string &server, std::uint64_t revision,
               common::TimePoint now) {
-    Directory.remove(server, revision, now);
+    Directory.apply(routing::removalOf(server, 0, revision), now);
   }
   /// Records that the registry was read completely at \p time.
   void setRegistryCompleteAt(common::TimePoint time) {
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -1,6 +1,8 @@
 #include "Fleet/FleetView.h"
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace auburnroute::fleet {
 
@@ -18,13 +20,25 @@
 
 } // namespace
 
-void FleetView::applyServer(const ServerRegistration &server, TimePoint now) {
+bool FleetView::applyServer(const ServerRegistration &server, TimePoint now) {
+  const auto *known = Directory.findByName(server.Name);
+  // Copied, as the directory changes it.
+  const auto before = known == nullptr ? server : known->Registration;
   const auto change = Directory.apply(server, now);
-  if (change == DirectoryChange::None)
-    return;
+  const bool isApplied = change != DirectoryChange::None;
+  withhold(server, before, isApplied, now);
+  if (isApplied)
+    recordChange(server, change, now);
+  return isApplied ||
+         (before.Era == server.Era && before.Revision == server.Revision);
+}
+
+void FleetView::recordChange(const ServerRegistration &server,
+                             DirectoryChange change, TimePoint now) {
   // Also record refreshes (a new revision with the same content): a peer may
   // hold an older state that differs in content.
-  History.push_back({server.Revision, now, server.Name});
+  if (server.Era == Era)
+    History.push_back({server.Revision, now, server.Name});
   if (change == DirectoryChange::Refreshed)
     return;
   ++ChangeCount;
@@ -32,40 +46,67 @@
     Observer.onServer(known->Registration, change);
 }
 
+void FleetView::withhold(const ServerRegistration &next,
+                         const ServerRegistration &known, bool isApplied,
+                         TimePoint now) {
+  if (isApplied) {
+    const auto it = Withheld.find(next.Name);
+    if (it != Withheld.end() && next.Era >= it->second.Era)
+      Withheld.erase(it);
+  }
+  const bool isNextNewer = next.Era > known.Era;
+  const auto &newer = isNextNewer ? next : known;
+  if (next.Era == known.Era || isApplied == isNextNewer ||
+      newer.State == ServerState::Lapsed)
+    return;
+  const auto [it, isNew] = Withheld.try_emplace(newer.Name, newer);
+  if (!isNew && std::tie(it->second.Era, it->second.Revision) <
+                    std::tie(newer.Era, newer.Revision))
+    it->second = newer;
+  // Peers that reconcile must know of it, too.
+  if (newer.Era == Era)
+    History.push_back({newer.Revision, now, newer.Name});
+}
+
+bool FleetView::isForgotten(const ServerRegistration &server) const {
+  // The view holds all entries of its era up to its revision, so another one
+  // has been removed, maybe so long ago that its removal was discarded.
+  const auto *known = Directory.findByName(server.Name);
+  if (server.Era == Era)
+    return server.Revision <= Revision && !Withheld.contains(server.Name) &&
+           (known == nullptr || known->Registration.Era != Era);
+  return known == nullptr && server.Era == PreviousEra &&
+         server.Revision <= PreviousRevision;
+}
+
 void FleetView::applyPeerServer(const ServerRegistration &server,
                                 TimePoint now) {
-  // The view holds all servers up to its revision, so an unknown one has been
-  // removed, so long ago that its removal was discarded.
-  if (server.Revision <= Revision &&
-      Directory.findByName(server.Name) == nullptr)
+  // What a peer knew of an era that is over is in the registry again once the
+  // view is reconciled.
+  if ((server.Era < Era && IsReconciled) || isForgotten(server))
     return;
   applyServer(server, now);
 }
 
-void FleetView::applyConfiguration(
+bool FleetView::applyConfiguration(
     const routing::RoutingConfiguration &configuration) {
   if (!Routes.apply(configuration))
-    return;
+    return configuration.Version == Routes.version();
   ++ChangeCount;
   Observer.onConfiguration(configuration.Version);
+  return true;
 }
 
 void FleetView::applyEntries(const RegistryPage &page, TimePoint now) {
-  for (const auto &it : page.Servers) {
-    const auto *known = Directory.findByName(it.Name);
-    if (known != nullptr && known->Registration.Revision > it.Revision)
-      ++Outdated;
-    applyServer(it, now);
+  for (auto server : page.Servers) {
+    server.Era = page.Era;
+    Outdated += applyServer(server, now) ? 0 : 1;
   }
   for (const auto &it : page.Removed) {
-    ServerRegistration lapsed;
-    lapsed.Name = it.Name;
-    lapsed.Revision = it.Revision;
-    lapsed.State = ServerState::Lapsed;
-    applyServer(lapsed, now);
+    applyServer(routing::removalOf(it.Name, page.Era, it.Revision), now);
   }
   if (page.Configuration)
-    applyConfiguration(*page.Configuration);
+    Outdated += applyConfiguration(*page.Configuration) ? 0 : 1;
 }
 
 void FleetView::applyChanges(const RegistryPage &page, TimePoint askedAt,
@@ -79,35 +120,112 @@
   std::vector<ServerRegistration> missing;
   for (const auto &it : Directory.all())
     if (it.IsOccupied && it.Registration.State != ServerState::Lapsed &&
-        it.Registration.Revision < revision &&
+        it.Registration.Era == Era && it.Registration.Revision < revision &&
         !present.contains(it.Registration.Name)) {
       missing.push_back(it.Registration);
       missing.back().State = ServerState::Lapsed;
       missing.back().Revision = revision;
     }
+  for (const auto &[name, server] : Withheld)
+    if (server.Era == Era && server.Revision < revision &&
+        !present.contains(name))
+      missing.push_back(routing::removalOf(name, Era, revision));
   for (const auto &it : missing)
     applyServer(it, now);
 }
 
+void FleetView::enterEra(std::uint64_t era, std::uint64_t revision,
+                         TimePoint enteredAt, TimePoint now) {
+  const EraChange change{Era, era, Revision, revision};
+  PreviousEra = Era;
+  PreviousRevision = Revision;
+  Era = era;
+  Revision = revision;
+  EraEnteredAt = enteredAt;
+  IsReconciled = false;
+  // Peers of the previous era need a full snapshot.
+  History.clear();
+  HistoryStart = revision;
+  // What changed while a list was read is known already, and new to others.
+  const auto remember = [&](const ServerRegistration &server) {
+    if (server.Era == era && server.Revision > revision)
+      History.push_back({server.Revision, now, server.Name});
+  };
+  for (const auto &it : Directory.all())
+    if (it.IsOccupied)
+      remember(it.Registration);
+  for (const auto &[name, server] : Withheld)
+    remember(server);
+  RemovalsUnknownUpTo = revision;
+  ++ChangeCount;
+  if (change.RevisionBefore != 0)
+    Observer.onEra(change);
+}
+
+void FleetView::reconcileEra(TimePoint now) {
+  if (IsReconciled || FreshAt < EraEnteredAt + RewriteTime)
+    return;
+  IsReconciled = true;
+  EraReconciliation result;
+  result.Era = Era;
+  // Pages of a list of the next era may have been read already.
+  std::vector<ServerRegistration> held;
+  absl::erase_if(Withheld, [&](const auto &it) {
+    if (it.second.Era == Era)
+      held.push_back(it.second);
+    return it.second.Era <= Era;
+  });
+  for (const auto &server : held) {
+    const auto *known = Directory.findByName(server.Name);
+    if (known != nullptr &&
+        (known->Registration.Era >= Era || known->hasLeft(server)))
+      continue;
+    ++result.Confirmed;
+    recordChange(server, Directory.confirm(server, now), now);
+  }
+  std::vector<ServerRegistration> lapsed;
+  for (const auto &it : Directory.all())
+    if (it.IsOccupied && it.Registration.Era < Era) {
+      lapsed.push_back(it.Registration);
+      lapsed.back().State = ServerState::Lapsed;
+      lapsed.back().Era = Era;
+      lapsed.back().Revision = Revision;
+    }
+  for (const auto &it : lapsed)
+    if (const auto change = Directory.apply(it, now);
+        change == DirectoryChange::Lapsed) {
+      ++result.Lapsed;
+      recordChange(it, change, now);
+    }
+  if (PreviousRevision != 0)
+    Observer.onEraReconciled(result);
+}
+
 void FleetView::finishList(const std::set<std::string> &listed,
-                           std::uint64_t baseRevision, TimePoint askedAt,
-                           TimePoint now) {
-  markMissingAsLapsed(listed, baseRevision, now);
+                           const ListStart &start, TimePoint now) {
+  if (start.Era < Era)
+    return;
+  if (start.Era > Era)
+    enterEra(start.Era, start.Revision, now, now);
+  markMissingAsLapsed(listed, start.Revision, now);
   // Peers with an older view need a full snapshot: what was removed before the
   // list was read does not show in it.
-  if (baseRevision > Revision) {
-    HistoryStart = std::max(HistoryStart, baseRevision);
-    RemovalsUnknownUpTo = std::max(RemovalsUnknownUpTo, baseRevision);
+  if (start.Revision > Revision) {
+    HistoryStart = std::max(HistoryStart, start.Revision);
+    RemovalsUnknownUpTo = std::max(RemovalsUnknownUpTo, start.Revision);
   }
-  advance(baseRevision, askedAt);
+  advance(start.Revision, start.AskedAt);
 }
 
 bool FleetView::applyPeerChanges(const ViewChanges &changes,
                                  milliseconds peerViewAge, TimePoint now) {
   for (const auto &it : changes.Servers)
     applyPeerServer(it, now);
-  if (Revision < changes.From || Revision == 0 ||
-      changes.ConfigurationVersion > Routes.version())
+  if (changes.ConfigurationVersion > Routes.version() || changes.Era > Era)
+    return false;
+  if (changes.Era < Era)
+    return true;
+  if (Revision < changes.From || Revision == 0)
     return false;
   if (changes.To >= Revision)
     advance(changes.To, now - peerViewAge - TransitTime);
@@ -120,12 +238,17 @@
     applyPeerServer(it, now);
   if (snapshot.Configuration.Version != 0)
     applyConfiguration(snapshot.Configuration);
+  if (snapshot.Era < Era || (snapshot.Era > Era && snapshot.From != 0))
+    return;
+  if (snapshot.Era > Era)
+    enterEra(snapshot.Era, snapshot.Revision, now - snapshot.EraAge, now);
   if (snapshot.Revision < Revision || snapshot.From > Revision)
     return;
   if (snapshot.From == 0) {
     std::set<std::string> present;
     for (const auto &it : snapshot.Servers)
-      present.insert(it.Name);
+      if (it.Era == Era)
+        present.insert(it.Name);
     markMissingAsLapsed(present, snapshot.Revision, now);
     // The sender may have discarded removals.
     RemovalsUnknownUpTo = std::max(RemovalsUnknownUpTo, snapshot.Revision);
@@ -142,6 +265,10 @@
   FreshAt = std::max(FreshAt, freshAt);
 }
 
+milliseconds FleetView::eraAge(TimePoint now) const {
+  return std::chrono::duration_cast<milliseconds>(now - EraEnteredAt);
+}
+
 milliseconds FleetView::age(TimePoint now) const {
   return std::chrono::duration_cast<milliseconds>(now - FreshAt);
 }
@@ -152,11 +279,14 @@
   changes.From = std::max(HistoryStart, since);
   changes.To = Revision;
   changes.ConfigurationVersion = Routes.version();
+  changes.Era = Era;
   std::set<std::string_view> seen;
   for (auto it = History.rbegin(); it != History.rend(); ++it) {
     if (it->Revision <= since || !seen.insert(it->Name).second)
       continue;
-    if (changes.Servers.size() == maxServers) {
+    const auto held = Withheld.find(it->Name);
+    const std::size_t n = held == Withheld.end() ? 1 : 2;
+    if (changes.Servers.size() + n > maxServers) {
       // Only a receiver that already has the changes left out may apply the
       // rest, so From is raised to the highest revision left out; History is
       // not sorted by revision.
@@ -165,22 +295,29 @@
     }
     if (const auto *known = Directory.findByName(it->Name))
       changes.Servers.push_back(known->Registration);
+    if (held != Withheld.end())
+      changes.Servers.push_back(held->second);
   }
   return changes;
 }
 
 ViewSnapshot FleetView::snapshotSince(std::uint64_t after,
-                                      std::uint64_t version) const {
+                                      std::uint64_t version,
+                                      std::uint64_t era) const {
   ViewSnapshot snapshot;
   snapshot.Revision = Revision;
+  snapshot.Era = Era;
   // Without a removal, a partial snapshot would leave the server in place.
-  if (after >= RemovalsUnknownUpTo)
+  if (era == Era && after >= RemovalsUnknownUpTo)
     snapshot.From = after;
   if (version < Routes.version())
     snapshot.Configuration = Routes.configuration();
   for (const auto &it : Directory.all())
-    if (it.IsOccupied && it.Registration.Revision > snapshot.From)
+    if (it.IsOccupied && (it.Registration.Era != Era ||
+                          it.Registration.Revision > snapshot.From))
       snapshot.Servers.push_back(it.Registration);
+  for (const auto &[name, server] : Withheld)
+    snapshot.Servers.push_back(server);
   return snapshot;
 }
 
@@ -190,7 +327,7 @@
     History.pop_front();
   }
   RemovalsUnknownUpTo =
-      std::max(RemovalsUnknownUpTo, Directory.discardExpired(now));
+      std::max(RemovalsUnknownUpTo, Directory.discardExpired(now, Era));
 }
 
 } // namespace auburnroute::fleet
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -5,6 +5,10 @@
 #include "Routing/RouteTable.h"
 #include "Routing/ServerDirectory.h"
 
+#include "absl/container/flat_hash_map.h"
+
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -21,6 +25,8 @@
   std::vector<routing::ServerRegistration> Servers;
   /// Version of the configuration at To, which is not part of the changes.
   std::uint64_t ConfigurationVersion = 0;
+  /// Era that From and To belong to, see RegistryPage.
+  std::uint64_t Era = 0;
 };
 
 /// Full or partial content of a view, for a host that lacks too much to catch
@@ -32,6 +38,33 @@
   std::uint64_t Revision = 0;
   routing::RoutingConfiguration Configuration; ///< Version 0 if omitted.
   std::vector<routing::ServerRegistration> Servers;
+  /// Era that From and Revision belong to, see RegistryPage.
+  std::uint64_t Era = 0;
+  /// Time for which the sender has been in the era.
+  std::chrono::milliseconds EraAge{0};
+};
+
+/// First answer of a list of the registry.
+struct ListStart {
+  std::uint64_t Revision = 0;
+  common::TimePoint AskedAt;
+  std::uint64_t Era = 0;
+};
+
+/// A view's change to another era of the registry.
+struct EraChange {
+  std::uint64_t From = 0;
+  std::uint64_t To = 0;
+  std::uint64_t RevisionBefore = 0; ///< In era From.
+  std::uint64_t Revision = 0;       ///< In era To.
+};
+
+/// What became of the servers that a restored registry did not show as known.
+struct EraReconciliation {
+  std::uint64_t Era = 0;
+  std::size_t Lapsed = 0; ///< They were not registered again.
+  /// The registry still holds an entry of them that looked outdated.
+  std::size_t Confirmed = 0;
 };
 
 /// Receives the changes of a view, for logging.
@@ -42,6 +75,8 @@
   virtual void onConfiguration(std::uint64_t version) = 0;
   virtual void onServer(const routing::ServerRegistration &server,
                         routing::DirectoryChange change) = 0;
+  virtual void onEra(const EraChange &change) = 0;
+  virtual void onEraReconciled(const EraReconciliation &result) = 0;
 };
 
 /// This host's copy of the registry, from its own reads and from peers.
@@ -49,15 +84,36 @@
 /// The view never goes back: the highest revision of a server and the highest
 /// version of the configuration win, and the revision up to which the view is
 /// complete only increases.
+///
+/// When the registry is restored from a backup, a new era begins: it gives out
+/// revisions again and lacks what was written last, until servers and operator
+/// have written it again. The view then takes the registry's new revisions, but
+/// keeps what it knew: entries that the server wrote before the known one do
+/// not count, and servers without an entry stay. After the rewrite time the
+/// registry's word holds: the view is reconciled.
 class FleetView {
 public:
   /// How long changes are kept for peers that lag. Peers that lag further fetch
   /// a snapshot.
   static constexpr std::chrono::seconds HistoryRetention{5};
 
+  /// \p rewriteTime: time within which living servers have written their
+  /// entries again after a restore of the registry, and the entries of others
+  /// have expired.
   FleetView(routing::RouteTable &routes, routing::ServerDirectory &directory,
-            ViewObserver &observer)
-      : Routes(routes), Directory(directory), Observer(observer) {}
+            ViewObserver &observer,
+            std::chrono::milliseconds rewriteTime = MinRewriteTime)
+      : Routes(routes), Directory(directory), Observer(observer),
+        RewriteTime(rewriteTime) {}
+
+  /// Servers are back in the registry about 2 s after its return.
+  static constexpr std::chrono::milliseconds MinRewriteTime{2500};
+  /// The rewrite time of servers that write each \p heartbeat; entries expire
+  /// after three of them.
+  static std::chrono::milliseconds
+  rewriteTimeFor(std::chrono::milliseconds heartbeat) {
+    return std::max(MinRewriteTime, heartbeat * 7 / 2);
+  }
 
   /// Applies entries that need not be complete, such as one page of a list.
   void applyEntries(const RegistryPage &page, common::TimePoint now);
@@ -65,10 +121,9 @@
   /// current as of \p askedAt.
   void applyChanges(const RegistryPage &page, common::TimePoint askedAt,
                     common::TimePoint now);
-  /// Completes a list that began at \p baseRevision and \p askedAt: servers
-  /// that it did not contain have lapsed.
-  void finishList(const std::set<std::string> &listed,
-                  std::uint64_t baseRevision, common::TimePoint askedAt,
+  /// Completes a list: servers that it did not contain have lapsed, unless it
+  /// is the first one of an era.
+  void finishList(const std::set<std::string> &listed, const ListStart &start,
                   common::TimePoint now);
   /// Applies a peer's changes. Returns whether the view is now complete up to
   /// \p changes.To, configuration included; if not, a snapshot is needed.
@@ -87,11 +142,21 @@
                             std::uint64_t since = 0) const;
   /// What a host lacks whose view is complete up to \p after and has
   /// configuration \p version; a full snapshot if removals after \p after may
-  /// be unknown here.
-  ViewSnapshot snapshotSince(std::uint64_t after, std::uint64_t version) const;
+  /// be unknown here, or if \p after belongs to another era than the view.
+  ViewSnapshot snapshotSince(std::uint64_t after, std::uint64_t version,
+                             std::uint64_t era = 0) const;
+  /// Ends the time in which a restored registry is filled again, if it is over
+  /// and the view is current.
+  void reconcileEra(common::TimePoint now);
 
   /// The view is complete up to this revision; 0 if it is empty.
   std::uint64_t revision() const { return Revision; }
+  /// Era that revision() belongs to, see RegistryPage.
+  std::uint64_t era() const { return Era; }
+  std::chrono::milliseconds eraAge(common::TimePoint now) const;
+  /// Whether the registry holds all living servers, as far as known: false for
+  /// some seconds after it was restored.
+  bool isReconciled() const { return IsReconciled; }
   /// Version of the active configuration; 0 if there is none.
   std::uint64_t configurationVersion() const { return Routes.version(); }
   /// The last time at which the view was known to be complete.
@@ -117,18 +182,43 @@
     common::TimePoint At;
     std::string Name;
   };
-  void applyServer(const routing::ServerRegistration &server,
+  /// Returns false if a later state of the server is known.
+  bool applyServer(const routing::ServerRegistration &server,
                    common::TimePoint now);
+  /// Reports and remembers the effect of an update of \p server.
+  void recordChange(const routing::ServerRegistration &server,
+                    routing::DirectoryChange change, common::TimePoint now);
+  /// Whether a peer's \p server has been removed since, though the directory
+  /// does not show it.
+  bool isForgotten(const routing::ServerRegistration &server) const;
+  /// Keeps the entry of the newer era, if \p next and \p known are of different
+  /// eras and the other one counts, until the view is reconciled.
+  void withhold(const routing::ServerRegistration &next,
+                const routing::ServerRegistration &known, bool isApplied,
+                common::TimePoint now);
+  void enterEra(std::uint64_t era, std::uint64_t revision,
+                common::TimePoint enteredAt, common::TimePoint now);
   /// Applies a server of a peer's view, which may be older than this one.
   void applyPeerServer(const routing::ServerRegistration &server,
                        common::TimePoint now);
-  void applyConfiguration(const routing::RoutingConfiguration &configuration);
+  bool applyConfiguration(const routing::RoutingConfiguration &configuration);
   void advance(std::uint64_t revision, common::TimePoint freshAt);
 
   routing::RouteTable &Routes;
   routing::ServerDirectory &Directory;
   ViewObserver &Observer;
+  std::chrono::milliseconds RewriteTime;
+  std::uint64_t Era = 0;
   std::uint64_t Revision = 0;
+  common::TimePoint EraEnteredAt;
+  bool IsReconciled = true;
+  /// The view was complete up to this revision when its last era ended.
+  std::uint64_t PreviousEra = 0;
+  std::uint64_t PreviousRevision = 0;
+  /// Entries of the registry in a new era that look outdated, by name. Until
+  /// the view is reconciled, an earlier entry that the server wrote later
+  /// counts.
+  absl::flat_hash_map<std::string, routing::ServerRegistration> Withheld;
   common::TimePoint FreshAt;
   std::uint64_t ChangeCount = 0;
   std::uint64_t Unreadable = 0;
--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -37,7 +37,9 @@
           in.leaving()};
 }
 
-void write(const routing::ServerRegistration &server, wire::Server &out) {
+/// \p era: era of the message.
+void write(const routing::ServerRegistration &server, std::uint64_t era,
+           wire::Server &out) {
   out.set_name(server.Name);
   out.set_identity(server.Identity);
   out.set_service(server.Service);
@@ -48,10 +50,14 @@
   out.set_state(static_cast<std::uint32_t>(server.State));
   out.set_cold_left_ms(clampedMilliseconds(server.WarmUpLeft));
   out.set_lifetime(server.StartTimeMs);
+  out.set_sequence(server.Sequence);
+  out.set_era_offset(static_cast<std::int64_t>(server.Era - era));
   out.set_revision(server.Revision);
 }
 
-std::optional<routing::ServerRegistration> read(const wire::Server &in) {
+/// \p era: era of the message.
+std::optional<routing::ServerRegistration> read(const wire::Server &in,
+                                                std::uint64_t era) {
   // Lapsed is the highest value of ServerState.
   if (!routing::isValidName(in.name()) ||
       in.state() > static_cast<std::uint32_t>(ServerState::Lapsed))
@@ -62,11 +68,18 @@
        !routing::isValidName(in.service()) || !routing::isValidName(in.zone())))
     return std::nullopt;
   return routing::ServerRegistration{
-      in.name(),     in.identity(),
-      in.service(),  {in.address(), static_cast<std::uint16_t>(in.port())},
-      in.zone(),     std::max(1U, in.slots()),
-      state,         milliseconds(in.cold_left_ms()),
-      in.lifetime(), in.revision()};
+      .Name = in.name(),
+      .Identity = in.identity(),
+      .Service = in.service(),
+      .Address = {in.address(), static_cast<std::uint16_t>(in.port())},
+      .Zone = in.zone(),
+      .Slots = std::max(1U, in.slots()),
+      .State = state,
+      .WarmUpLeft = milliseconds(in.cold_left_ms()),
+      .StartTimeMs = in.lifetime(),
+      .Sequence = in.sequence(),
+      .Era = era + static_cast<std::uint64_t>(in.era_offset()),
+      .Revision = in.revision()};
 }
 
 void write(const routing::RoutingConfiguration &configuration,
@@ -168,11 +181,12 @@
     write(it, *out.add_hosts());
   // Revision of the sender's view.
   out.set_revision(message.Changes.To);
+  out.set_era(message.Changes.Era);
   out.set_age_ms(clampedMilliseconds(message.ViewAge));
   out.set_configuration_version(message.Changes.ConfigurationVersion);
   out.set_changes_from(message.Changes.From);
   for (const auto &it : message.Changes.Servers)
-    write(it, *out.add_changes());
+    write(it, message.Changes.Era, *out.add_changes());
   for (const auto &it : message.Suspects) {
     auto &suspect = *out.add_suspects();
     suspect.set_identity(it.Identity);
@@ -211,11 +225,12 @@
   for (const auto &it : in.hosts())
     message.Hosts.push_back(read(it));
   message.Changes.To = in.revision();
+  message.Changes.Era = in.era();
   message.Changes.From = in.changes_from();
   // An invalid server rejects the whole message: without it, the changes would
   // not be complete up to Changes.To.
   for (const auto &it : in.changes()) {
-    auto server = read(it);
+    auto server = read(it, in.era());
     if (!server)
       return std::nullopt;
     message.Changes.Servers.push_back(*std::move(server));
@@ -249,9 +264,11 @@
   out.set_revision(snapshot.View.Revision);
   out.set_from(snapshot.View.From);
   out.set_age_ms(clampedMilliseconds(snapshot.Age));
+  out.set_era(snapshot.View.Era);
+  out.set_era_age_ms(clampedMilliseconds(snapshot.View.EraAge));
   write(snapshot.View.Configuration, *out.mutable_configuration());
   for (const auto &it : snapshot.View.Servers)
-    write(it, *out.add_servers());
+    write(it, snapshot.View.Era, *out.add_servers());
   return out.SerializeAsString();
 }
 
@@ -263,13 +280,15 @@
   AgedSnapshot snapshot;
   snapshot.View.Revision = in.revision();
   snapshot.View.From = in.from();
+  snapshot.View.Era = in.era();
+  snapshot.View.EraAge = milliseconds(in.era_age_ms());
   snapshot.Age = milliseconds(in.age_ms());
   if (auto configuration = read(in.configuration()))
     snapshot.View.Configuration = *std::move(configuration);
   else
     return std::nullopt;
   for (const auto &it : in.servers()) {
-    auto server = read(it);
+    auto server = read(it, in.era());
     if (!server)
       return std::nullopt;
     snapshot.View.Servers.push_back(*std::move(server));
--- a/Source/Fleet/RegistryCall.h
+++ b/Source/Fleet/RegistryCall.h
@@ -57,6 +57,7 @@
   Compacted,   ///< The registry has compacted its history beyond the requested
                ///< revision.
   Malformed,   ///< The answer could not be parsed.
+  Outdated,    ///< The answer is of an era before the known one.
 };
 
 } // namespace auburnroute::fleet
--- a/Source/Fleet/RegistryReader.cpp
+++ b/Source/Fleet/RegistryReader.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/RegistryReader.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace auburnroute::fleet {
 
@@ -32,8 +33,10 @@
   RegistryCall call;
   call.Timeout = Timing.AnswerTimeout;
   // Peers may already have supplied a complete view, so no list is needed.
-  if (NextStep == Step::List && View.isComplete() && !IsListNeeded)
+  if (NextStep == Step::List && View.isComplete() && !isListNeeded())
     NextStep = Step::Watch;
+  else if (NextStep == Step::Watch && isListNeeded())
+    NextStep = Step::List;
   switch (NextStep) {
   case Step::List:
     call.Kind = RegistryCallKind::List;
@@ -54,14 +57,32 @@
   }
   IsCallPending = true;
   CallStartedAt = now;
+  CallEra = View.era();
+  CallRevision = View.revision();
   return call;
 }
 
+bool RegistryReader::isListNeeded() const {
+  const std::pair position(View.era(), View.revision());
+  return View.era() < SeenEra ||
+         (LostRevision != 0 && position <= std::pair(LostEra, LostRevision));
+}
+
 void RegistryReader::onPage(const RegistryPage &page, TimePoint now) {
+  onEra(page.Era);
+  if (page.Era < std::max(SeenEra, View.era())) {
+    onFailure(RegistryFailure::Outdated, now);
+    return;
+  }
   IsCallPending = false;
   Failures = 0;
   NextCallAt = now;
   View.countUnreadable(page.Unreadable);
+  if (NextStep == Step::Watch && page.Era != CallEra) {
+    // Revisions were given out again, so the changes after the asked one are
+    // not all that is new.
+    return;
+  }
   if (NextStep == Step::Watch) {
     // Without a change the registry answers at the end of the wait, so the view
     // is current as of then. Otherwise the answer may be as old as the call.
@@ -74,8 +95,11 @@
     return;
   }
   if (NextStep == Step::List) {
-    ListRevision = page.Revision;
-    ListStartedAt = CallStartedAt;
+    FirstPage = {page.Revision, CallStartedAt, page.Era};
+  } else if (page.Era != FirstPage.Era) {
+    // The registry was restored while its list was read.
+    NextStep = Step::List;
+    return;
   }
   for (const auto &it : page.Servers)
     ListedNames.insert(it.Name);
@@ -87,9 +111,9 @@
 }
 
 void RegistryReader::finishList(TimePoint now) {
-  View.finishList(ListedNames, ListRevision, ListStartedAt, now);
+  View.finishList(ListedNames, FirstPage, now);
   ListedNames.clear();
-  IsListNeeded = false;
+  LostRevision = 0;
   NextStep = View.isComplete() ? Step::Watch : Step::List;
   NextCallAt =
       now + (View.isComplete() ? Timing.WatchPause : Timing.InitialBackoff);
@@ -99,7 +123,8 @@
   IsCallPending = false;
   if (failure == RegistryFailure::Compacted) {
     NextStep = Step::List;
-    IsListNeeded = true;
+    LostEra = CallEra;
+    LostRevision = CallRevision;
     NextCallAt = now;
     return;
   }
--- a/Source/Fleet/RegistryReader.h
+++ b/Source/Fleet/RegistryReader.h
@@ -4,6 +4,7 @@
 #include "Fleet/FleetView.h"
 #include "Fleet/RegistryCall.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -58,6 +59,9 @@
   std::optional<RegistryCall> nextCall(common::TimePoint now);
   /// Time at which nextCall() should be called.
   common::TimePoint nextCallAt() const { return NextCallAt; }
+  /// Called first for each answer, whatever its status: \p era is the era that
+  /// it states.
+  void onEra(std::uint64_t era) { SeenEra = std::max(SeenEra, era); }
   void onPage(const RegistryPage &page, common::TimePoint now);
   void onFailure(RegistryFailure failure, common::TimePoint now);
   /// Sets whether this host reads the registry. A pending call is not
@@ -77,20 +81,27 @@
 private:
   enum class Step : std::uint8_t { List, NextPage, Watch };
   void finishList(common::TimePoint now);
+  /// Whether a watch cannot go on from the view: the registry is in a later
+  /// era, or its history no longer has the view's revision.
+  bool isListNeeded() const;
 
   FleetView &View;
   RegistryReadTiming Timing;
   Step NextStep = Step::List;
-  /// The history after the view's revision was compacted.
-  bool IsListNeeded = false;
+  /// Highest era that the registry stated.
+  std::uint64_t SeenEra = 0;
+  std::uint64_t CallEra = 0; ///< Era of the view when the call was made.
+  std::uint64_t CallRevision = 0;
+  /// The registry's history does not have this revision.
+  std::uint64_t LostEra = 0;
+  std::uint64_t LostRevision = 0;
   bool IsActive = true;
   bool IsCallPending = false;
   std::uint32_t Failures = 0;
   common::TimePoint NextCallAt;
   common::TimePoint CallStartedAt;
   std::string After;
-  std::uint64_t ListRevision = 0; ///< Revision of the first page of a list.
-  common::TimePoint ListStartedAt;
+  ListStart FirstPage;
   std::set<std::string> ListedNames;
 };
 
--- a/Source/Routing/BackendServer.h
+++ b/Source/Routing/BackendServer.h
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <tuple>
+#include <utility>
 
 namespace auburnroute::routing {
 
@@ -35,10 +37,34 @@
   /// Remaining warm-up time after its start, as of when the entry was written.
   std::chrono::milliseconds WarmUpLeft{0};
   /// Start time of this run in ms since the epoch, by the server's own clock.
-  /// Only compared for equality.
   std::int64_t StartTimeMs = 0;
-  /// Revision of the entry; a higher one replaces a lower one.
+  /// Rises with each entry that this run of the server writes; 0 if unknown.
+  std::uint64_t Sequence = 0;
+  /// Era of the registry that Revision belongs to. A restored registry begins a
+  /// new era, in which revisions of the one before are given out again.
+  std::uint64_t Era = 0;
+  /// Revision of the entry; a higher one replaces a lower one of the same era.
   std::uint64_t Revision = 0;
 };
 
+/// The removal of the entry \p name, as a registration.
+inline ServerRegistration removalOf(std::string name, std::uint64_t era,
+                                    std::uint64_t revision) {
+  ServerRegistration removal;
+  removal.Name = std::move(name);
+  removal.State = ServerState::Lapsed;
+  removal.Era = era;
+  removal.Revision = revision;
+  return removal;
+}
+
+/// Whether the server wrote \p a before \p b. Unlike revisions, start times and
+/// sequence numbers are the server's own and go on when the registry is
+/// restored.
+inline bool isWrittenBefore(const ServerRegistration &a,
+                            const ServerRegistration &b) {
+  return std::tie(a.StartTimeMs, a.Sequence) <
+         std::tie(b.StartTimeMs, b.Sequence);
+}
+
 } // namespace auburnroute::routing
--- a/Source/Routing/ServerDirectory.cpp
+++ b/Source/Routing/ServerDirectory.cpp
@@ -11,25 +11,56 @@
 DirectoryChange ServerDirectory::apply(const ServerRegistration &registration,
                                        TimePoint now) {
   if (registration.State == ServerState::Lapsed)
-    return remove(registration.Name, registration.Revision, now);
-  if (const auto it = ByName.find(registration.Name); it != ByName.end())
-    return update(Servers[it->second], registration, now);
+    return remove(registration, now);
+  const auto it = ByName.find(registration.Name);
+  if (it == ByName.end())
+    return add(registration, now);
+  auto &server = Servers[it->second];
+  return replaces(registration, server.Registration)
+             ? store(server, registration, now)
+             : DirectoryChange::None;
+}
+
+DirectoryChange ServerDirectory::confirm(const ServerRegistration &registration,
+                                         TimePoint now) {
+  const auto it = ByName.find(registration.Name);
+  return it == ByName.end() ? add(registration, now)
+                            : store(Servers[it->second], registration, now);
+}
+
+bool ServerDirectory::replaces(const ServerRegistration &next,
+                               const ServerRegistration &known) {
+  if (next.Era == known.Era)
+    return next.Revision > known.Revision;
+  // An entry of an earlier era counts if the registry lost it. A removal in the
+  // new era shows that the server did not write it again.
+  if (next.Era < known.Era)
+    return known.State != ServerState::Lapsed && isWrittenBefore(known, next);
+  if (next.State == ServerState::Lapsed)
+    return true;
+  // The copy that the registry was restored from may hold an entry of a server
+  // that has left since.
+  if (known.State == ServerState::Lapsed)
+    return isWrittenBefore(known, next);
+  return !isWrittenBefore(next, known);
+}
+
+DirectoryChange ServerDirectory::add(const ServerRegistration &registration,
+                                     TimePoint now) {
   const auto id = allocateId();
   auto &server = Servers[id];
   server.IsOccupied = true;
   server.FirstSeen = now;
   server.Registration.Name = registration.Name;
   ByName.emplace(registration.Name, id);
-  update(server, registration, now);
+  store(server, registration, now);
   return DirectoryChange::Added;
 }
 
-DirectoryChange ServerDirectory::update(KnownServer &server,
-                                        const ServerRegistration &registration,
-                                        TimePoint now) {
+DirectoryChange ServerDirectory::store(KnownServer &server,
+                                       const ServerRegistration &registration,
+                                       TimePoint now) {
   const auto before = server.Registration;
-  if (registration.Revision <= before.Revision)
-    return DirectoryChange::None;
   const auto id = idOf(server);
   removeFromIndexes(id);
   if (before.Address != registration.Address)
@@ -55,34 +86,49 @@
   return same ? DirectoryChange::Refreshed : DirectoryChange::Updated;
 }
 
-DirectoryChange ServerDirectory::remove(std::string_view name,
-                                        std::uint64_t revision, TimePoint now) {
-  const auto it = ByName.find(common::toAbsl(name));
+DirectoryChange ServerDirectory::remove(const ServerRegistration &lapsed,
+                                        TimePoint now) {
+  const auto it = ByName.find(lapsed.Name);
   if (it == ByName.end()) {
     const auto id = allocateId();
     auto &server = Servers[id];
     server.IsOccupied = true;
     server.FirstSeen = server.LapsedAt = now;
-    server.Registration.Name = name;
+    server.Registration.Name = lapsed.Name;
     server.Registration.State = ServerState::Lapsed;
-    server.Registration.Revision = revision;
-    ByName.emplace(name, id);
+    server.Registration.StartTimeMs = lapsed.StartTimeMs;
+    server.Registration.Sequence = lapsed.Sequence;
+    server.Registration.Era = lapsed.Era;
+    server.Registration.Revision = lapsed.Revision;
+    ByName.emplace(lapsed.Name, id);
     return DirectoryChange::Refreshed;
   }
   auto &server = Servers[it->second];
   auto &known = server.Registration;
-  if (revision <= known.Revision)
+  if (!replaces(lapsed, known))
     return DirectoryChange::None;
-  known.Revision = revision;
-  if (known.State == ServerState::Lapsed)
+  // A removal that a peer passes on tells which entry was the last one. How a
+  // later run ended is not known.
+  const bool isLaterRun = lapsed.StartTimeMs > known.StartTimeMs;
+  if (isWrittenBefore(known, lapsed)) {
+    known.StartTimeMs = lapsed.StartTimeMs;
+    known.Sequence = lapsed.Sequence;
+  }
+  known.Era = lapsed.Era;
+  known.Revision = lapsed.Revision;
+  if (known.State == ServerState::Lapsed) {
+    server.LapsedWithoutDraining |= isLaterRun;
     return DirectoryChange::Refreshed;
-  server.LapsedWithoutDraining = known.State == ServerState::Ready;
+  }
+  server.LapsedWithoutDraining =
+      known.State == ServerState::Ready || isLaterRun;
   known.State = ServerState::Lapsed;
   server.LapsedAt = now;
   return DirectoryChange::Lapsed;
 }
 
-std::uint64_t ServerDirectory::discardExpired(TimePoint now) {
+std::uint64_t ServerDirectory::discardExpired(TimePoint now,
+                                              std::uint64_t era) {
   std::uint64_t highest = 0;
   for (ServerId id = 0; id < Servers.size(); ++id) {
     auto &server = Servers[id];
@@ -90,7 +136,8 @@
         server.Registration.State != ServerState::Lapsed ||
         now - server.LapsedAt < Retention)
       continue;
-    highest = std::max(highest, server.Registration.Revision);
+    if (server.Registration.Era == era)
+      highest = std::max(highest, server.Registration.Revision);
     removeFromIndexes(id);
     ByName.erase(server.Registration.Name);
     releaseAddress(id);
@@ -107,10 +154,14 @@
   if (added || it->second == id)
     return;
   auto &other = Servers[it->second];
-  // Entries may arrive in any order.
+  // Entries may arrive in any order. Of different eras, the server that started
+  // last has the address.
+  const auto &mine = server.Registration;
+  const auto &theirs = other.Registration;
   const bool isNewer =
-      server.Registration.Revision > other.Registration.Revision ||
-      other.Registration.State == ServerState::Lapsed;
+      theirs.State == ServerState::Lapsed ||
+      (mine.Era == theirs.Era ? mine.Revision > theirs.Revision
+                              : mine.StartTimeMs > theirs.StartTimeMs);
   (isNewer ? other : server).IsAddressReused = true;
   (isNewer ? server : other).IsAddressReused = false;
   if (isNewer)
--- a/Source/Routing/ServerDirectory.h
+++ b/Source/Routing/ServerDirectory.h
@@ -31,6 +31,17 @@
   bool LapsedWithoutDraining = false;
   /// Another server has registered with its address since.
   bool IsAddressReused = false;
+
+  /// Whether it announced the end of the run that \p registration shows as
+  /// ready. A run does not become ready again.
+  bool hasLeft(const ServerRegistration &registration) const {
+    const bool isLeaving =
+        Registration.State == ServerState::Draining ||
+        (Registration.State == ServerState::Lapsed && !LapsedWithoutDraining);
+    return isLeaving && Registration.Identity != 0 &&
+           registration.State == ServerState::Ready &&
+           Registration.StartTimeMs == registration.StartTimeMs;
+  }
 };
 
 /// Effect of an update on the directory.
@@ -47,8 +58,9 @@
 /// All backend servers, indexed by name, identity and tag.
 ///
 /// The highest revision of a registration wins, so updates may arrive from the
-/// registry and from peers in any order. Servers whose entry was removed are
-/// kept while their flows may be open.
+/// registry and from peers in any order. Revisions of different eras are not
+/// compared: there the order in which the server wrote the entries decides.
+/// Servers whose entry was removed are kept while their flows may be open.
 class ServerDirectory {
 public:
   /// \p retention: how long a lapsed server is kept.
@@ -58,13 +70,14 @@
   /// Stores a registration in any state if it is newer than the known one.
   DirectoryChange apply(const ServerRegistration &registration,
                         common::TimePoint now);
-  /// Records that the entry \p name was removed at \p revision. For an unknown
-  /// name this leaves a tombstone, so that an older entry does not add it.
-  DirectoryChange remove(std::string_view name, std::uint64_t revision,
-                         common::TimePoint now);
+  /// Stores a registration that the registry holds, whatever is known of the
+  /// server. Used when a restored registry has had the time to get the newest
+  /// entries again.
+  DirectoryChange confirm(const ServerRegistration &registration,
+                          common::TimePoint now);
   /// Discards lapsed servers after the retention time. Returns the highest
-  /// revision among those discarded, 0 if there are none.
-  std::uint64_t discardExpired(common::TimePoint now);
+  /// revision of \p era among those discarded, 0 if there are none.
+  std::uint64_t discardExpired(common::TimePoint now, std::uint64_t era);
 
   /// The server that \p tag identifies, or nullptr. If several match, one of \p
   /// service is preferred, then the one known longest, since the host that
@@ -98,9 +111,19 @@
   void claimAddress(ServerId id);
   /// Removes \p id from ByAddress.
   void releaseAddress(ServerId id);
-  DirectoryChange update(KnownServer &server,
-                         const ServerRegistration &registration,
+  /// Whether \p next takes the place of \p known.
+  static bool replaces(const ServerRegistration &next,
+                       const ServerRegistration &known);
+  /// Applies a registration in state Lapsed. For an unknown name this leaves a
+  /// tombstone, so that an older entry does not add the server.
+  DirectoryChange remove(const ServerRegistration &lapsed,
                          common::TimePoint now);
+  DirectoryChange add(const ServerRegistration &registration,
+                      common::TimePoint now);
+  /// Stores \p registration and returns how it differs from what was known.
+  DirectoryChange store(KnownServer &server,
+                        const ServerRegistration &registration,
+                        common::TimePoint now);
 
   std::chrono::seconds Retention;
   NameTable Services;
--- a/Source/State/Cause.cpp
+++ b/Source/State/Cause.cpp
@@ -46,6 +46,7 @@
     AUBURN_CAUSE(SettingsRefused);
     AUBURN_CAUSE(SettingsApplied);
     AUBURN_CAUSE(StopTimeout);
+    AUBURN_CAUSE(PlatformRestored);
 #undef AUBURN_CAUSE
   case Cause::Count:
     break;
--- a/Source/State/Cause.h
+++ b/Source/State/Cause.h
@@ -49,8 +49,9 @@
   PlatformUnreachable,
   SettingsRefused,
   SettingsApplied,
-  StopTimeout, ///< A graceful stop reached its limit.
-  Count,       ///< Number of causes; not a cause.
+  StopTimeout,      ///< A graceful stop reached its limit.
+  PlatformRestored, ///< The registry went back to a copy.
+  Count,            ///< Number of causes; not a cause.
 };
 
 /// Stable name of a cause, as in reports and metrics.
--- a/Source/State/CauseReport.cpp
+++ b/Source/State/CauseReport.cpp
@@ -59,6 +59,7 @@
     {Cause::StopTimeout,
      "reached the limit of its graceful stop with packets still arriving"},
     {Cause::PlatformUnreachable, "could not reach the platform"},
+    {Cause::PlatformRestored, "found the platform restored from a backup"},
     {Cause::SettingsApplied, "was put in force"},
     {Cause::SettingsRefused, "was refused"},
 };
--- a/Source/UnitTests/Edge/EventRecorderTest.cpp
+++ b/Source/UnitTests/Edge/EventRecorderTest.cpp
@@ -100,7 +100,7 @@
   Directory.apply(server(routing::ServerState::Draining, 2), Clock.now());
   Recorder.recordServer(server(routing::ServerState::Draining, 2),
                         DirectoryChange::Draining);
-  Directory.remove("s-1", 3, Clock.now());
+  Directory.apply(server(routing::ServerState::Lapsed, 3), Clock.now());
   Recorder.recordServer(server(routing::ServerState::Lapsed, 3),
                         DirectoryChange::Lapsed);
   const auto triggers =
--- a/Source/UnitTests/Fleet/FleetFixture.h
+++ b/Source/UnitTests/Fleet/FleetFixture.h
@@ -18,9 +18,17 @@
                 routing::DirectoryChange) override {
     ++ServerChanges;
   }
+  void onEra(const fleet::EraChange &change) override {
+    Eras.push_back(change.To);
+  }
+  void onEraReconciled(const fleet::EraReconciliation &result) override {
+    Reconciliations.push_back(result);
+  }
 
   std::vector<std::uint64_t> Versions;
   std::uint64_t ServerChanges = 0;
+  std::vector<std::uint64_t> Eras;
+  std::vector<fleet::EraReconciliation> Reconciliations;
 };
 
 /// How long the directory of a fixture keeps lapsed servers.
--- a/Source/UnitTests/Fleet/FleetModel.cpp
+++ b/Source/UnitTests/Fleet/FleetModel.cpp
@@ -75,6 +75,7 @@
   receive(n);
   finishFetch(n);
   pollCall(n);
+  view.reconcileEra(now);
   view.discardExpired(now);
   if (now >= host.NextRound || view.changeCount() != host.AnnouncedChangeCount)
     gossip(n, now < host.NextRound);
@@ -120,6 +121,7 @@
 
 void FleetModel::deliver(Host &host, const PendingCall &call) {
   const auto now = Clock.now();
+  host.Reader.onEra(call.Answer->Era);
   if (const auto *failure = std::get_if<RegistryFailure>(&call.Answer->Content))
     host.Reader.onFailure(*failure, now);
   else
@@ -187,10 +189,12 @@
   if (isCut || !peer.Fixture.View.isComplete())
     return;
   auto &view = host.Fixture.View;
-  const auto bytes = GossipCodec::encode(
-      fleet::AgedSnapshot{peer.Fixture.View.snapshotSince(
-                              view.revision(), view.configurationVersion()),
-                          peer.Fixture.View.age(now)});
+  fleet::AgedSnapshot answer{
+      peer.Fixture.View.snapshotSince(view.revision(),
+                                      view.configurationVersion(), view.era()),
+      peer.Fixture.View.age(now)};
+  answer.View.EraAge = peer.Fixture.View.eraAge(now);
+  const auto bytes = GossipCodec::encode(answer);
   if (const auto snapshot = GossipCodec::decodeSnapshot(bytes))
     view.applySnapshot(snapshot->View, snapshot->Age, now);
 }
--- a/Source/UnitTests/Fleet/FleetViewTest.cpp
+++ b/Source/UnitTests/Fleet/FleetViewTest.cpp
@@ -20,7 +20,7 @@
 void load(ViewFixture &it, common::TimePoint now) {
   it.View.applyEntries(
       samplePage(10, {sampleServer(1, 3), sampleServer(2, 4)}, 1), now);
-  it.View.finishList({"s1", "s2"}, 10, now, now);
+  it.View.finishList({"s1", "s2"}, {10, now}, now);
 }
 
 } // namespace
@@ -46,7 +46,7 @@
   ViewFixture it;
   load(it, clock.now());
   it.View.applyEntries(samplePage(30, {sampleServer(2, 4)}), clock.now());
-  it.View.finishList({"s2"}, 30, clock.now(), clock.now());
+  it.View.finishList({"s2"}, {30, clock.now()}, clock.now());
   BOOST_TEST((it.stateOf("s1") == ServerState::Lapsed));
   BOOST_TEST((it.stateOf("s2") == ServerState::Ready));
 }
@@ -58,7 +58,7 @@
   ViewFixture it;
   load(it, clock.now());
   it.View.applyPeerChanges({10, 31, {sampleServer(3, 31)}}, 0ms, clock.now());
-  it.View.finishList({"s1", "s2"}, 30, clock.now(), clock.now());
+  it.View.finishList({"s1", "s2"}, {30, clock.now()}, clock.now());
   BOOST_TEST((it.stateOf("s3") == ServerState::Ready));
 }
 
@@ -138,7 +138,7 @@
             names.insert(server.Name);
           }
         it.View.applyEntries(samplePage(revision, servers, 1), clock.now());
-        it.View.finishList(names, revision, clock.now(), clock.now());
+        it.View.finishList(names, {revision, clock.now()}, clock.now());
       };
       for (auto &it : views)
         list(it);
@@ -253,7 +253,7 @@
     load(late, clock.now());
     started.View.applyEntries(samplePage(30, {sampleServer(2, 4)}, 1),
                               clock.now());
-    started.View.finishList({"s2"}, 30, clock.now(), clock.now());
+    started.View.finishList({"s2"}, {30, clock.now()}, clock.now());
     relay.View.applySnapshot(started.View.snapshotSince(0, 0), 0ms,
                              clock.now());
     const auto &peer = isRelayed ? relay : started;
@@ -265,4 +265,133 @@
   }
 }
 
+namespace {
+
+/// A list of the registry in \p era.
+void readList(ViewFixture &it, std::uint64_t era, std::uint64_t revision,
+              const std::vector<routing::ServerRegistration> &servers,
+              common::TimePoint now) {
+  auto page = samplePage(revision, servers, 1);
+  page.Era = era;
+  std::set<std::string> names;
+  for (const auto &server : servers)
+    names.insert(server.Name);
+  it.View.applyEntries(page, now);
+  it.View.finishList(names, {revision, now, era}, now);
+}
+
+routing::ServerRegistration
+writtenServer(std::uint64_t identity, std::uint64_t revision,
+              std::uint64_t sequence, ServerState state = ServerState::Ready) {
+  auto server = sampleServer(identity, revision, state);
+  server.StartTimeMs = 1000;
+  server.Sequence = sequence;
+  return server;
+}
+
+} // namespace
+
+// The copy that the registry is restored from shows a server as ready that has
+// announced its end since. New flows would go to a server that leaves.
+BOOST_AUTO_TEST_CASE(LeavingServerIsNotReadyAgainAfterARestore) {
+  common::ManualClock clock;
+  ViewFixture it;
+  readList(
+      it, 1, 30,
+      {writtenServer(1, 25, 6, ServerState::Draining), writtenServer(2, 4, 1)},
+      clock.now());
+  clock.advance(fleet::FleetView::MinRewriteTime);
+  readList(it, 2, 20, {writtenServer(1, 3, 1), writtenServer(2, 4, 1)},
+           clock.now());
+  BOOST_TEST((it.stateOf("s1") == ServerState::Draining));
+  clock.advance(fleet::FleetView::MinRewriteTime);
+  readList(it, 2, 21, {writtenServer(1, 3, 1), writtenServer(2, 4, 1)},
+           clock.now());
+  it.View.reconcileEra(clock.now());
+  // A run that announced its end does not become ready again.
+  BOOST_TEST((it.stateOf("s1") == ServerState::Lapsed));
+  BOOST_TEST((it.stateOf("s2") == ServerState::Ready));
+}
+
+// A server that registered in the lost seconds stays in use until it had the
+// time to register again, and lapses if it did not.
+BOOST_AUTO_TEST_CASE(ServerThatIsNotRegisteredAgainLapsesAfterTheRewriteTime) {
+  common::ManualClock clock;
+  ViewFixture it;
+  readList(it, 1, 30, {writtenServer(1, 3, 1), writtenServer(2, 25, 1)},
+           clock.now());
+  readList(it, 2, 20, {writtenServer(1, 3, 1)}, clock.now());
+  it.View.reconcileEra(clock.now());
+  BOOST_TEST((it.stateOf("s2") == ServerState::Ready));
+  clock.advance(fleet::FleetView::MinRewriteTime);
+  // The view must be known to be complete after that time.
+  it.View.reconcileEra(clock.now());
+  BOOST_TEST((it.stateOf("s2") == ServerState::Ready));
+  readList(it, 2, 21, {writtenServer(1, 3, 1)}, clock.now());
+  it.View.reconcileEra(clock.now());
+  BOOST_TEST((it.stateOf("s2") == ServerState::Lapsed));
+  BOOST_TEST((it.stateOf("s1") == ServerState::Ready));
+  BOOST_REQUIRE(it.Observer.Reconciliations.size() == 1U);
+  BOOST_TEST(it.Observer.Reconciliations.front().Lapsed == 1U);
+}
+
+// A server does not write again what the copy has already. One that had lapsed
+// and come back in the lost seconds is in the copy with an earlier entry, and
+// must not lapse for good.
+BOOST_AUTO_TEST_CASE(UnchangedEntryIsConfirmedAfterTheRewriteTime) {
+  common::ManualClock clock;
+  ViewFixture reader;
+  ViewFixture follower;
+  readList(reader, 1, 30, {writtenServer(1, 25, 9)}, clock.now());
+  follower.View.applySnapshot(reader.View.snapshotSince(0, 0), 0ms,
+                              clock.now());
+  readList(reader, 2, 20, {writtenServer(1, 3, 1)}, clock.now());
+  // A host that enters the era by a peer's view must know of the entry, too.
+  follower.View.applySnapshot(reader.View.snapshotSince(30, 1, 1), 0ms,
+                              clock.now());
+  BOOST_TEST(follower.View.era() == 2U);
+  clock.advance(fleet::FleetView::MinRewriteTime + 1s);
+  for (auto *it : {&reader, &follower}) {
+    it->View.applyPeerChanges({.From = 20, .To = 21, .Servers = {}, .Era = 2},
+                              0ms, clock.now());
+    it->View.reconcileEra(clock.now());
+    BOOST_TEST((it->stateOf("s1") == ServerState::Ready));
+    BOOST_TEST(it->Directory.findByName("s1")->Registration.Era == 2U);
+  }
+}
+
+// A host that was suspended over the restore gossips revisions of the lost
+// history, which are higher. They must not advance the views of others, and it
+// must learn that it is behind.
+BOOST_AUTO_TEST_CASE(PeerOfAnEarlierEraIsBehind) {
+  common::ManualClock clock;
+  ViewFixture it;
+  ViewFixture suspended;
+  readList(suspended, 1, 30, {writtenServer(1, 3, 1)}, clock.now());
+  readList(it, 2, 20, {writtenServer(1, 3, 1)}, clock.now());
+  BOOST_TEST(it.View.applyPeerChanges(suspended.View.recentChanges(8), 0ms,
+                                      clock.now()));
+  BOOST_TEST(it.View.revision() == 20U);
+  BOOST_TEST(!suspended.View.applyPeerChanges(it.View.recentChanges(8), 0ms,
+                                              clock.now()));
+  suspended.View.applySnapshot(it.View.snapshotSince(30, 1, 1), 0ms,
+                               clock.now());
+  BOOST_TEST(suspended.View.era() == 2U);
+  BOOST_TEST(suspended.View.revision() == 20U);
+  BOOST_TEST((suspended.Observer.Eras == std::vector<std::uint64_t>{2}));
+}
+
+// A host of the last version states no era. Its revisions must not be taken for
+// ones of the current era.
+BOOST_AUTO_TEST_CASE(PeerWithoutErasDoesNotAdvanceTheView) {
+  common::ManualClock clock;
+  ViewFixture it;
+  readList(it, 2, 20, {writtenServer(1, 3, 1)}, clock.now());
+  it.View.applyPeerChanges({20, 40, {sampleServer(1, 39)}}, 0ms, clock.now());
+  BOOST_TEST(it.View.revision() == 20U);
+  BOOST_TEST(it.Directory.findByName("s1")->Registration.Revision == 3U);
+  // It gets a full snapshot, as it cannot state what it has.
+  BOOST_TEST(it.View.snapshotSince(20, 1).From == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Fleet/GossipCodecTest.cpp
+++ b/Source/UnitTests/Fleet/GossipCodecTest.cpp
@@ -25,10 +25,14 @@
     auto server = unittests::sampleServer(0x1234567890 + n, 100000 + n);
     server.Name = "i-1234567890";
     server.StartTimeMs = 1769245012022;
+    server.Sequence = 100000;
+    server.Era = 6;
     message.Changes.Servers.push_back(server);
   }
   message.Changes.From = 99000;
   message.Changes.To = 100100;
+  message.Changes.ConfigurationVersion = 100000;
+  message.Changes.Era = 7;
   for (std::size_t n = 0; n < GossipCodec::MaxSuspects; ++n)
     message.Suspects.push_back({0x1234567890 + n, 1500ms});
   return message;
@@ -62,9 +66,13 @@
   BOOST_TEST(decoded->Hosts.size() == message.Hosts.size());
   BOOST_TEST(decoded->Changes.From == 99000U);
   BOOST_TEST(decoded->Changes.To == 100100U);
+  BOOST_TEST(decoded->Changes.ConfigurationVersion == 100000U);
+  BOOST_TEST(decoded->Changes.Era == 7U);
   const auto &server = decoded->Changes.Servers.back();
   BOOST_TEST(server.Identity == message.Changes.Servers.back().Identity);
   BOOST_TEST(server.StartTimeMs == 1769245012022);
+  BOOST_TEST(server.Sequence == 100000U);
+  BOOST_TEST(server.Era == 6U);
   BOOST_TEST((server.Address == message.Changes.Servers.back().Address));
   BOOST_TEST((decoded->Suspects.back().SilentFor == 1500ms));
 }
--- a/Source/UnitTests/Fleet/RegistryModel.cpp
+++ b/Source/UnitTests/Fleet/RegistryModel.cpp
@@ -88,6 +88,7 @@
   if (stored.Entry.Revision != 0 && hasSameContent(stored.Entry, server.Entry))
     return;
   stored.Entry = server.Entry;
+  stored.Entry.Sequence = server.Sequence;
   stored.Entry.Revision = ++Now.Revision;
   Events.push_back({Now.Revision, now, server.Entry.Name, stored.Entry, 0});
 }
--- a/Source/UnitTests/Fleet/RegistryReaderTest.cpp
+++ b/Source/UnitTests/Fleet/RegistryReaderTest.cpp
@@ -162,4 +162,89 @@
   BOOST_TEST((timing.takeoverAge(58, false) <= 1500ms));
 }
 
+// Every answer states the era, also a refusal. A reader that waits for an
+// answer with status 410 goes on with revisions of the lost history if the
+// restored registry has passed them by then.
+BOOST_AUTO_TEST_CASE(EraOfARefusalLeadsToAList) {
+  Fixture it;
+  it.list();
+  it.call();
+  it.Reader.onEra(1);
+  it.Reader.onFailure(RegistryFailure::Refused, it.Clock.now());
+  it.Clock.advance(1600ms);
+  BOOST_TEST((it.call().Kind == RegistryCallKind::List));
+}
+
+// The pages of a list must be of one history: a server that registered in the
+// lost seconds would otherwise be taken for registered.
+BOOST_AUTO_TEST_CASE(ListThatSpansARestoreIsReadAgain) {
+  Fixture it;
+  it.call();
+  auto page = samplePage(30, {sampleServer(1, 29)}, 1);
+  page.Era = 1;
+  page.HasMore = true;
+  page.LastKey = "servers/s1";
+  it.Reader.onPage(page, it.Clock.now());
+  it.call();
+  page = samplePage(12, {sampleServer(2, 11)});
+  page.Era = 2;
+  it.Reader.onPage(page, it.Clock.now());
+  BOOST_TEST(!it.View.View.isComplete());
+  const auto call = it.call();
+  BOOST_TEST((call.Kind == RegistryCallKind::List));
+  BOOST_TEST(call.After.empty());
+}
+
+// An answer from before the restore that arrives late must not bring back what
+// the registry has lost, nor count as current.
+BOOST_AUTO_TEST_CASE(AnswerOfAnEarlierEraIsDropped) {
+  Fixture it;
+  it.call();
+  auto page = samplePage(12, {sampleServer(1, 3)}, 1);
+  page.Era = 2;
+  it.Reader.onPage(page, it.Clock.now());
+  it.Clock.advance(it.Reader.timing().WatchPause);
+  it.call();
+  page = samplePage(40, {sampleServer(9, 39)});
+  page.Era = 1;
+  it.Reader.onPage(page, it.Clock.now());
+  BOOST_TEST(it.View.View.revision() == 12U);
+  BOOST_TEST(it.View.Directory.findByName("s9") == nullptr);
+  BOOST_TEST(it.Reader.failures() == 1U);
+}
+
+// A watch that was sent before the view entered a new era asked for changes
+// after a revision of the old one.
+BOOST_AUTO_TEST_CASE(WatchAcrossARestoreDoesNotAdvanceTheView) {
+  Fixture it;
+  it.list();
+  it.call();
+  fleet::ViewSnapshot snapshot{
+      0, 8, unittests::sampleConfiguration(1), {sampleServer(1, 3)}};
+  snapshot.Era = 1;
+  it.View.View.applySnapshot(snapshot, 0ms, it.Clock.now());
+  auto page = samplePage(12, {sampleServer(2, 12)});
+  page.Era = 1;
+  it.Reader.onPage(page, it.Clock.now());
+  BOOST_TEST(it.View.View.revision() == 8U);
+  const auto call = it.call();
+  BOOST_TEST((call.Kind == RegistryCallKind::Watch));
+  BOOST_TEST(call.Revision == 8U);
+}
+
+// Load pattern: all hosts of a fleet see the restore at once. A host that gets
+// the new view from a peer must not read a list as well.
+BOOST_AUTO_TEST_CASE(ViewOfAPeerReplacesTheListAfterARestore) {
+  Fixture it;
+  it.list();
+  it.call();
+  it.Reader.onEra(1);
+  it.Reader.onFailure(RegistryFailure::Compacted, it.Clock.now());
+  fleet::ViewSnapshot snapshot{
+      0, 8, unittests::sampleConfiguration(1), {sampleServer(1, 3)}};
+  snapshot.Era = 1;
+  it.View.View.applySnapshot(snapshot, 0ms, it.Clock.now());
+  BOOST_TEST((it.call().Kind == RegistryCallKind::Watch));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Routing/RoutingFixture.h
+++ b/Source/UnitTests/Routing/RoutingFixture.h
@@ -86,7 +86,9 @@
     return Directory.idOf(*Directory.findByName(server.Name));
   }
   void lapse(std::uint64_t identity) {
-    Directory.remove("s" + std::to_string(identity), ++Revision, Clock.now());
+    Directory.apply(
+        routing::removalOf("s" + std::to_string(identity), 0, ++Revision),
+        Clock.now());
   }
 
   routing::FlowPacket packet(std::uint16_t port,
--- a/Source/UnitTests/Routing/ServerDirectoryTest.cpp
+++ b/Source/UnitTests/Routing/ServerDirectoryTest.cpp
@@ -46,8 +46,8 @@
   ServerDirectory directory(60s);
   auto it = registration("s-1", 1, 10);
   BOOST_TEST((directory.apply(it, clock.now()) == DirectoryChange::Added));
-  BOOST_TEST(
-      (directory.remove("s-1", 12, clock.now()) == DirectoryChange::Lapsed));
+  BOOST_TEST((directory.apply(routing::removalOf("s-1", 0, 12), clock.now()) ==
+              DirectoryChange::Lapsed));
   it.Revision = 11;
   BOOST_TEST((directory.apply(it, clock.now()) == DirectoryChange::None));
   BOOST_TEST(
@@ -60,7 +60,7 @@
 BOOST_AUTO_TEST_CASE(RemovalBeforeEntryIsKept) {
   common::ManualClock clock;
   ServerDirectory directory(60s);
-  directory.remove("s-1", 12, clock.now());
+  directory.apply(routing::removalOf("s-1", 0, 12), clock.now());
   directory.apply(registration("s-1", 1, 10), clock.now());
   BOOST_TEST(directory.readyCount() == 0U);
 }
@@ -100,12 +100,12 @@
   ServerDirectory directory(60s);
   directory.apply(registration("s-1", 1, 1), clock.now());
   const auto tag = directory.findByName("s-1")->Tag;
-  directory.remove("s-1", 2, clock.now());
+  directory.apply(routing::removalOf("s-1", 0, 2), clock.now());
   clock.advance(59s);
-  directory.discardExpired(clock.now());
+  directory.discardExpired(clock.now(), 0);
   BOOST_TEST((directory.findByTag(tag, 0) != nullptr));
   clock.advance(2s);
-  directory.discardExpired(clock.now());
+  directory.discardExpired(clock.now(), 0);
   BOOST_TEST((directory.findByTag(tag, 0) == nullptr));
 }
 
@@ -120,4 +120,41 @@
   BOOST_TEST((directory.apply(it, clock.now()) == DirectoryChange::Restarted));
 }
 
+// In the lost seconds a server's address went to another one. The entry of the
+// copy has a revision of the new era, but the later start has the address.
+BOOST_AUTO_TEST_CASE(AddressBelongsToTheLaterStartAcrossEras) {
+  common::ManualClock clock;
+  ServerDirectory directory(60s);
+  auto before = registration("s-1", 1, 10);
+  auto after = registration("s-2", 2, 24);
+  after.StartTimeMs = 9;
+  after.Era = 1;
+  before.Era = 2;
+  directory.apply(after, clock.now());
+  directory.apply(before, clock.now());
+  BOOST_TEST(directory.findByName("s-1")->IsAddressReused);
+  BOOST_TEST(!directory.findByName("s-2")->IsAddressReused);
+}
+
+// A server that starts again under its name in the lost seconds must not fall
+// back to its earlier run when the registry is restored.
+BOOST_AUTO_TEST_CASE(EarlierRunDoesNotReplaceALaterOneAcrossEras) {
+  common::ManualClock clock;
+  ServerDirectory directory(60s);
+  auto it = registration("s-1", 1, 24);
+  it.StartTimeMs = 9;
+  it.Sequence = 1;
+  directory.apply(it, clock.now());
+  auto copy = registration("s-1", 1, 30);
+  copy.Era = 1;
+  copy.Sequence = 8;
+  BOOST_TEST((directory.apply(copy, clock.now()) == DirectoryChange::None));
+  BOOST_TEST(directory.findByName("s-1")->Registration.StartTimeMs == 9);
+  // Its next entry counts, whatever its revision.
+  it.Era = 1;
+  it.Revision = 2;
+  it.Sequence = 2;
+  BOOST_TEST((directory.apply(it, clock.now()) == DirectoryChange::Refreshed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/platform/StoreCodecTest.cpp
+++ b/Source/UnitTests/platform/StoreCodecTest.cpp
@@ -74,6 +74,7 @@
   BOOST_TEST((it.State == ServerState::Ready));
   BOOST_TEST(it.WarmUpLeft.count() == 150);
   BOOST_TEST(it.StartTimeMs == 1769245012022);
+  BOOST_TEST(it.Sequence == 4U);
   BOOST_TEST(it.Revision == 412U);
   BOOST_TEST(page.Revision == 530U);
 }
@@ -180,4 +181,17 @@
   BOOST_TEST(!StoreCodec::decode({}, R"({"at_rev":1})").ok());
 }
 
+// A restore shows only in the header field "Store-Era"; one that cannot be read
+// must not pass for the first era.
+BOOST_AUTO_TEST_CASE(EraIsReadFromTheHeader) {
+  common::HttpResponse response;
+  BOOST_TEST(*StoreCodec::eraOf(response) == 0U);
+  response.Headers.emplace_back("store-era", "3");
+  BOOST_TEST(*StoreCodec::eraOf(response) == 3U);
+  for (const char *text : {"", "x", "-1", "3x", "18446744073709551616"}) {
+    response.Headers.back().second = text;
+    BOOST_TEST(!StoreCodec::eraOf(response).ok(), text);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/platform/StoreCodec.cpp
+++ b/Source/platform/StoreCodec.cpp
@@ -84,13 +84,13 @@
   if (!endpoint.ok() || (*state != "ready" && *state != "draining"))
     return std::nullopt;
   const auto slots = member<std::uint32_t>(*object, "slots");
+  const auto sequence = member<std::uint64_t>(*object, "sequence");
   // Each backend server increments "sequence" when it writes its entry, so an
   // entry without it was written by something else.
   const auto coldLeft =
       optionalMember<std::uint32_t>(*object, "cold_left_ms", 0);
   const auto born = optionalMember<std::int64_t>(*object, "born", 0);
-  if (!slots || *slots == 0 || !member<std::uint64_t>(*object, "sequence") ||
-      !coldLeft || !born)
+  if (!slots || *slots == 0 || !sequence || !coldLeft || !born)
     return std::nullopt;
   routing::ServerRegistration server;
   server.Name = id;
@@ -103,6 +103,7 @@
                                    : routing::ServerState::Draining;
   server.WarmUpLeft = milliseconds(*coldLeft);
   server.StartTimeMs = *born;
+  server.Sequence = *sequence;
   return server;
 }
 
