--- a/Source/Tool/FlowExplanation.cpp
+++ b/Source/Tool/FlowExplanation.cpp
@@ -5,6 +5,7 @@
 #include "absl/time/time.h"
 
 #include <algorithm>
+#include <map>
 
 namespace auburnroute::tool {
 
@@ -63,6 +64,16 @@
     return "the daemon stops";
   if (line.Event == "configuration")
     return absl::StrCat("configuration ", line.number("version"), " is active");
+  if (line.Event == "registry_era")
+    return line.text("phase") == "entered"
+               ? absl::StrCat("the registry was restored from a backup: era ",
+                              line.number("from"), " ended at revision ",
+                              line.number("revision_before"), ", era ",
+                              line.number("to"), " is at revision ",
+                              line.number("revision"))
+               : absl::StrCat("the restored registry is complete again; ",
+                              line.number("lapsed"),
+                              " servers were not registered again");
   if (line.Event == "registry")
     return line.Fields.value("reachable", false)
                ? "the registry responds"
@@ -78,8 +89,10 @@
   FlowExplanation explanation;
   explanation.Flow = flow;
   explanation.readFlowLines(archive);
-  if (explanation.IsFound)
+  if (explanation.IsFound) {
+    explanation.addOutdatedConfiguration(archive);
     explanation.addRelatedEvents(archive);
+  }
   explanation.addUnknowns(archive);
   return explanation;
 }
@@ -135,6 +148,28 @@
     appendUnique(Causes, absl::StrCat("refused: ", cause));
 }
 
+void FlowExplanation::addOutdatedConfiguration(LogArchive &archive) {
+  std::map<std::string, std::int64_t> versionByHost;
+  const LogLine *newest = nullptr;
+  for (const auto &line : archive.lines()) {
+    if (line.Event == "start")
+      versionByHost.erase(line.Host);
+    if (line.Event == "configuration") {
+      versionByHost[line.Host] = line.number("version");
+      if (newest == nullptr ||
+          line.number("version") > newest->number("version"))
+        newest = &line;
+    }
+    const auto it = versionByHost.find(line.Host);
+    if (line.text("flow") == Flow && newest != nullptr &&
+        it != versionByHost.end() && it->second < newest->number("version"))
+      appendUnique(Causes, absl::StrCat(line.Host, " decided by configuration ",
+                                        it->second, " while ", newest->Host,
+                                        " had ", newest->number("version"),
+                                        " since ", formatTime(newest->TimeMs)));
+  }
+}
+
 void FlowExplanation::addRelatedEvents(LogArchive &archive) {
   const auto contains = [](const auto &list, const std::string &name) {
     return std::ranges::find(list, name) != list.end();
@@ -148,10 +183,11 @@
         contains(Servers, line.text("server")) &&
         (line.Event == "server" || line.Event == "cleared" ||
          line.Event == "suspected" || line.Event == "verdict");
-    const bool isOfHost = contains(Hosts, line.Host) &&
-                          (line.Event == "pause" || line.Event == "start" ||
-                           line.Event == "stop" || line.Event == "registry" ||
-                           line.Event == "configuration");
+    const bool isOfHost =
+        contains(Hosts, line.Host) &&
+        (line.Event == "pause" || line.Event == "start" ||
+         line.Event == "stop" || line.Event == "registry" ||
+         line.Event == "registry_era" || line.Event == "configuration");
     const auto description = describe(line);
     if ((!isOfFlow && !isOfServer && !isOfHost) || description.empty())
       continue;
--- a/Source/Tool/FlowExplanation.h
+++ b/Source/Tool/FlowExplanation.h
@@ -30,6 +30,9 @@
 
 private:
   void readFlowLines(LogArchive &archive);
+  /// Adds a cause if a host decided on the flow by an older configuration than
+  /// another host had.
+  void addOutdatedConfiguration(LogArchive &archive);
   void addRelatedEvents(LogArchive &archive);
   void addUnknowns(LogArchive &archive);
   void addRefusalCause(const LogLine &line);
--- a/Source/Tool/StatusCommand.cpp
+++ b/Source/Tool/StatusCommand.cpp
@@ -4,12 +4,26 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
+
 namespace auburnroute::tool {
 
 namespace {
 
 using Json = nlohmann::json;
 
+/// Status of a host that runs auburnedge, which has no settings of its own.
+void writeEdgeText(const std::string &name, const Json &status,
+                   std::ostream &out) {
+  out << name << ": " << (status.value("ready", false) ? "ready" : "not ready")
+      << " in " << status.value("zone", "") << ", configuration "
+      << status.value("version", std::uint64_t{0}) << ", registry era "
+      << status.value("era", std::uint64_t{0}) << " revision "
+      << status.value("revision", std::uint64_t{0}) << ", view "
+      << status.value("view_age_ms", std::int64_t{0}) << " ms old, "
+      << status.value("servers", std::uint64_t{0}) << " backend servers\n";
+}
+
 void writeText(const std::string &name, const Json &status, std::ostream &out) {
   const auto &settings = status.at("settings");
   out << name << ": " << status.value("state", "") << " in "
@@ -54,11 +68,19 @@
   for (const auto &it : responses) {
     if (!it.Body.ok())
       continue;
-    const auto status = Json::parse(*it.Body);
+    const auto status = Json::parse(*it.Body, nullptr, false);
+    if (!status.is_object()) {
+      output.Err << "auburnctl: " << it.Host
+                 << ": the status is not a JSON object\n";
+      continue;
+    }
+    const auto name = status.value("host", it.Host);
     if (arguments.WritesJson)
       all["hosts"].push_back(status);
+    else if (status.contains("settings"))
+      writeText(name, status, output.Out);
     else
-      writeText(status.value("host", it.Host), status, output.Out);
+      writeEdgeText(name, status, output.Out);
   }
   if (arguments.WritesJson)
     output.Out << all.dump(2) << "\n";
--- a/Source/UnitTests/Fleet/RestoredRegistryTest.cpp
+++ b/Source/UnitTests/Fleet/RestoredRegistryTest.cpp
@@ -8,7 +8,6 @@
 using namespace auburnroute;
 using namespace std::chrono_literals;
 using fleet::RegistryCallKind;
-using fleet::RegistryFailure;
 using unittests::FleetModel;
 using unittests::samplePage;
 using unittests::sampleServer;
--- a/Source/UnitTests/Process/edge_fleet.py
+++ b/Source/UnitTests/Process/edge_fleet.py
@@ -19,6 +19,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 PACKET_HEADER = struct.Struct(">IBIIHIHIIH")
 SYN, ACK, FIN, RST = 8, 128, 64, 4
@@ -83,6 +84,20 @@
         self.calls = 0
         self.disturbed_at = -100.0
         self.silenced_before = -100.0
+        self.era = 1
+        self.copies = []  # (time, revision, items), oldest first
+
+    def restore(self, age):
+        """Goes back to the state of some seconds ago. What was written since is lost, and its revisions are given
+        out again."""
+        copies = [it for it in self.copies if it[0] <= now() - age]
+        if not copies:
+            return
+        _, self.revision, items = copies[-1]
+        self.items = dict(items)
+        self.copies = copies
+        self.events = [it for it in self.events if it["revision"] <= self.revision]
+        self.era += 1
 
     def silence_connections(self):
         """Stops answering on the open connections for good; new connections work."""
@@ -105,6 +120,7 @@
             self.notify({"key": key, "revision": self.revision, "tombstone": True})
 
     def notify(self, event):
+        self.copies.append((now(), self.revision, dict(self.items)))
         self.events.append(event)
         self.changed.set()
         self.changed = asyncio.Event()
@@ -127,7 +143,8 @@
                     writer.transport.abort()
                     return
                 text = json.dumps(body)
-                writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n\r\n{text}".encode())
+                writer.write(f"HTTP/1.1 {status} X\r\nStore-Era: {self.era}\r\n"
+                             f"Content-Length: {len(text)}\r\n\r\n{text}".encode())
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass
         finally:
@@ -140,6 +157,8 @@
             items = [it for key, it in sorted(self.items.items()) if key > parameters.get("after", "")]
             return 200, {"items": items[:10], "has_more": len(items) > 10, "at_rev": self.revision}
         after = int(parameters["after"])
+        if after > self.revision:
+            return 410, {}
         changed = self.changed
         found = [it for it in self.events if it["revision"] > after]
         if not found:
@@ -206,15 +225,32 @@
         self.flows, self.alive, self.draining_since = {}, True, None
         self.disturbed_at = -100.0
         self.busy = 0
+        self.entries_written = 0
+        self.state = "ready"
 
     async def start(self):
         self.transport = await open_udp((self.host, 8000), self.on_datagram)
         self.register("ready")
 
-    def register(self, state):
-        self.fleet.registry.put(f"servers/{self.name}", json.dumps({
+    def entry(self):
+        return json.dumps({
             "service": self.service, "address": f"{self.host}:8000", "zone": self.zone, "version": "v1",
-            "slots": 2, "state": state, "cold_left_ms": 0, "sequence": 1, "born": 1}))
+            "slots": 2, "state": self.state, "cold_left_ms": 0, "sequence": self.entries_written, "born": 1})
+
+    def register(self, state):
+        self.state = state
+        self.entries_written += 1
+        self.fleet.registry.put(f"servers/{self.name}", self.entry())
+
+    async def register_again(self):
+        """Writes the entry again if a restored registry has another one."""
+        await asyncio.sleep(random.uniform(0, 0.7))
+        item = self.fleet.registry.items.get(f"servers/{self.name}")
+        stored = json.loads(base64.b64decode(item["value"])) if item else {}
+        if self.alive and stored.get("state") != self.state:
+            self.register(self.state)
+        elif not self.alive:
+            await self.fleet.expire_entry(self)
 
     def drain(self):
         self.draining_since = now()
@@ -538,8 +574,9 @@
             routes.append({"name": "idle", "host": self.IDLE_ROUTE[0], "prefix": f"/{self.IDLE_ROUTE[1]}/",
                            "type": "safe", "service": "orders"})
         self.idle_route_dropped_at = None if with_idle else now()
-        self.registry.put("op/config", json.dumps({"version": self.version, "routes": routes, "services": [],
-                                                   "limits": {"idle_timeout_ms": 15000}}))
+        self.configuration = json.dumps({"version": self.version, "routes": routes, "services": [],
+                                         "limits": {"idle_timeout_ms": 15000}})
+        self.registry.put("op/config", self.configuration)
 
     async def add_server(self, service, zone):
         self.number += 1
@@ -657,6 +694,30 @@
         await asyncio.sleep(seconds)
         self.registry.set_mode("up")
 
+    async def restore_registry(self, age, seconds):
+        self.registry.restore(age)
+        await self.disrupt_registry(self.random.choice(["down", "silent", "reset"]), seconds)
+        rewrites = [asyncio.ensure_future(it.register_again()) for it in self.servers]
+        await asyncio.sleep(self.random.uniform(0, 1))
+        item = self.registry.items.get("op/config")
+        if item is None or json.loads(base64.b64decode(item["value"]))["version"] < self.version:
+            self.registry.put("op/config", self.configuration)
+        await asyncio.gather(*rewrites)
+        self.registry.disturbed_at = now()
+
+    async def restore_after_changes(self, seconds):
+        """Loses two versions and has the next one written at the revision that the hosts know."""
+        await asyncio.sleep(seconds)
+        self.busy.add("registry")
+        age = now()
+        for _ in range(2):
+            self.publish()
+            await asyncio.sleep(1)
+        await self.restore_registry(now() - age, 0.5)
+        self.busy.discard("registry")
+        self.publish()
+        self.log_event("registry restored")
+
     def trigger_event(self):
         host = self.random.choice(self.hosts)
         live = [it for it in self.servers if it.alive and not it.draining_since]
@@ -672,6 +733,8 @@
                   ("silence", "", None)]
         faults += [(f"registry {mode}", "", lambda mode=mode: self.disrupt_registry(mode, self.random.uniform(1, 4)))
                    for mode in ("down", "silent", "slow", "reset")]
+        faults += [("registry restored", "", lambda: self.restore_registry(self.random.uniform(0.5, 10),
+                                                                            self.random.uniform(0.1, 3)))] * 2
         faults += [(f"registry-link {mode}", host.name,
                     lambda mode=mode: host.disrupt_registry_link(mode, self.random.uniform(1, 5)))
                    for mode in RegistryProxy.MODES]
@@ -699,7 +762,16 @@
         all_metrics = [await it.metrics() for it in self.hosts]
         return sum(it["auburnedge_flows_placed_total"] - it["auburnedge_syns_repeated_total"] for it in all_metrics)
 
-    async def run(self, seconds, planned_only):
+    async def run_to_the_end(self, *arguments):
+        """Runs, and reports an exception at once: tasks that go on would delay it for ever."""
+        try:
+            await self.run(*arguments)
+        except Exception:
+            self.report_failure(traceback.format_exc())
+        finally:
+            self.is_over = True
+
+    async def run(self, seconds, planned_only, restores=False):
         self.planned_only = planned_only
         self.is_over, self.busy, self.tasks = False, set(), []
         await self.start()
@@ -707,12 +779,15 @@
         load = [asyncio.ensure_future(it) for caller in self.callers
                 for it in (self.send_requests(caller), self.keep_feed(caller), self.keep_feed(caller))]
         end = now() + seconds
+        if restores:
+            self.tasks.append(asyncio.ensure_future(self.restore_after_changes(seconds / 2)))
         while now() < end:
             await asyncio.sleep(self.random.uniform(0.3, 1.5))
             self.trigger_event()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         # All requests must be answered once the fleet has settled.
         await asyncio.sleep(SETTLE_SECONDS)
+        await self.check_views()
         before = dict(self.counts)
         placed = await self.flows_placed()
         await asyncio.sleep(2)
@@ -733,6 +808,26 @@
                 host.process.kill()
                 await host.process.wait()
 
+    async def check_views(self):
+        """Checks that all hosts have the registry's configuration, servers and era."""
+        entries = [json.loads(base64.b64decode(it["value"])) for key, it in self.registry.items.items()
+                   if key.startswith("servers/")]
+        expected = {"auburnedge_configuration_version": self.version, "auburnedge_registry_era": self.registry.era,
+                    "auburnedge_view_revision": self.registry.revision,
+                    "auburnedge_ready_servers": sum(it["state"] == "ready" for it in entries)}
+        for host in self.hosts:
+            metrics = await host.metrics()
+            for name, value in expected.items():
+                if metrics[name] != value:
+                    self.report_failure(f"{host.name}: {name} is {metrics[name]:.0f}, expected {value}")
+        status = await asyncio.create_subprocess_exec(
+            os.path.join(self.bin_dir, "auburnctl"), "status", "--hosts", f"{self.hosts[0].ip}:{CONTROL_PORT}",
+            stdout=asyncio.subprocess.PIPE)
+        text = (await status.communicate())[0].decode()
+        if text.count(f"registry era {self.registry.era} ") != len(self.hosts):
+            self.report_failure(f"auburnctl status does not show era {self.registry.era} of {len(self.hosts)} hosts: "
+                                f"{text!r}")
+
     async def check_causes_outlive_host(self):
         """Checks that the other hosts report the causes of a host that was killed."""
         gone, *others = self.random.sample(self.hosts, len(self.hosts))
@@ -763,6 +858,7 @@
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--calm", action="store_true", help="planned changes only, no faults")
+    parser.add_argument("--restored", action="store_true", help="restore the registry from a copy halfway")
     parser.add_argument("--net", type=int, default=0, choices=range(25), help="loopback network, to run several at once")
     parser.add_argument("--odd-bin-dir", help="programs of the hosts with odd numbers, for a fleet of two versions")
     parser.add_argument("--logs", help="folder for the logs; kept")
@@ -772,7 +868,7 @@
     random.seed(options.seed)
     fleet = Fleet(options.bin_dir, options.seed, folder, options.net, options.odd_bin_dir)
     try:
-        asyncio.run(fleet.run(options.seconds, options.calm))
+        asyncio.run(fleet.run_to_the_end(options.seconds, options.calm, options.restored))
     finally:
         for host in fleet.hosts:
             if host.process is not None and host.process.returncode is None:
--- a/Source/UnitTests/Tool/ExplainTest.cpp
+++ b/Source/UnitTests/Tool/ExplainTest.cpp
@@ -72,6 +72,26 @@
              "no server of the service was registered and ready");
 }
 
+// Guards against a request that an outdated route refused and whose explanation
+// names neither the later configuration nor the restored registry.
+BOOST_AUTO_TEST_CASE(OutdatedRouteIsNamed) {
+  LogArchive archive;
+  archive.addText(
+      R"(1 a-1 {"time_ms":1000,"event":"configuration","version":11}
+1 a-2 {"time_ms":1100,"event":"configuration","version":11}
+1 a-2 {"time_ms":2000,"event":"registry_era","phase":"entered","from":1,"to":2,"revision_before":23,"revision":22}
+1 a-1 {"time_ms":3000,"event":"configuration","version":14}
+1 a-2 {"time_ms":6500,"event":"refused","flow":")" +
+          Flow + R"(","cause":"no_route","reset":true}
+)",
+      "all.log");
+  const auto text = FlowExplanation::of(Flow, archive).text();
+  BOOST_TEST(contains(text, "a-2 decided by configuration 11 while a-1 had 14 "
+                            "since 00:00:03.000"));
+  BOOST_TEST(contains(text, "the registry was restored from a backup: era 1 "
+                            "ended at revision 23, era 2 is at revision 22"));
+}
+
 // Guards against made-up explanations of a flow that no log line names.
 BOOST_AUTO_TEST_CASE(FlowWithoutLogLinesIsNotFound) {
   LogArchive archive;
