Write a version at the revision that hosts know in the fleet's restore

Probes end with the run: a cancelled asyncio.wait_for() may return instead, after which the loop went on for ever.

--- a/Source/UnitTests/Process/EdgeFleetTest.sh
+++ b/Source/UnitTests/Process/EdgeFleetTest.sh
@@ -7,4 +7,4 @@
 here=$(dirname "$0")
 python3 "$here/edge_fleet.py" "$1" --seed 1 --seconds 8 --calm
 python3 "$here/edge_fleet.py" "$1" --seed 2 --seconds 12
-python3 "$here/edge_fleet.py" "$1" --seed 3 --seconds 8 --calm --restored
+python3 "$here/edge_fleet.py" "$1" --seed 3 --seconds 3 --calm --restored
--- a/Source/UnitTests/Process/edge_fleet.py
+++ b/Source/UnitTests/Process/edge_fleet.py
@@ -393,7 +393,7 @@
 
         Two failures take the host out of rotation, one success puts it back.
         """
-        while True:
+        while not self.fleet.is_over:
             ready = False
             try:
                 reader, writer = await asyncio.wait_for(asyncio.open_connection(self.ip, READY_PORT), 0.4)
@@ -709,14 +709,21 @@
         """Loses two versions and has the next one written at the revision that the hosts know."""
         await asyncio.sleep(seconds)
         self.busy.add("registry")
-        age = now()
+        began = now()
+        for n in range(6):
+            self.registry.put("other/key", str(n))
         for _ in range(2):
             self.publish()
             await asyncio.sleep(1)
-        await self.restore_registry(now() - age, 0.5)
-        self.busy.discard("registry")
+        known = self.registry.revision
+        await self.restore_registry(now() - began, 0.5)
+        await asyncio.sleep(1)
+        while self.registry.revision < known - 1:
+            self.registry.put("other/key", "again")
         self.publish()
-        self.log_event("registry restored")
+        self.registry.put("other/key", "last")
+        self.busy.discard("registry")
+        self.log_event(f"registry restored; revision {known} is that of version {self.version}")
 
     def trigger_event(self):
         host = self.random.choice(self.hosts)
@@ -780,8 +787,8 @@
                 for it in (self.send_requests(caller), self.keep_feed(caller), self.keep_feed(caller))]
         end = now() + seconds
         if restores:
-            self.tasks.append(asyncio.ensure_future(self.restore_after_changes(seconds / 2)))
-        while now() < end:
+            self.tasks.append(asyncio.ensure_future(self.restore_after_changes(seconds)))
+        while now() < end and not restores:
             await asyncio.sleep(self.random.uniform(0.3, 1.5))
             self.trigger_event()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -858,7 +865,7 @@
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--calm", action="store_true", help="planned changes only, no faults")
-    parser.add_argument("--restored", action="store_true", help="restore the registry from a copy halfway")
+    parser.add_argument("--restored", action="store_true", help="instead of random events, restore the registry from a copy")
     parser.add_argument("--net", type=int, default=0, choices=range(25), help="loopback network, to run several at once")
     parser.add_argument("--odd-bin-dir", help="programs of the hosts with odd numbers, for a fleet of two versions")
     parser.add_argument("--logs", help="folder for the logs; kept")
