Record a withheld entry once

Seen in the read: each gossip round with an entry that a host withholds renewed it in the history of changes, so hosts kept telling it to each other until their views were reconciled, up to 8 entries in each message. While the registry is away again after a restore, that has no end. WithheldEntriesAreToldOnce failed before.

--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -60,9 +60,13 @@
       newer.State == ServerState::Lapsed)
     return;
   const auto [it, isNew] = Withheld.try_emplace(newer.Name, newer);
-  if (!isNew && std::tie(it->second.Era, it->second.Revision) <
-                    std::tie(newer.Era, newer.Revision))
+  if (!isNew) {
+    // Recording it again would make hosts renew each other's history.
+    if (std::tie(it->second.Era, it->second.Revision) >=
+        std::tie(newer.Era, newer.Revision))
+      return;
     it->second = newer;
+  }
   // Peers that reconcile must know of it, too.
   if (newer.Era == Era)
     History.push_back({newer.Revision, now, newer.Name});
--- a/Source/UnitTests/Fleet/FleetViewTest.cpp
+++ b/Source/UnitTests/Fleet/FleetViewTest.cpp
@@ -360,6 +360,27 @@
   }
 }
 
+// Load pattern: hosts gossip entries of the copy that look outdated to each
+// other until the view is reconciled. Each round would renew the changes of all
+// hosts, up to 8 in each message, for as long as the registry is away again.
+BOOST_AUTO_TEST_CASE(WithheldEntriesAreToldOnce) {
+  common::ManualClock clock;
+  ViewFixture it;
+  readList(it, 1, 30, {writtenServer(1, 25, 9)}, clock.now());
+  readList(it, 2, 20, {writtenServer(1, 3, 1)}, clock.now());
+  fleet::ViewChanges changes{.From = 20, .To = 21, .Servers = {}, .Era = 2};
+  auto entry = writtenServer(1, 21, 1);
+  entry.Era = 2;
+  changes.Servers.push_back(entry);
+  it.View.applyPeerChanges(changes, 0ms, clock.now());
+  BOOST_TEST(it.View.recentChanges(8).Servers.size() == 2U);
+  clock.advance(fleet::FleetView::HistoryRetention - 1s);
+  it.View.applyPeerChanges(changes, 0ms, clock.now());
+  clock.advance(2s);
+  it.View.discardExpired(clock.now());
+  BOOST_TEST(it.View.recentChanges(8).Servers.empty());
+}
+
 // A host that was suspended over the restore gossips revisions of the lost
 // history, which are higher. They must not advance the views of others, and it
 // must learn that it is behind.
