Use removalOf for servers that lapse with a list or an era

markMissingAsLapsed and reconcileEra built the same registration by hand. Behaviour is unchanged: a removal of a known server takes only era and revision from it.

--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -125,11 +125,9 @@
   for (const auto &it : Directory.all())
     if (it.IsOccupied && it.Registration.State != ServerState::Lapsed &&
         it.Registration.Era == Era && it.Registration.Revision < revision &&
-        !present.contains(it.Registration.Name)) {
-      missing.push_back(it.Registration);
-      missing.back().State = ServerState::Lapsed;
-      missing.back().Revision = revision;
-    }
+        !present.contains(it.Registration.Name))
+      missing.push_back(
+          routing::removalOf(it.Registration.Name, Era, revision));
   for (const auto &[name, server] : Withheld)
     if (server.Era == Era && server.Revision < revision &&
         !present.contains(name))
@@ -189,12 +187,8 @@
   }
   std::vector<ServerRegistration> lapsed;
   for (const auto &it : Directory.all())
-    if (it.IsOccupied && it.Registration.Era < Era) {
-      lapsed.push_back(it.Registration);
-      lapsed.back().State = ServerState::Lapsed;
-      lapsed.back().Era = Era;
-      lapsed.back().Revision = Revision;
-    }
+    if (it.IsOccupied && it.Registration.Era < Era)
+      lapsed.push_back(routing::removalOf(it.Registration.Name, Era, Revision));
   for (const auto &it : lapsed)
     if (const auto change = Directory.apply(it, now);
         change == DirectoryChange::Lapsed) {
