Log why a server is taken to have ended, and count resets by reason

The line of a reset flow had neither the tag nor the rule that decided: address taken, silence after the entry lapsed, or a verdict. It now has both, with the unanswered requests and SYNs and the time of silence behind it. Decisions are unchanged. RoutingTests, FleetTests and EdgeTests pass.

--- a/Source/Edge/EdgeMetrics.cpp
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -40,6 +40,16 @@
     return "syns_repeated_total";
   case EdgeCounter::FlowsReset:
     return "flows_reset_total";
+  case EdgeCounter::ResetsRouteRemoved:
+    return "open_flows_reset_route_removed_total";
+  case EdgeCounter::ResetsUnknownServer:
+    return "open_flows_reset_unknown_server_total";
+  case EdgeCounter::ResetsAddressTaken:
+    return "open_flows_reset_address_taken_total";
+  case EdgeCounter::ResetsLapsedAndSilent:
+    return "open_flows_reset_lapsed_and_silent_total";
+  case EdgeCounter::ResetsVerdict:
+    return "open_flows_reset_verdict_total";
   case EdgeCounter::PacketsDropped:
     return "packets_dropped_total";
   case EdgeCounter::Suspicions:
--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -17,6 +17,12 @@
   FlowsPlaced,
   SynsRepeated,
   FlowsReset,
+  // Resets of open flows, by reason; also counted in FlowsReset.
+  ResetsRouteRemoved,
+  ResetsUnknownServer,
+  ResetsAddressTaken,
+  ResetsLapsedAndSilent,
+  ResetsVerdict,
   PacketsDropped,
   Suspicions,
   SuspectedVerdicts,
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -273,7 +273,7 @@
 
 void EdgeNode::resetFlowsOfDeadServers() {
   for (const auto id : Detector.takeDead())
-    Forwarder->resetFlows(Router.abandonFlowsOf(id));
+    Forwarder->resetFlows(Router.abandonFlowsOf(id, Clock.now()));
 }
 
 void EdgeNode::reloadSettings() {
--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -8,6 +8,7 @@
 
 using common::toAbsl;
 using routing::DirectoryChange;
+using routing::EndReason;
 using routing::FlowId;
 using routing::RefusalReason;
 using routing::ServerId;
@@ -57,6 +58,34 @@
   return state::Cause::None;
 }
 
+/// The counter of resets of open flows for the reason of \p packet.
+std::optional<EdgeCounter>
+resetCounterOf(const routing::RefusedPacket &packet) {
+  if (packet.IsDropped || packet.IsSyn)
+    return std::nullopt;
+  switch (packet.Why) {
+  case RefusalReason::RouteRemoved:
+    return EdgeCounter::ResetsRouteRemoved;
+  case RefusalReason::UnknownServer:
+    return EdgeCounter::ResetsUnknownServer;
+  case RefusalReason::ServerGone:
+    break;
+  default:
+    return std::nullopt;
+  }
+  switch (packet.End.Reason) {
+  case EndReason::AddressTaken:
+    return EdgeCounter::ResetsAddressTaken;
+  case EndReason::LapsedAndSilent:
+    return EdgeCounter::ResetsLapsedAndSilent;
+  case EndReason::Verdict:
+    return EdgeCounter::ResetsVerdict;
+  case EndReason::None:
+    break;
+  }
+  return std::nullopt;
+}
+
 std::string flowField(const FlowId &flow) {
   return absl::StrCat("\"flow\":\"", routing::toString(flow), "\"");
 }
@@ -77,6 +106,24 @@
                  Directory.at(server).Registration.Name);
 }
 
+std::string
+EventRecorder::openFlowFields(const routing::RefusedPacket &packet) const {
+  if (packet.IsSyn || packet.Tag == routing::ServerTag::None)
+    return {};
+  std::string fields =
+      absl::StrCat(",\"tag\":\"", absl::Hex(packet.Tag, absl::kZeroPad8), "\"");
+  if (packet.End && packet.Server) {
+    const auto &server = Directory.at(*packet.Server);
+    absl::StrAppend(
+        &fields, ",\"reason\":\"", toAbsl(routing::toString(packet.End.Reason)),
+        "\",\"requests\":", packet.End.RequestCount,
+        ",\"syns\":", packet.End.SynCount,
+        ",\"silent_ms\":", packet.End.Silence.count(), ",\"server_state\":\"",
+        toAbsl(routing::toString(server.Registration.State)), "\"");
+  }
+  return fields;
+}
+
 std::string EventRecorder::viewFields() const {
   if (View == nullptr)
     return {};
@@ -104,6 +151,8 @@
 void EventRecorder::onRefused(const routing::RefusedPacket &packet) {
   Metrics.add(packet.IsDropped ? EdgeCounter::PacketsDropped
                                : EdgeCounter::FlowsReset);
+  if (const auto counter = resetCounterOf(packet))
+    Metrics.add(*counter);
   if (!packet.IsDropped) {
     const auto &service = packet.Service
                               ? Directory.serviceNames().nameOf(*packet.Service)
@@ -126,7 +175,7 @@
                          packet.Server
                              ? absl::StrCat(",", serverField(*packet.Server))
                              : std::string(),
-                         viewFields()));
+                         openFlowFields(packet), viewFields()));
 }
 
 void EventRecorder::onSuspected(const FlowId &flow, ServerId server,
--- a/Source/Edge/EventRecorder.h
+++ b/Source/Edge/EventRecorder.h
@@ -58,6 +58,9 @@
   /// Records cause \p why with \p server and its service.
   void recordCause(state::Cause why, routing::ServerId server);
   const std::string &serviceOf(routing::ServerId server) const;
+  /// The tag of a packet of an open flow, and why its server is taken to have
+  /// ended.
+  std::string openFlowFields(const routing::RefusedPacket &packet) const;
   std::string viewFields() const;
 
   EventLog &Log;
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -44,6 +44,20 @@
   return "invalid";
 }
 
+std::string_view toString(EndReason reason) {
+  switch (reason) {
+  case EndReason::None:
+    return "none";
+  case EndReason::AddressTaken:
+    return "address_taken";
+  case EndReason::LapsedAndSilent:
+    return "lapsed_and_silent";
+  case EndReason::Verdict:
+    return "verdict";
+  }
+  return "invalid";
+}
+
 RoutingOutcome PacketRouter::onPacket(const FlowPacket &packet, TimePoint now) {
   const FlowId id{packet.Source, packet.Destination};
   if (Routes.version() == 0)
@@ -57,12 +71,15 @@
     return onFlowPacket(*route, packet, now);
   }
   if (packet.Rst)
-    return refuse(
-        {.Flow = id, .Why = RefusalReason::NoRoute, .IsDropped = true});
+    return refuse({.Flow = id,
+                   .Why = RefusalReason::NoRoute,
+                   .IsDropped = true,
+                   .Tag = packet.Echo});
   return refuse(
       {.Flow = id,
        .Why = packet.Syn ? RefusalReason::NoRoute : RefusalReason::RouteRemoved,
-       .IsSyn = packet.Syn});
+       .IsSyn = packet.Syn,
+       .Tag = packet.Echo});
 }
 
 RoutingOutcome PacketRouter::refuse(const RefusedPacket &packet) {
@@ -137,19 +154,32 @@
   return ForwardPacket{*server, Directory.at(*server).Tag};
 }
 
-bool PacketRouter::hasEnded(const KnownServer &server, TimePoint now) {
+ServerEnd PacketRouter::endOf(const KnownServer &server, TimePoint now) {
   const auto id = Directory.idOf(server);
+  const auto endBy = [&](EndReason reason) {
+    const auto &activity = Health.activity(id);
+    ServerEnd end{.Reason = reason,
+                  .RequestCount = activity.RetransmittedRequests,
+                  .SynCount = activity.RetransmissionCount -
+                              activity.RetransmittedRequests};
+    if (activity.RetransmissionCount > 0)
+      end.Silence = std::chrono::duration_cast<milliseconds>(
+          now - activity.FirstUnansweredAt);
+    return end;
+  };
   if (Health.isDead(id, now))
-    return true;
+    return endBy(EndReason::Verdict);
   if (server.Registration.State != ServerState::Lapsed)
-    return false;
+    return {};
   if (server.IsAddressReused)
-    return true;
+    return endBy(EndReason::AddressTaken);
   // A server that drained before its entry lapsed has shut down. Otherwise the
   // registry may be at fault, and a single retransmission may be due to packet
   // loss.
   return Health.isUnresponsive(id, server.LapsedWithoutDraining ? 2 : 1,
-                               EndedAfterSilence, now);
+                               EndedAfterSilence, now)
+             ? endBy(EndReason::LapsedAndSilent)
+             : ServerEnd();
 }
 
 RoutingOutcome PacketRouter::onFlowPacket(const Route &route,
@@ -187,18 +217,23 @@
   }
   // A reset lets the caller retry on a new flow at once instead of waiting for
   // a timeout.
-  if (packet.PayloadSize > 0 && hasEnded(*server, now)) {
-    Flows.erase(id);
-    return refuse({.Flow = id,
-                   .Why = RefusalReason::ServerGone,
-                   .Service = service,
-                   .Server = serverId});
-  }
+  if (packet.PayloadSize > 0)
+    if (const auto end = endOf(*server, now)) {
+      Flows.erase(id);
+      return refuse({.Flow = id,
+                     .Why = RefusalReason::ServerGone,
+                     .Service = service,
+                     .Server = serverId,
+                     .Tag = packet.Echo,
+                     .End = end});
+    }
   return ForwardPacket{serverId, packet.Echo};
 }
 
-std::vector<FlowPacket> PacketRouter::abandonFlowsOf(ServerId server) {
+std::vector<FlowPacket> PacketRouter::abandonFlowsOf(ServerId server,
+                                                     TimePoint now) {
   std::vector<FlowPacket> abandoned;
+  const auto end = endOf(Directory.at(server), now);
   for (const auto &[id, acknowledged] : Flows.busyFlowsOf(server)) {
     const auto *route = Routes.find(id.Service);
     if (route == nullptr || route->Kind == RequestKind::NonIdempotent)
@@ -207,7 +242,9 @@
     refuse({.Flow = id,
             .Why = RefusalReason::ServerGone,
             .Service = serviceOf(*route, id),
-            .Server = server});
+            .Server = server,
+            .Tag = Directory.at(server).Tag,
+            .End = end});
     FlowPacket packet;
     packet.Source = id.Caller;
     packet.Destination = id.Service;
@@ -226,7 +263,8 @@
   RefusedPacket refused{.Flow = id,
                         .Why = RefusalReason::UnknownServer,
                         .IsDropped = true,
-                        .Service = service};
+                        .Service = service,
+                        .Tag = packet.Echo};
   if (UnknownTags.size() >= MaxUnknownTags &&
       !UnknownTags.contains(packet.Echo))
     return refuse(refused);
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -34,7 +34,8 @@
   /// Non-idempotent requests are left until they are retransmitted: a reset
   /// gains their callers nothing, and the server may be slow after all. Returns
   /// the last packet of each flow as far as a reset needs it.
-  std::vector<FlowPacket> abandonFlowsOf(ServerId server);
+  std::vector<FlowPacket> abandonFlowsOf(ServerId server,
+                                         common::TimePoint now);
   /// Suspects servers that did not answer a SYN. A server that crashed on a
   /// machine that is up resets SYNs past this host, so that callers send no
   /// copies. Call every 50 to 100 ms.
@@ -85,7 +86,7 @@
   void recordAnswer(ServerId server, common::TimePoint sentAt,
                     common::TimePoint now);
   /// Whether the server has certainly ended, so that its flows can be reset.
-  bool hasEnded(const KnownServer &server, common::TimePoint now);
+  ServerEnd endOf(const KnownServer &server, common::TimePoint now);
 
   const RouteTable &Routes;
   ServerDirectory &Directory;
--- a/Source/Routing/RoutingObserver.h
+++ b/Source/Routing/RoutingObserver.h
@@ -2,6 +2,7 @@
 
 #include "Routing/FlowId.h"
 #include "Routing/RoutingOutcome.h"
+#include "Routing/ServerEnd.h"
 #include "Routing/ServerHealthTracker.h"
 
 #include <optional>
@@ -18,6 +19,10 @@
   std::optional<NameTable::Id> Service = std::nullopt;
   /// Backend server of an open flow, if it is known.
   std::optional<ServerId> Server = std::nullopt;
+  /// Tag of the packet; ServerTag::None in a SYN.
+  std::uint32_t Tag = ServerTag::None;
+  /// Why the server is taken to have ended, if the reason is ServerGone.
+  ServerEnd End = {};
 };
 
 /// Receives the decisions of a PacketRouter, for logs and metrics.
--- a/Source/UnitTests/Edge/EventRecorderTest.cpp
+++ b/Source/UnitTests/Edge/EventRecorderTest.cpp
@@ -109,4 +109,33 @@
   BOOST_TEST((triggers.front().Cause == Cause::BackendServerDraining));
 }
 
+// Guards against resets of open flows whose rule cannot be told afterwards.
+BOOST_AUTO_TEST_CASE(ResetsOfOpenFlowsAreCountedByReason) {
+  using edge::EdgeCounter;
+  using routing::RefusalReason;
+  const auto id = add();
+  Recorder.onRefused({.Flow = Flow, .Why = RefusalReason::RouteRemoved});
+  Recorder.onRefused(
+      {.Flow = Flow, .Why = RefusalReason::NoRoute, .IsSyn = true});
+  Recorder.onRefused({.Flow = Flow,
+                      .Why = RefusalReason::UnknownServer,
+                      .IsDropped = true,
+                      .Tag = 7});
+  for (const auto reason :
+       {routing::EndReason::AddressTaken, routing::EndReason::LapsedAndSilent,
+        routing::EndReason::Verdict})
+    Recorder.onRefused({.Flow = Flow,
+                        .Why = RefusalReason::ServerGone,
+                        .Server = id,
+                        .Tag = 7,
+                        .End = {.Reason = reason}});
+  const auto &metrics = Recorder.metrics();
+  BOOST_TEST(metrics.value(EdgeCounter::FlowsReset) == 5U);
+  BOOST_TEST(metrics.value(EdgeCounter::ResetsRouteRemoved) == 1U);
+  BOOST_TEST(metrics.value(EdgeCounter::ResetsUnknownServer) == 0U);
+  BOOST_TEST(metrics.value(EdgeCounter::ResetsAddressTaken) == 1U);
+  BOOST_TEST(metrics.value(EdgeCounter::ResetsLapsedAndSilent) == 1U);
+  BOOST_TEST(metrics.value(EdgeCounter::ResetsVerdict) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Routing/PacketRouterTest.cpp
+++ b/Source/UnitTests/Routing/PacketRouterTest.cpp
@@ -194,13 +194,13 @@
   it.data(1, dead, 1000, 5000, 100);
   it.data(2, dead, 1000, 7000, 100);
   it.data(3, dead, 1000, 5000, 0);
-  auto abandoned = it.Router.abandonFlowsOf(0);
+  auto abandoned = it.Router.abandonFlowsOf(0, it.Clock.now());
   BOOST_REQUIRE(abandoned.size() == 2U);
   for (const auto &packet : abandoned)
     BOOST_TEST(packet.Acknowledgement ==
                (packet.Source.Port == 1 ? 5000U : 7000U));
   BOOST_TEST(it.Observer.Refused.size() == 2U);
-  BOOST_TEST(it.Router.abandonFlowsOf(0).empty());
+  BOOST_TEST(it.Router.abandonFlowsOf(0, it.Clock.now()).empty());
 
   auto configuration = it.Routes.configuration();
   configuration.Version = 2;
@@ -208,7 +208,7 @@
     route.Kind = routing::RequestKind::NonIdempotent;
   it.Routes.apply(configuration);
   it.data(4, dead, 1000, 5000, 100);
-  BOOST_TEST(it.Router.abandonFlowsOf(0).empty());
+  BOOST_TEST(it.Router.abandonFlowsOf(0, it.Clock.now()).empty());
 }
 
 // Once another server has registered at its address, a lapsed server has ended
