Take a server for dead by one rule, from requests on open flows

Callers saw: an open flow reset while its server served, 4 to 6 s after hosts had started without a view.

Cause: a single host took a server for dead from any three unanswered packets, SYNs included, and reset every open flow to it for 3.8 s. A host that waits for its first view then forwards what waited in its socket; these SYNs are answered, but their callers have given up and acknowledge nothing. The verdict kept the packets away that would have refuted it. The zone's detector never ends a flow for SYNs alone; the two rules had grown apart.

SilenceRule is now the only rule by which silence ends open flows. The zone's detector applies it, also in a zone of one host, and lapsed servers need it as well; the host's own verdict is gone. SYNs count only next to a request and between two hosts. A lapsed server needed one retransmission after 300 ms if it had drained, although it may serve on for many seconds, or two of any kind.

Ruled out: an old view (resets with a view younger than 1 s), loss (all servers of the directory were suspected at once, 181 ms after the start).

FlowsOfADeadServerAreReset expected the host's own verdict; it now wants none without the zone's, and LoneHostFindsASilentServer checks that a host without peers still finds a silent server within a second.

--- a/Source/Fleet/FailureAggregator.cpp
+++ b/Source/Fleet/FailureAggregator.cpp
@@ -6,6 +6,7 @@
 namespace auburnroute::fleet {
 
 using common::TimePoint;
+using routing::AnswerQuality;
 using routing::SilenceEvidence;
 using std::chrono::milliseconds;
 
@@ -73,15 +74,7 @@
   if (zoneHostCount >= Limits.MinHostsForReporters &&
       it.Reports.size() < Limits.DeadReporters)
     return false;
-  const bool isEnough =
-      quality.HasManyRetransmissions
-          ? evidence.RequestCount >= Limits.DeadRequestsUnderLoss
-          : evidence.RequestCount >= Limits.DeadRequests ||
-                (evidence.RequestCount > 0 &&
-                 evidence.RequestCount + evidence.SynCount >= Limits.DeadTotal);
-  const auto silence = std::max(Limits.MinDeadSilence,
-                                Limits.DeadLatencyFactor * quality.Slowest);
-  return isEnough && now - evidence.Since >= silence &&
+  return Limits.Silence.isDead(evidence, quality, it.Reports.size(), now) &&
          now - it.DecidedAt >= Limits.RefutationTime;
 }
 
--- a/Source/Fleet/FailureAggregator.h
+++ b/Source/Fleet/FailureAggregator.h
@@ -13,34 +13,15 @@
 
 namespace auburnroute::fleet {
 
-/// How fast and how reliably servers answer the requests of this host.
-struct AnswerQuality {
-  std::chrono::milliseconds Slowest{0}; ///< Of the recent answers.
-  /// Many requests were answered only after a retransmission.
-  bool HasManyRetransmissions = false;
-};
-
 /// Thresholds of the verdicts.
 struct VerdictLimits {
   /// Unanswered packets, of several callers, that make a server suspected.
   std::uint32_t SuspectedCount = 2;
-  /// A server is dead if this many requests on open flows, or one of them and
-  /// this many packets in total, went unanswered. SYNs alone do not show it: a
-  /// server without a free place for a flow ignores them.
-  std::uint32_t DeadRequests = 2;
-  std::uint32_t DeadTotal = 3;
-  /// The number of requests while this host sees many retransmissions: then
-  /// several requests in a row are lost now and then.
-  std::uint32_t DeadRequestsUnderLoss = 3;
+  routing::SilenceRule Silence;
   /// In a zone of at least MinHostsForReporters hosts this many of them must
   /// have reported the server: one alone may have lost only its own way to it.
   std::size_t DeadReporters = 2;
   std::size_t MinHostsForReporters = 4;
-  /// Shortest silence of a dead server. Callers retransmit after 200 ms, so at
-  /// least one retransmission went unanswered, too.
-  std::chrono::milliseconds MinDeadSilence{400};
-  /// A dead server is silent for this many times the slowest recent answer.
-  int DeadLatencyFactor = 2;
   /// Time between the announcement of a suspicion and the verdict, in which
   /// any host of the zone can tell of an answer.
   std::chrono::milliseconds RefutationTime{100};
@@ -87,7 +68,7 @@
   void onAnswer(std::uint64_t identity, common::TimePoint answeredAt);
   /// The decisions since the last call. \p zoneHostCount: number of hosts that
   /// may report, including this one.
-  std::vector<Decision> takeDecisions(const AnswerQuality &quality,
+  std::vector<Decision> takeDecisions(const routing::AnswerQuality &quality,
                                       std::size_t zoneHostCount,
                                       common::TimePoint now);
   /// Discards all evidence, for example after a pause of the process.
@@ -114,7 +95,7 @@
   /// The sum of the reports.
   static routing::SilenceEvidence total(const Case &it);
   bool isDead(const Case &it, const routing::SilenceEvidence &evidence,
-              const AnswerQuality &quality, std::size_t zoneHostCount,
+              const routing::AnswerQuality &quality, std::size_t zoneHostCount,
               common::TimePoint now) const;
   void decide(std::uint64_t identity, Case &it, VerdictKind kind,
               common::TimePoint since, common::TimePoint now);
--- a/Source/Fleet/SharedFailureDetector.cpp
+++ b/Source/Fleet/SharedFailureDetector.cpp
@@ -136,10 +136,8 @@
     ToZone.push_back(std::move(out));
     message.Verdicts.clear();
   };
-  const AnswerQuality quality{Health.slowestAnswer(),
-                              Health.hasManyRetransmissions()};
-  for (const auto &it :
-       Aggregator.takeDecisions(quality, zoneHosts(now).size(), now)) {
+  for (const auto &it : Aggregator.takeDecisions(Health.answerQuality(),
+                                                 zoneHosts(now).size(), now)) {
     // The verdict of a host that has seen a later answer itself is void.
     const bool isValid = apply(it.Verdict, Peers.self().Address, now);
     if (!isValid)
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -13,10 +13,6 @@
 
 /// Callers give up on a connection attempt 1.4 s after the first SYN.
 constexpr milliseconds SynLifetime{1500};
-/// A server whose entry lapsed is considered ended when retransmissions went
-/// unanswered for this long. Callers retransmit after 200 ms, so a single lost
-/// packet does not reach the limit.
-constexpr milliseconds EndedAfterSilence{300};
 /// Longer than callers keep sending on a flow without an answer.
 constexpr milliseconds UnknownTagMemory{20000};
 
@@ -173,11 +169,9 @@
     return {};
   if (server.IsAddressReused)
     return endBy(EndReason::AddressTaken);
-  // A server that drained before its entry lapsed has shut down. Otherwise the
-  // registry may be at fault, and a single retransmission may be due to packet
-  // loss.
-  return Health.isUnresponsive(id, server.LapsedWithoutDraining ? 2 : 1,
-                               EndedAfterSilence, now)
+  // The entry alone shows nothing: it also expires while the registry is away,
+  // and a server that drains may serve on for many seconds.
+  return Health.isSilent(id, server.Zone, now)
              ? endBy(EndReason::LapsedAndSilent)
              : ServerEnd();
 }
--- a/Source/Routing/ServerHealthTracker.cpp
+++ b/Source/Routing/ServerHealthTracker.cpp
@@ -99,11 +99,6 @@
   if (std::exchange(server.IsWatched, false))
     Answered.push_back(id);
   recordZoneAnswer(id, zone, sentAt);
-  if (LastAnsweringServer != id) {
-    OtherAnswerAt = LastAnswerAt;
-    LastAnsweringServer = id;
-  }
-  LastAnswerAt = now;
 }
 
 void ServerHealthTracker::onAnswerTime(milliseconds time, bool wasRetransmitted,
@@ -134,30 +129,11 @@
   return std::max(SlowestInWindow, SlowestInPreviousWindow);
 }
 
-bool ServerHealthTracker::isUnresponsive(ServerId id, std::uint32_t flows,
-                                         milliseconds time,
-                                         TimePoint now) const {
-  const auto &server = activity(id);
-  return server.RetransmissionCount >= flows &&
-         now - server.LastRetransmissionAt < Limits.RetransmissionWindow &&
-         now - server.FirstUnansweredAt >= time;
-}
-
-bool ServerHealthTracker::isDead(ServerId id, TimePoint now) {
-  auto &server = activityRef(id);
-  if (now < server.DeadUntil)
-    return true;
-  const auto otherAnswerAt =
-      LastAnsweringServer == id ? OtherAnswerAt : LastAnswerAt;
-  const auto silence = std::max(Limits.MinDeadSilence,
-                                Limits.DeadLatencyFactor * slowestAnswer());
-  const bool dead =
-      server.HasSeveralCallers &&
-      isUnresponsive(id, Limits.DeadRetransmissions, silence, now) &&
-      now - otherAnswerAt < Limits.OtherAnswerWindow;
-  if (dead)
-    server.DeadUntil = now + Limits.SuspicionHold;
-  return dead;
+bool ServerHealthTracker::isSilent(ServerId id, NameTable::Id zone,
+                                   TimePoint now) const {
+  const auto unanswered = evidence(id, zone, now);
+  return unanswered && Rule.isDead(*unanswered, answerQuality(),
+                                   /*reporterCount=*/1, now);
 }
 
 void ServerHealthTracker::addRetransmission(ServerId id,
--- a/Source/Routing/ServerHealthTracker.h
+++ b/Source/Routing/ServerHealthTracker.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 #include "Routing/ServerDirectory.h"
+#include "Routing/SilenceRule.h"
 
 #include <chrono>
 #include <cstdint>
@@ -61,17 +62,6 @@
   bool IsWatched = false;
 };
 
-/// Unanswered packets of one backend server, as one host saw them.
-struct SilenceEvidence {
-  /// When the first unanswered packet was sent.
-  common::TimePoint Since;
-  /// Retransmitted requests on open flows.
-  std::uint32_t RequestCount = 0;
-  std::uint32_t SynCount = 0;
-  std::uint32_t Caller = 0; ///< IPv4 address of one of the callers.
-  bool HasSeveralCallers = false;
-};
-
 /// Thresholds of the failure detection. The defaults are those of the daemon.
 struct HealthLimits {
   /// How long a server stays suspected without further retransmissions, and how
@@ -81,21 +71,12 @@
   /// suspected and none has answered for ZoneAnswerWindow.
   std::uint32_t MinZoneSuspects = 2;
   std::chrono::milliseconds ZoneAnswerWindow{400};
-  /// A server is considered dead if this many requests of several callers went
-  /// unanswered, and none was answered, for MinDeadSilence or for
-  /// DeadLatencyFactor times the slowest recent answer, whichever is longer.
-  std::uint32_t DeadRetransmissions = 3;
-  std::chrono::milliseconds MinDeadSilence{400};
-  int DeadLatencyFactor = 2;
   /// Retransmissions further apart than this are treated as unrelated; callers
   /// retransmit an unanswered request within 0.6 s.
   std::chrono::milliseconds RetransmissionWindow{1000};
   /// Copies that arrive closer together were delayed in the network or on this
   /// host; callers retransmit after 200 ms.
   std::chrono::milliseconds MinRetransmissionDelay{150};
-  /// How recently another server must have answered. Otherwise this host itself
-  /// may be isolated or may have been paused.
-  std::chrono::milliseconds OtherAnswerWindow{300};
   /// Length of each of the two windows over which the slowest answer is
   /// tracked.
   std::chrono::seconds SlowestAnswerWindow{30};
@@ -179,14 +160,17 @@
   void reset(ServerId id);
 
   bool isSuspect(ServerId id, common::TimePoint now) const;
-  /// Whether the server has certainly ended or become unreachable, so that open
-  /// flows to it may be reset.
-  bool isDead(ServerId id, common::TimePoint now);
-  /// Whether at least \p flows packets were retransmitted recently, the first
-  /// of them sent at least \p time ago, and none was answered.
-  bool isUnresponsive(ServerId id, std::uint32_t flows,
-                      std::chrono::milliseconds time,
-                      common::TimePoint now) const;
+  /// Whether a verdict stands that the server is dead, so that open flows to it
+  /// may be reset.
+  bool isDead(ServerId id, common::TimePoint now) const {
+    return now < activity(id).DeadUntil;
+  }
+  /// Whether this host alone has seen enough to take a server of \p zone for
+  /// dead.
+  bool isSilent(ServerId id, NameTable::Id zone, common::TimePoint now) const;
+  AnswerQuality answerQuality() const {
+    return {slowestAnswer(), hasManyRetransmissions()};
+  }
   /// The longest time that a recent request took.
   std::chrono::milliseconds slowestAnswer() const;
   const ServerActivity &activity(ServerId id) const;
@@ -215,6 +199,7 @@
                         common::TimePoint sentAt);
 
   HealthLimits Limits;
+  SilenceRule Rule;
   std::vector<ServerActivity> Activities;
   std::vector<ZoneAnswers> AnswersByZone; ///< By zone id.
   AnswerCounts Answers;
@@ -222,11 +207,6 @@
   common::TimePoint AnswersSince;
   std::vector<ServerId> Retransmissions;
   std::vector<ServerId> Answered;
-  // Times of the last answer and of the last answer by a different server, to
-  // tell for any server whether another one answered recently.
-  ServerId LastAnsweringServer = 0;
-  common::TimePoint LastAnswerAt;
-  common::TimePoint OtherAnswerAt;
   std::chrono::milliseconds SlowestInWindow{0};
   std::chrono::milliseconds SlowestInPreviousWindow{0};
   common::TimePoint WindowStartedAt;
--- a/Source/UnitTests/Fleet/FailureAggregatorTest.cpp
+++ b/Source/UnitTests/Fleet/FailureAggregatorTest.cpp
@@ -140,7 +140,7 @@
 
 // On a lossy network two requests in a row are lost now and then.
 BOOST_AUTO_TEST_CASE(MoreRequestsAreNeededUnderLoss) {
-  const fleet::AnswerQuality lossy{50ms, true};
+  const routing::AnswerQuality lossy{50ms, true};
   report(1, 100, 300ms);
   report(2, 200, 300ms);
   Aggregator.takeDecisions(lossy, ZoneHosts, Clock.now());
--- a/Source/UnitTests/Fleet/SharedFailureDetectorTest.cpp
+++ b/Source/UnitTests/Fleet/SharedFailureDetectorTest.cpp
@@ -261,4 +261,22 @@
   }
 }
 
+// The detector is the only source of verdicts, so a host without peers in its
+// zone must find a dead server by itself, and no other one.
+BOOST_AUTO_TEST_CASE(LoneHostFindsASilentServer) {
+  for (const auto seed : unittests::seeds({1, 2, 3, 4, 5})) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      DetectorZone zone(/*hostCount=*/1, /*serverCount=*/14, seed);
+      zone.run(WarmUp, /*perServer=*/10);
+      BOOST_TEST(zone.Dead.empty());
+      const auto start = zone.Clock.now();
+      zone.setSilent(3);
+      zone.run(1500ms, /*perServer=*/10);
+      BOOST_REQUIRE(zone.Dead.contains(3));
+      BOOST_TEST(since(start, zone.Dead[3].First).count() <= 1000);
+      BOOST_TEST(zone.Dead.size() == 1U);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Routing/PacketRouterTest.cpp
+++ b/Source/UnitTests/Routing/PacketRouterTest.cpp
@@ -146,14 +146,15 @@
 }
 
 // When a server with long flows dies without a reset, its flows are reset so
-// that callers need not wait for their timeout. This requires that several
-// callers got no answer while other servers answered.
+// that callers need not wait for their timeout. What this host alone has seen
+// is not enough; the zone's verdict is.
 BOOST_AUTO_TEST_CASE(FlowsOfADeadServerAreReset) {
   RoutingFixture it;
   it.add(1);
   it.add(2);
   const auto dead = it.Directory.at(0);
   const auto live = it.Directory.at(1);
+  const auto since = it.Clock.now();
   for (std::uint16_t port = 1; port <= 4; ++port)
     it.data(port, dead.Tag, 1000, 5000, 100);
   it.data(20, live.Tag, 1000, 5000, 100);
@@ -165,11 +166,13 @@
   it.Clock.advance(250ms);
   it.data(21, live.Tag, 1100, 6000, 0);
   it.data(21, live.Tag, 1100, 7000, 0);
-  // Two retransmissions are too few.
   BOOST_TEST(std::holds_alternative<ForwardPacket>(
       it.data(1, dead.Tag, 1000, 5000, 100)));
-  const auto third = it.data(3, dead.Tag, 1000, 5000, 100);
-  BOOST_TEST(std::holds_alternative<ResetFlow>(third));
+  BOOST_TEST(std::holds_alternative<ForwardPacket>(
+      it.data(3, dead.Tag, 1000, 5000, 100)));
+  BOOST_TEST(it.Health.onDeadVerdict(0, since, it.Clock.now()));
+  BOOST_TEST(
+      std::holds_alternative<ResetFlow>(it.data(3, dead.Tag, 1000, 5000, 100)));
   // A new request on another open flow is reset as well.
   BOOST_TEST(
       std::holds_alternative<ResetFlow>(it.data(9, dead.Tag, 1000, 5000, 100)));
