Discard packets that waited for the first view, and evidence after stalls

Cause: a host that waits for its first view keeps its packets in the socket for seconds, and after a stall of less than 600 ms, or in the same turn of the event loop as a longer one, it handles what waited. SYNs of callers that have given up then count as unanswered, requests and their retransmissions are forwarded together, and messages of other hosts look younger than they are.

Packets that wait for the first view for more than 200 ms are discarded at each tick. Each handler first looks for a gap since the last wake-up: from 200 ms on the host forgets what waits for an answer, and does not take reports and verdicts that waited; from 600 ms on it discards what waited, before a part of it is handled.

PacketsAfterAStallAreNoEvidence checks the router's part.

--- a/Source/Edge/EdgeMetrics.cpp
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -92,6 +92,8 @@
     return "snapshots_fetched_total";
   case EdgeCounter::Pauses:
     return "pauses_total";
+  case EdgeCounter::Stalls:
+    return "stalls_total";
   case EdgeCounter::StalePacketsDropped:
     return "stale_packets_dropped_total";
   case EdgeCounter::LogLinesDropped:
--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -44,6 +44,7 @@
   GossipMalformed,
   SnapshotsFetched,
   Pauses,
+  Stalls,
   StalePacketsDropped,
   LogLinesDropped,
   Count, ///< Number of counters, not a counter itself.
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -23,9 +23,16 @@
 constexpr milliseconds TickInterval{50};
 constexpr milliseconds HousekeepingInterval{250};
 constexpr milliseconds FileCheckInterval{2000};
-/// A gap between two ticks of at least this length means that the process was
-/// stopped.
+/// A gap between two wake-ups of at least this length means that the process
+/// was stopped.
 constexpr milliseconds MinPauseGap{600};
+/// After a shorter gap packets are still of use, but some have waited for
+/// longer than FlowTable::MinRetransmissionDelay, so that they are no evidence.
+constexpr milliseconds MinStallGap =
+    TickInterval + routing::FlowTable::MinRetransmissionDelay;
+/// Packets that wait for the first view for longer are discarded: their callers
+/// have retransmitted them after 200 ms, and give up after 1.4 s.
+constexpr milliseconds MaxQueueTime{200};
 /// Time until the routers stop sending to a host that is not ready: they probe
 /// twice a second and remove a host after two failed probes.
 constexpr milliseconds RouterFailoverTime{1300};
@@ -90,7 +97,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   waitForSignal();
   Exchange->start(Settings.Seeds, Settings.Start);
-  LastTick = Clock.now();
+  StartedAt = LastWakeUp = Clock.now();
   tick();
   Loop.run();
   Log.write(LogEvent::Stop, "\"reason\":\"signal\"");
@@ -106,13 +113,17 @@
   if (!peers.ok())
     return peers.status();
   Forwarder = std::make_unique<PacketForwarder>(
-      Loop, *std::move(packets), Router, Directory, Clock, Recorder, [this] {
+      Loop, *std::move(packets), Router, Directory, Clock, Recorder,
+      [this] { detectStall(); },
+      [this] {
         if (Health.hasNewRetransmissions())
           Exchange->pollEvidence();
       });
   Exchange = std::make_unique<PeerExchange>(
       Loop, *std::move(peers), Settings.Peers, Peers, View, Directory, Health,
-      Detector, InitialView, Clock, History, Log, Recorder.metrics(), [this] {
+      Detector, InitialView, Clock, History, Log, Recorder.metrics(),
+      [this] { return detectStall(); },
+      [this] {
         updateReadiness();
         resetFlowsOfDeadServers();
       });
@@ -189,7 +200,9 @@
 
 void EdgeNode::tick() {
   const auto now = Clock.now();
-  detectPause(now);
+  detectStall();
+  if (!View.isComplete() && now - StartedAt >= MaxQueueTime)
+    Forwarder->discardBacklog();
   if (now >= NextHousekeeping) {
     NextHousekeeping = now + HousekeepingInterval;
     Router.onTick(now);
@@ -243,17 +256,27 @@
   return age > timing.takeoverAge(Peers.rankInZone(now), hearsPeers);
 }
 
-void EdgeNode::detectPause(TimePoint now) {
-  const auto gap = std::chrono::duration_cast<milliseconds>(now - LastTick);
-  LastTick = now;
+milliseconds EdgeNode::detectStall() {
+  const auto now = Clock.now();
+  const auto gap = std::chrono::duration_cast<milliseconds>(
+      now - std::exchange(LastWakeUp, now));
+  // The handlers that follow in this turn of the event loop read what waited,
+  // too.
+  if (gap < MinStallGap)
+    return now - LastStallAt < TickInterval ? LastStall : milliseconds(0);
+  LastStallAt = now;
+  LastStall = gap;
+  Recorder.metrics().add(EdgeCounter::Stalls);
+  Router.discardEvidence(now);
   if (gap < MinPauseGap)
-    return;
+    return gap;
   Recorder.metrics().add(EdgeCounter::Pauses);
   History.recordForHost(state::Cause::HostPaused);
   Forwarder->discardBacklog();
   Exchange->discardBacklog();
   Reader.scheduleNextCallAt(now);
   Log.write(LogEvent::Pause, absl::StrCat("\"gap_ms\":", gap.count()));
+  return gap;
 }
 
 void EdgeNode::updateReadiness() {
--- a/Source/Edge/EdgeNode.h
+++ b/Source/Edge/EdgeNode.h
@@ -46,8 +46,10 @@
   void updateReadiness();
   /// Resets the flows of servers that were found dead.
   void resetFlowsOfDeadServers();
-  /// Drops queued input if the process was stopped since the last tick.
-  void detectPause(common::TimePoint now);
+  /// Discards evidence and queued input if the process did not run for a while.
+  /// Must come first in each handler of the event loop that reads packets or
+  /// messages. Returns the time for which they may have waited.
+  std::chrono::milliseconds detectStall();
   void reloadSettings();
   void beginStop();
   /// Whether the routers no longer send packets, or the stop timeout is near.
@@ -85,7 +87,10 @@
   reactor::AsyncHttpServer PeerServer;
   bool Ready = false;
   std::optional<common::TimePoint> StoppingSince;
-  common::TimePoint LastTick;
+  common::TimePoint StartedAt;
+  common::TimePoint LastWakeUp;
+  common::TimePoint LastStallAt; ///< Its end.
+  std::chrono::milliseconds LastStall{0};
   common::TimePoint NextHousekeeping;
   common::TimePoint NextFileCheck;
 };
--- a/Source/Edge/PacketForwarder.cpp
+++ b/Source/Edge/PacketForwarder.cpp
@@ -13,18 +13,18 @@
 
 /// Batches handled per wake-up. Bounded so that timers are not starved.
 constexpr int MaxBatches = 16;
+/// Batches discarded at once: more than the socket's buffer holds.
+constexpr int MaxDiscardedBatches = 256;
 
 } // namespace
 
-PacketForwarder::PacketForwarder(boost::asio::io_context &loop,
-                                 UdpSocket socket,
-                                 routing::PacketRouter &router,
-                                 const routing::ServerDirectory &directory,
-                                 const common::Clock &clock,
-                                 EventRecorder &recorder,
-                                 std::function<void()> onBatchHandled)
+PacketForwarder::PacketForwarder(
+    boost::asio::io_context &loop, UdpSocket socket,
+    routing::PacketRouter &router, const routing::ServerDirectory &directory,
+    const common::Clock &clock, EventRecorder &recorder,
+    std::function<void()> onWakeUp, std::function<void()> onBatchHandled)
     : Socket(loop, std::move(socket)), Router(router), Directory(directory),
-      Clock(clock), Recorder(recorder),
+      Clock(clock), Recorder(recorder), OnWakeUp(std::move(onWakeUp)),
       OnBatchHandled(std::move(onBatchHandled)),
       ClientPort(Socket.socket().localPort()) {
   static_assert(PacketCodec::HeaderSize ==
@@ -40,7 +40,7 @@
 
 void PacketForwarder::discardBacklog() {
   Recorder.metrics().add(EdgeCounter::StalePacketsDropped,
-                         Socket.discard(MaxBatches));
+                         Socket.discard(MaxDiscardedBatches));
 }
 
 void PacketForwarder::resetFlows(
@@ -60,6 +60,7 @@
 }
 
 void PacketForwarder::onReadable() {
+  OnWakeUp();
   for (int i = 0; i < MaxBatches; ++i) {
     const auto batch = Socket.socket().receive(std::chrono::milliseconds(0));
     if (batch.empty())
--- a/Source/Edge/PacketForwarder.h
+++ b/Source/Edge/PacketForwarder.h
@@ -15,19 +15,20 @@
 /// or drops each as the PacketRouter decides.
 class PacketForwarder {
 public:
-  /// References must outlive the object. \p onBatchHandled is called after the
-  /// packets of a wake-up.
+  /// References must outlive the object. \p onWakeUp is called before the first
+  /// packet of a wake-up is read, \p onBatchHandled after the last one.
   PacketForwarder(boost::asio::io_context &loop, transport::UdpSocket socket,
                   routing::PacketRouter &router,
                   const routing::ServerDirectory &directory,
                   const common::Clock &clock, EventRecorder &recorder,
+                  std::function<void()> onWakeUp,
                   std::function<void()> onBatchHandled);
 
-  /// Starts to receive. Packets that arrived before are still in the socket's
-  /// buffer and are handled first.
+  /// Starts to receive. Packets that arrived before, and were not discarded,
+  /// are handled first.
   void start();
-  /// Discards the packets in the socket's buffer. Used after the process was
-  /// paused: clients have retransmitted or given up these packets.
+  /// Discards the packets in the socket's buffer. Used when they have waited
+  /// for long: clients have retransmitted or given up these packets.
   void discardBacklog();
   /// Resets the flows of \p packets, each the last one of its flow.
   void resetFlows(const std::vector<routing::FlowPacket> &packets);
@@ -43,6 +44,7 @@
   const routing::ServerDirectory &Directory;
   const common::Clock &Clock;
   EventRecorder &Recorder;
+  std::function<void()> OnWakeUp;
   std::function<void()> OnBatchHandled;
   std::uint16_t ClientPort; ///< UDP port on which clients receive resets; same
                             ///< as the local port.
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -43,11 +43,12 @@
     fleet::SharedFailureDetector &detector,
     fleet::InitialViewSource &initialView, const common::Clock &clock,
     fleet::CauseHistory &history, EventLog &log, EdgeMetrics &metrics,
-    std::function<void()> onViewChanged)
+    std::function<milliseconds()> onWakeUp, std::function<void()> onViewChanged)
     : Loop(loop), Socket(loop, std::move(socket)), Self(self), Peers(peers),
       View(view), Directory(directory), Health(health), Detector(detector),
       InitialView(initialView), Clock(clock), History(history), Log(log),
-      Metrics(metrics), OnViewChanged(std::move(onViewChanged)) {}
+      Metrics(metrics), OnWakeUp(std::move(onWakeUp)),
+      OnViewChanged(std::move(onViewChanged)) {}
 
 void PeerExchange::start(const std::vector<common::Endpoint> &seeds,
                          state::StartMode mode) {
@@ -228,16 +229,19 @@
 }
 
 void PeerExchange::onReadable() {
+  const auto waited = OnWakeUp();
   for (int i = 0; i < MaxBatches; ++i) {
     const auto batch = Socket.socket().receive(milliseconds(0));
     for (const auto &it : batch) {
-      const auto message = GossipCodec::decode(
+      auto message = GossipCodec::decode(
           {reinterpret_cast<const char *>(it.Bytes.data()), it.Bytes.size()});
       Metrics.add(EdgeCounter::GossipReceived);
-      if (message && message->Sender.Address == it.Sender.Address)
-        onMessage(*message, it.Sender.Address);
-      else
+      if (!message || message->Sender.Address != it.Sender.Address) {
         Metrics.add(EdgeCounter::GossipMalformed);
+        continue;
+      }
+      addWaitingTime(*message, waited);
+      onMessage(*message, it.Sender.Address);
     }
     if (batch.size() < transport::UdpSocket::BatchSize)
       break;
@@ -247,6 +251,15 @@
   OnViewChanged();
 }
 
+void PeerExchange::addWaitingTime(GossipMessage &message, milliseconds waited) {
+  if (waited == milliseconds(0))
+    return;
+  message.ViewAge += waited;
+  // Their ages would be too low, so that answers since would not refute them.
+  message.Suspects.clear();
+  message.Verdicts.clear();
+}
+
 void PeerExchange::onRegistryFailure() {
   if (View.isComplete())
     return;
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -42,8 +42,9 @@
   /// one responds.
   static constexpr int MaxCauseFetchAttempts = 3;
 
-  /// References must outlive the object. \p onViewChanged is called after the
-  /// view may have changed.
+  /// References must outlive the object. \p onWakeUp is called before messages
+  /// are read and returns for how long they may have waited; \p onViewChanged
+  /// is called after the view may have changed.
   PeerExchange(boost::asio::io_context &loop, transport::UdpSocket socket,
                common::Endpoint self, fleet::PeerTable &peers,
                fleet::FleetView &view, routing::ServerDirectory &directory,
@@ -52,6 +53,7 @@
                fleet::InitialViewSource &initialView,
                const common::Clock &clock, fleet::CauseHistory &history,
                EventLog &log, EdgeMetrics &metrics,
+               std::function<std::chrono::milliseconds()> onWakeUp,
                std::function<void()> onViewChanged);
 
   void start(const std::vector<common::Endpoint> &seeds, state::StartMode mode);
@@ -80,6 +82,9 @@
   fleet::InitialViewSource::Mode startModeOf(state::StartMode mode,
                                              bool isSeed) const;
   void onReadable();
+  /// Corrects a message that may have waited in the socket for \p waited.
+  static void addWaitingTime(fleet::GossipMessage &message,
+                             std::chrono::milliseconds waited);
   void onMessage(const fleet::GossipMessage &message, std::uint32_t from);
   void mergeHosts(const fleet::GossipMessage &message);
   void mergeSuspects(const fleet::GossipMessage &message);
@@ -120,6 +125,7 @@
   fleet::CauseHistory &History;
   EventLog &Log;
   EdgeMetrics &Metrics;
+  std::function<std::chrono::milliseconds()> OnWakeUp;
   std::function<void()> OnViewChanged;
   std::vector<std::uint32_t> Seeds;
   state::StartMode Mode = state::StartMode::Restart;
--- a/Source/Routing/FlowTable.cpp
+++ b/Source/Routing/FlowTable.cpp
@@ -150,6 +150,17 @@
   }
 }
 
+void FlowTable::discardPending(TimePoint now) {
+  for (auto &[id, flow] : Flows) {
+    if (flow.Phase == FlowPhase::Opening)
+      setPhase(flow, FlowPhase::Closed, now);
+    else if (flow.Phase == FlowPhase::Busy)
+      setPhase(flow, FlowPhase::Idle, now);
+    flow.RetransmissionCount = 0;
+  }
+  SentSyns.clear();
+}
+
 std::vector<std::pair<FlowId, std::uint32_t>>
 FlowTable::busyFlowsOf(ServerId server) const {
   std::vector<std::pair<FlowId, std::uint32_t>> flows;
--- a/Source/Routing/FlowTable.h
+++ b/Source/Routing/FlowTable.h
@@ -92,6 +92,9 @@
   /// Removes flows that were idle for \p idleTimeout and marks requests older
   /// than AnswerAssumedAfter as answered.
   void expire(common::TimePoint now, std::chrono::milliseconds idleTimeout);
+  /// Forgets which packets wait for an answer: answers and retransmissions may
+  /// have been missed.
+  void discardPending(common::TimePoint now);
   /// The flows with a pending request to \p server, each with the caller's
   /// highest acknowledgement.
   std::vector<std::pair<FlowId, std::uint32_t>>
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -275,6 +275,11 @@
                          it.SentAt, now);
 }
 
+void PacketRouter::discardEvidence(TimePoint now) {
+  Flows.discardPending(now);
+  Health.discardEvidence();
+}
+
 void PacketRouter::onTick(TimePoint now) {
   absl::erase_if(UnknownTags, [&](const auto &it) {
     return now - it.second > UnknownTagMemory;
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -40,6 +40,10 @@
   /// machine that is up resets SYNs past this host, so that callers send no
   /// copies. Call every 50 to 100 ms.
   void checkOpeningFlows(common::TimePoint now);
+  /// Forgets what waits for an answer. Call after a stall of the process:
+  /// packets have waited in its socket, and what it then reads says nothing
+  /// about the servers.
+  void discardEvidence(common::TimePoint now);
   /// Removes expired state. Call at least once a second.
   void onTick(common::TimePoint now);
   /// Whether servers whose entry lapsed without draining may get new flows when
--- a/Source/Routing/ServerHealthTracker.cpp
+++ b/Source/Routing/ServerHealthTracker.cpp
@@ -66,15 +66,25 @@
   decrement(activityRef(id).PendingRequests);
 }
 
-void ServerHealthTracker::clearSuspicion(ServerActivity &server) {
-  server.Why = SuspicionReason::None;
+void ServerHealthTracker::clearEvidence(ServerActivity &server) {
   server.RetransmissionCount = 0;
   server.RetransmittedRequests = 0;
   server.TwiceRetransmittedRequests = 0;
   server.HasSeveralCallers = false;
+}
+
+void ServerHealthTracker::clearSuspicion(ServerActivity &server) {
+  server.Why = SuspicionReason::None;
+  clearEvidence(server);
   server.DeadUntil = {};
 }
 
+void ServerHealthTracker::discardEvidence() {
+  for (auto &it : Activities)
+    clearEvidence(it);
+  takeRetransmissions();
+}
+
 void ServerHealthTracker::recordZoneAnswer(ServerId id, NameTable::Id zone,
                                            TimePoint sentAt) {
   if (AnswersByZone.size() <= zone)
@@ -159,10 +169,7 @@
       now - sentAt < Limits.MinRetransmissionDelay)
     return false;
   if (now - server.LastRetransmissionAt > Limits.RetransmissionWindow) {
-    server.RetransmissionCount = 0;
-    server.RetransmittedRequests = 0;
-    server.TwiceRetransmittedRequests = 0;
-    server.HasSeveralCallers = false;
+    clearEvidence(server);
   }
   server.RetransmittedRequests += why == SuspicionReason::DataUnanswered;
   addRetransmission(id, server);
--- a/Source/Routing/ServerHealthTracker.h
+++ b/Source/Routing/ServerHealthTracker.h
@@ -155,6 +155,9 @@
   /// Watched servers that answered since the last call. They are not watched
   /// any more.
   std::vector<ServerId> takeAnswered();
+  /// Discards the unanswered packets of all servers. Suspicions and verdicts
+  /// stay.
+  void discardEvidence();
   /// Discards the state of \p id, which now stands for another server or
   /// another run of the same one.
   void reset(ServerId id);
@@ -194,7 +197,8 @@
 
   ServerActivity &activityRef(ServerId id);
   void addRetransmission(ServerId id, ServerActivity &server);
-  void clearSuspicion(ServerActivity &server);
+  static void clearEvidence(ServerActivity &server);
+  static void clearSuspicion(ServerActivity &server);
   void recordZoneAnswer(ServerId id, NameTable::Id zone,
                         common::TimePoint sentAt);
 
--- a/Source/UnitTests/Routing/PacketRouterTest.cpp
+++ b/Source/UnitTests/Routing/PacketRouterTest.cpp
@@ -299,6 +299,28 @@
   BOOST_TEST(it.Observer.Suspected.empty());
 }
 
+// After a stall of the process, retransmissions and answers wait in its socket
+// together: what it then reads must not count against a server.
+BOOST_AUTO_TEST_CASE(PacketsAfterAStallAreNoEvidence) {
+  RoutingFixture it;
+  it.add(1);
+  it.add(2);
+  const auto tag = it.Directory.at(0).Tag;
+  it.syn(50);
+  for (std::uint16_t port = 1; port <= 4; ++port)
+    it.data(port, tag, 1000, 5000, 100);
+  it.Clock.advance(250ms);
+  it.data(1, tag, 1000, 5000, 100);
+  it.Clock.advance(400ms);
+  it.Router.discardEvidence(it.Clock.now());
+  for (std::uint16_t port = 1; port <= 4; ++port)
+    it.data(port, tag, 1000, 5000, 100);
+  it.Router.checkOpeningFlows(it.Clock.now());
+  BOOST_TEST(it.Observer.Suspected.size() == 1U);
+  BOOST_TEST(it.Health.activity(0).RetransmissionCount == 0U);
+  BOOST_TEST(it.Router.abandonFlowsOf(0, it.Clock.now()).empty());
+}
+
 // A host that is isolated from all servers must not reset flows.
 BOOST_AUTO_TEST_CASE(IsolatedHostResetsNoFlows) {
   RoutingFixture it;
