Keep the flows of servers that the registry lacks

Callers saw: open flows reset by hosts that had started or been added lately (unknown_server), while other hosts went on to forward flows of the same servers.

Cause: a host took the absence of a server from a complete directory for its end. Entries also expire while the registry is away or are withdrawn, and come back late or not at all, while the servers serve. A starting host had no chance to know them: of a lapsed server in a peer's view it kept the name but not the address.

A host now keeps the addresses of lapsed servers that a peer's view has, and of those that it knows to be removed, for as long as the peer would. Whether the end was announced is passed on, so that such servers get new flows only as before. Times of a view's completeness no longer decide on resets.

UnknownTagIsResetOnlyByANewerDirectory expected the reset; it is replaced by UnknownTagsAreAskedForAndNeverReset.

--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -43,6 +43,7 @@
   GossipReceived,
   GossipMalformed,
   SnapshotsFetched,
+  TagsAsked,
   Pauses,
   Stalls,
   StalePacketsDropped,
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -118,6 +118,9 @@
       [this] {
         if (Health.hasNewRetransmissions())
           Exchange->pollEvidence();
+        if (Router.hasUnknownTags() && Exchange->canAskForServers())
+          Exchange->askForServers(
+              Router.takeUnknownTags(fleet::GossipCodec::MaxTags, Clock.now()));
       });
   Exchange = std::make_unique<PeerExchange>(
       Loop, *std::move(peers), Settings.Peers, Peers, View, Directory, Health,
@@ -239,9 +242,6 @@
                        ? shouldTakeOverReading(now) ||
                              (!StoppingSince && Peers.hasLowestAddress(now))
                        : InitialView.shouldAskRegistry(now));
-  // A restored registry lacks servers until they have written again.
-  if (View.isReconciled())
-    Router.setDirectoryCompleteAt(View.freshAt());
   Router.setUsesLapsed(Reader.isRegistryUnavailable() ||
                        View.age(now) > Reader.timing().TakeoverAge * 2);
 }
--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -283,7 +283,7 @@
                    server.Name);
   else if (change == DirectoryChange::Lapsed)
     if (const auto *known = Directory.findByName(server.Name);
-        known != nullptr && known->LapsedWithoutDraining)
+        known != nullptr && known->Registration.HasLapsedUnannounced)
       History.record(state::Cause::BackendServerLapsed, server.Service, 0,
                      server.Name);
   if (isInitialView || !Log.tryAdmit(LogEvent::Server))
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -125,6 +125,37 @@
            /*withHosts=*/false);
 }
 
+bool PeerExchange::canAskForServers() const {
+  return Clock.now() >= NextTagQuestion;
+}
+
+void PeerExchange::askForServers(const std::vector<std::uint32_t> &tags) {
+  const auto now = Clock.now();
+  NextTagQuestion = now + MinTagInterval;
+  if (tags.empty())
+    return;
+  GossipMessage message;
+  message.Sender = Peers.self();
+  message.UnknownTags = tags;
+  Metrics.add(EdgeCounter::TagsAsked, tags.size());
+  send(message, Peers.choose(FanOut, now));
+}
+
+void PeerExchange::nameServers(const std::vector<std::uint32_t> &tags,
+                               std::uint32_t to) {
+  GossipMessage message;
+  message.Sender = Peers.self();
+  message.Changes.Era = View.era();
+  for (const auto tag : tags)
+    for (auto &it : View.serversWithTag(tag))
+      if (message.NamedServers.size() < GossipCodec::MaxChanges)
+        message.NamedServers.push_back(std::move(it));
+  if (message.NamedServers.empty())
+    return;
+  View.setLapsedTimes(message.NamedServers, Clock.now());
+  send(message, {to});
+}
+
 void PeerExchange::announceStop() {
   Peers.setLeaving();
   announce();
@@ -295,6 +326,10 @@
     if (!View.applyPeerChanges(message.Changes, message.ViewAge, now))
       fetchSnapshot(from, message.ViewAge);
   }
+  for (const auto &it : message.NamedServers)
+    View.applyNamedServer(it, now);
+  if (!message.UnknownTags.empty())
+    nameServers(message.UnknownTags, from);
   if (message.WantsAnswer)
     sendView({from}, /*wantsAnswer=*/false, /*since=*/0, /*withHosts=*/true);
 }
@@ -370,6 +405,7 @@
   fleet::AgedSnapshot snapshot{View.snapshotSince(after, version, era),
                                View.age(now)};
   snapshot.View.EraAge = View.eraAge(now);
+  View.setLapsedTimes(snapshot.View.Servers, now);
   return GossipCodec::encode(snapshot);
 }
 
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -32,6 +32,9 @@
   /// Shortest time between two announcements. Bounds the traffic when many
   /// backend servers change at once.
   static constexpr std::chrono::milliseconds MinAnnounceInterval{100};
+  /// Shortest time between two questions for the servers of unknown tags, which
+  /// callers may invent: at most 200 bytes to FanOut hosts each time.
+  static constexpr std::chrono::milliseconds MinTagInterval{200};
   /// Time between two datagrams with causes, and the number of hosts that
   /// receive each: at most 2.4 kB/s, half of the control traffic budget.
   static constexpr std::chrono::milliseconds CauseSendInterval{1000};
@@ -62,6 +65,10 @@
   void poll();
   /// Sends the reports and verdicts that are due.
   void pollEvidence();
+  /// Asks other hosts for the servers of unknown \p tags.
+  void askForServers(const std::vector<std::uint32_t> &tags);
+  /// Whether MinTagInterval has passed since askForServers().
+  bool canAskForServers() const;
   /// Sends the latest changes of the view to other hosts now.
   void announce();
   /// Announces that this host leaves, and sends the causes not sent yet.
@@ -107,6 +114,8 @@
   void sendCauses();
   /// Fetches the causes of the past hour from another host after the start.
   void fetchCauses();
+  /// Answers a peer's question for servers by their tags.
+  void nameServers(const std::vector<std::uint32_t> &tags, std::uint32_t to);
   void reportLostPeers();
   void logPeerChange(std::string_view change, const fleet::PeerInfo &peer);
   std::vector<fleet::ReportedSuspect>
@@ -130,6 +139,7 @@
   std::vector<std::uint32_t> Seeds;
   state::StartMode Mode = state::StartMode::Restart;
   common::TimePoint NextRound;
+  common::TimePoint NextTagQuestion;
   std::size_t RoundCount = 0;
   std::uint64_t AnnouncedChangeCount = 0;
   std::uint64_t AnnouncedRevision = 0; ///< In era AnnouncedEra.
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -87,9 +87,19 @@
                                 TimePoint now) {
   // What a peer knew of an era that is over is in the registry again once the
   // view is reconciled.
-  if ((server.Era < Era && IsReconciled) || isForgotten(server))
-    return;
-  applyServer(server, now);
+  if ((server.Era >= Era || !IsReconciled) && !isForgotten(server))
+    applyServer(server, now);
+  // A server without an entry may still serve its open flows. Older entries of
+  // it than the view must not count later.
+  auto gone = server;
+  if (server.Era < Era && !IsReconciled) {
+    gone.Era = PreviousEra;
+    gone.Revision = PreviousRevision;
+  } else {
+    gone.Era = Era;
+    gone.Revision = Revision;
+  }
+  Directory.rememberLapsed(gone, now);
 }
 
 bool FleetView::applyConfiguration(
@@ -319,6 +329,23 @@
   return snapshot;
 }
 
+std::vector<ServerRegistration>
+FleetView::serversWithTag(std::uint32_t tag) const {
+  std::vector<ServerRegistration> servers;
+  for (const auto id : Directory.serversWithTag(tag))
+    servers.push_back(Directory.at(id).Registration);
+  return servers;
+}
+
+void FleetView::setLapsedTimes(std::vector<ServerRegistration> &servers,
+                               TimePoint now) const {
+  for (auto &it : servers)
+    if (it.State == ServerState::Lapsed)
+      if (const auto *known = Directory.findByName(it.Name))
+        it.LapsedFor =
+            std::chrono::duration_cast<milliseconds>(now - known->LapsedAt);
+}
+
 void FleetView::discardExpired(TimePoint now) {
   while (!History.empty() && now - History.front().At > HistoryRetention) {
     HistoryStart = std::max(HistoryStart, History.front().Revision);
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -145,6 +145,18 @@
   /// be unknown here, or if \p after belongs to another era than the view.
   ViewSnapshot snapshotSince(std::uint64_t after, std::uint64_t version,
                              std::uint64_t era = 0) const;
+  /// The servers that \p tag may identify, for a peer that does not know them.
+  std::vector<routing::ServerRegistration>
+  serversWithTag(std::uint32_t tag) const;
+  /// Applies a server that a peer knows by its tag.
+  void applyNamedServer(const routing::ServerRegistration &server,
+                        common::TimePoint now) {
+    applyPeerServer(server, now);
+  }
+  /// Sets for how long the lapsed ones of \p servers, which are about to be
+  /// sent, have been so.
+  void setLapsedTimes(std::vector<routing::ServerRegistration> &servers,
+                      common::TimePoint now) const;
   /// Ends the time in which a restored registry is filled again, if it is over
   /// and the view is current.
   void reconcileEra(common::TimePoint now);
--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -53,6 +53,8 @@
   out.set_sequence(server.Sequence);
   out.set_era_offset(static_cast<std::int64_t>(server.Era - era));
   out.set_revision(server.Revision);
+  out.set_lapsed_unannounced(server.HasLapsedUnannounced);
+  out.set_lapsed_ms(clampedMilliseconds(server.LapsedFor));
 }
 
 /// \p era: era of the message.
@@ -63,7 +65,9 @@
       in.state() > static_cast<std::uint32_t>(ServerState::Lapsed))
     return std::nullopt;
   const auto state = static_cast<ServerState>(in.state());
-  if (state != ServerState::Lapsed &&
+  // The removal of a server that the sender did not know has its name only.
+  const bool isNameOnly = state == ServerState::Lapsed && in.identity() == 0;
+  if (!isNameOnly &&
       (!isValidPort(in.port()) || in.identity() == 0 ||
        !routing::isValidName(in.service()) || !routing::isValidName(in.zone())))
     return std::nullopt;
@@ -79,7 +83,9 @@
       .StartTimeMs = in.lifetime(),
       .Sequence = in.sequence(),
       .Era = era + static_cast<std::uint64_t>(in.era_offset()),
-      .Revision = in.revision()};
+      .Revision = in.revision(),
+      .HasLapsedUnannounced = in.lapsed_unannounced(),
+      .LapsedFor = milliseconds(in.lapsed_ms())};
 }
 
 void write(const routing::RoutingConfiguration &configuration,
@@ -210,6 +216,10 @@
   }
   for (const auto &it : message.Causes)
     write(it, *out.add_causes());
+  for (const auto tag : message.UnknownTags)
+    out.add_unknown_tags(tag);
+  for (const auto &it : message.NamedServers)
+    write(it, message.Changes.Era, *out.add_named_servers());
   out.set_wants_answer(message.WantsAnswer);
   return out.SerializeAsString();
 }
@@ -255,6 +265,11 @@
   for (const auto &it : in.causes())
     if (auto cause = read(it))
       message.Causes.push_back(*std::move(cause));
+  message.UnknownTags.assign(in.unknown_tags().begin(),
+                             in.unknown_tags().end());
+  for (const auto &it : in.named_servers())
+    if (auto server = read(it, in.era()))
+      message.NamedServers.push_back(*std::move(server));
   message.WantsAnswer = in.wants_answer();
   return message;
 }
--- a/Source/Fleet/GossipCodec.h
+++ b/Source/Fleet/GossipCodec.h
@@ -21,6 +21,8 @@
   /// Maximum number of verdicts, and of answers, in one datagram. A verdict
   /// takes 24 bytes.
   static constexpr std::size_t MaxVerdicts = 24;
+  /// Maximum number of unknown tags in one datagram.
+  static constexpr std::size_t MaxTags = 32;
 
   static std::string encode(const GossipMessage &message);
   /// Returns nullopt if \p bytes are not a valid message.
--- a/Source/Fleet/GossipMessage.h
+++ b/Source/Fleet/GossipMessage.h
@@ -62,6 +62,11 @@
   /// Causes that the sender recorded. Copies keep the last hour available after
   /// the sender is gone.
   std::vector<state::CauseEntry> Causes;
+  /// Tags of open flows that identify no server known to the sender.
+  std::vector<std::uint32_t> UnknownTags;
+  /// Servers that the receiver asked for by their tags, of era Changes.Era and
+  /// earlier ones.
+  std::vector<routing::ServerRegistration> NamedServers;
   /// Set by a host whose view is incomplete or outdated.
   bool WantsAnswer = false;
 };
--- a/Source/Routing/BackendServer.h
+++ b/Source/Routing/BackendServer.h
@@ -45,6 +45,15 @@
   std::uint64_t Era = 0;
   /// Revision of the entry; a higher one replaces a lower one of the same era.
   std::uint64_t Revision = 0;
+  /// Valid in state Lapsed: its entry was removed while it was ready, as after
+  /// a crash or a registry fault.
+  bool HasLapsedUnannounced = false;
+  /// Valid in state Lapsed, as of when the registration was sent to a peer:
+  /// time since its entry was removed.
+  std::chrono::milliseconds LapsedFor{0};
+
+  /// Whether the address is known; not so in the removal of an unknown server.
+  bool hasAddress() const { return Identity != 0; }
 };
 
 /// The removal of the entry \p name, as a registration.
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -13,8 +13,8 @@
 
 /// Callers give up on a connection attempt 1.4 s after the first SYN.
 constexpr milliseconds SynLifetime{1500};
-/// Longer than callers keep sending on a flow without an answer.
-constexpr milliseconds UnknownTagMemory{20000};
+/// How long unknown tags are kept, so that their number is bounded.
+constexpr milliseconds UnknownTagMemory{2000};
 
 } // namespace
 
@@ -252,21 +252,36 @@
                                           NameTable::Id service,
                                           const FlowPacket &packet,
                                           TimePoint now) {
-  // The server was registered before the tag was first seen. If a directory
-  // that was complete at a later time does not contain it, it has been removed.
-  RefusedPacket refused{.Flow = id,
-                        .Why = RefusalReason::UnknownServer,
-                        .IsDropped = true,
-                        .Service = service,
-                        .Tag = packet.Echo};
-  if (UnknownTags.size() >= MaxUnknownTags &&
-      !UnknownTags.contains(packet.Echo))
-    return refuse(refused);
-  const auto [it, added] = UnknownTags.try_emplace(packet.Echo, now);
-  const bool ended = packet.Echo != ServerTag::None && !packet.Rst &&
-                     DirectoryCompleteAt > it->second;
-  refused.IsDropped = !ended;
-  return refuse(refused);
+  // A directory that lacks the server does not show that it has ended: its
+  // entry may have expired while the registry was away.
+  if (packet.Echo != ServerTag::None && (UnknownTags.size() < MaxUnknownTags ||
+                                         UnknownTags.contains(packet.Echo))) {
+    const auto [it, added] = UnknownTags.try_emplace(packet.Echo, now);
+    if (added || now - it->second >= TagRetryInterval) {
+      it->second = now;
+      NewUnknownTags.push_back(packet.Echo);
+    }
+  }
+  return refuse({.Flow = id,
+                 .Why = RefusalReason::UnknownServer,
+                 .IsDropped = true,
+                 .Service = service,
+                 .Tag = packet.Echo});
+}
+
+std::vector<std::uint32_t> PacketRouter::takeUnknownTags(std::size_t limit,
+                                                         TimePoint now) {
+  std::vector<std::uint32_t> tags;
+  std::erase_if(NewUnknownTags, [&](std::uint32_t tag) {
+    const auto it = UnknownTags.find(tag);
+    if (it == UnknownTags.end() || now - it->second >= TagRetryInterval)
+      return true;
+    if (tags.size() == limit)
+      return false;
+    tags.push_back(tag);
+    return true;
+  });
+  return tags;
 }
 
 void PacketRouter::checkOpeningFlows(TimePoint now) {
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -49,11 +49,12 @@
   /// Whether servers whose entry lapsed without draining may get new flows when
   /// none is registered, for example during a registry outage.
   void setUsesLapsed(bool use) { UsesLapsed = use; }
-
-  /// Sets the last time at which the directory held all registered servers.
-  void setDirectoryCompleteAt(common::TimePoint time) {
-    DirectoryCompleteAt = time;
-  }
+  /// Unknown tags of packets since the last call, at most \p limit: hosts that
+  /// ran earlier may know the servers. Each is returned again after
+  /// TagRetryInterval.
+  std::vector<std::uint32_t> takeUnknownTags(std::size_t limit,
+                                             common::TimePoint now);
+  bool hasUnknownTags() const { return !NewUnknownTags.empty(); }
 
   std::size_t flowCount() const { return Flows.size(); }
   /// Number of pending SYNs and unknown tags.
@@ -78,8 +79,8 @@
   RoutingOutcome refuse(const RefusedPacket &packet);
   /// The service of a flow; the same for all retransmissions of its SYN.
   NameTable::Id serviceOf(const Route &route, const FlowId &id);
-  /// Handles a tag of an unknown server: one that ended before this host
-  /// started, or one that this host has not learned of yet.
+  /// Handles a tag of an unknown server: one whose entry was removed before
+  /// this host started, or one that this host has not learned of yet.
   RoutingOutcome onUnknownTag(const FlowId &id, NameTable::Id service,
                               const FlowPacket &packet, common::TimePoint now);
   void recordRetransmission(ServerId server, SuspicionReason why,
@@ -102,9 +103,12 @@
   // Callers control tags and addresses, so both tables are bounded.
   static constexpr std::size_t MaxPendingSyns = 16384;
   static constexpr std::size_t MaxUnknownTags = 4096;
-  /// Unknown tags and when each was first seen.
+  /// Less than the 200 ms after which callers retransmit, so that each copy of
+  /// a packet asks again.
+  static constexpr std::chrono::milliseconds TagRetryInterval{150};
+  /// Unknown tags and when each was last listed in NewUnknownTags.
   absl::flat_hash_map<std::uint32_t, common::TimePoint> UnknownTags;
-  common::TimePoint DirectoryCompleteAt;
+  std::vector<std::uint32_t> NewUnknownTags;
   bool UsesLapsed = false;
 };
 
--- a/Source/Routing/ServerDirectory.cpp
+++ b/Source/Routing/ServerDirectory.cpp
@@ -90,17 +90,9 @@
                                         TimePoint now) {
   const auto it = ByName.find(lapsed.Name);
   if (it == ByName.end()) {
-    const auto id = allocateId();
-    auto &server = Servers[id];
-    server.IsOccupied = true;
-    server.FirstSeen = server.LapsedAt = now;
-    server.Registration.Name = lapsed.Name;
-    server.Registration.State = ServerState::Lapsed;
-    server.Registration.StartTimeMs = lapsed.StartTimeMs;
-    server.Registration.Sequence = lapsed.Sequence;
-    server.Registration.Era = lapsed.Era;
-    server.Registration.Revision = lapsed.Revision;
-    ByName.emplace(lapsed.Name, id);
+    auto &server = addLapsed(lapsed, now);
+    if (lapsed.hasAddress())
+      fillAddress(server, lapsed);
     return DirectoryChange::Refreshed;
   }
   auto &server = Servers[it->second];
@@ -117,16 +109,64 @@
   known.Era = lapsed.Era;
   known.Revision = lapsed.Revision;
   if (known.State == ServerState::Lapsed) {
-    server.LapsedWithoutDraining |= isLaterRun;
+    known.HasLapsedUnannounced |= isLaterRun;
+    if (!known.hasAddress() && lapsed.hasAddress())
+      fillAddress(server, lapsed);
     return DirectoryChange::Refreshed;
   }
-  server.LapsedWithoutDraining =
-      known.State == ServerState::Ready || isLaterRun;
+  known.HasLapsedUnannounced = known.State == ServerState::Ready || isLaterRun;
   known.State = ServerState::Lapsed;
   server.LapsedAt = now;
   return DirectoryChange::Lapsed;
 }
 
+KnownServer &ServerDirectory::addLapsed(const ServerRegistration &registration,
+                                        TimePoint now) {
+  const auto id = allocateId();
+  auto &server = Servers[id];
+  server.IsOccupied = true;
+  server.FirstSeen = now;
+  server.LapsedAt = now - registration.LapsedFor;
+  server.Registration.Name = registration.Name;
+  server.Registration.State = ServerState::Lapsed;
+  server.Registration.StartTimeMs = registration.StartTimeMs;
+  server.Registration.Sequence = registration.Sequence;
+  server.Registration.Era = registration.Era;
+  server.Registration.Revision = registration.Revision;
+  ByName.emplace(registration.Name, id);
+  return server;
+}
+
+void ServerDirectory::fillAddress(KnownServer &server,
+                                  const ServerRegistration &registration) {
+  const auto id = idOf(server);
+  auto &known = server.Registration;
+  known.Identity = registration.Identity;
+  known.Service = registration.Service;
+  known.Address = registration.Address;
+  known.Zone = registration.Zone;
+  known.Slots = registration.Slots;
+  known.HasLapsedUnannounced = registration.HasLapsedUnannounced;
+  server.Service = Services.idOf(known.Service);
+  server.Zone = Zones.idOf(known.Zone);
+  addToIndexes(id);
+  const auto [it, added] = ByAddress.try_emplace(known.Address.key(), id);
+  // Of two lapsed servers with one address it is not known which came later.
+  server.IsAddressReused =
+      !added && Servers[it->second].Registration.State != ServerState::Lapsed;
+}
+
+void ServerDirectory::rememberLapsed(const ServerRegistration &registration,
+                                     TimePoint now) {
+  if (!registration.hasAddress() || registration.LapsedFor >= Retention)
+    return;
+  const auto it = ByName.find(registration.Name);
+  auto &server =
+      it == ByName.end() ? addLapsed(registration, now) : Servers[it->second];
+  if (!server.Registration.hasAddress())
+    fillAddress(server, registration);
+}
+
 std::uint64_t ServerDirectory::discardExpired(TimePoint now,
                                               std::uint64_t era) {
   std::uint64_t highest = 0;
@@ -228,6 +268,13 @@
   return &Servers[*best];
 }
 
+const std::vector<ServerId> &
+ServerDirectory::serversWithTag(std::uint32_t tag) const {
+  static const std::vector<ServerId> none;
+  const auto it = ByTag.find(tag);
+  return it == ByTag.end() ? none : it->second;
+}
+
 const KnownServer *
 ServerDirectory::findByIdentity(std::uint64_t identity) const {
   const auto it = ByTag.find(ServerTag::of(identity).front());
--- a/Source/Routing/ServerDirectory.h
+++ b/Source/Routing/ServerDirectory.h
@@ -27,17 +27,15 @@
   common::TimePoint ColdUntil;
   common::TimePoint LapsedAt; ///< Valid in state Lapsed.
   bool IsOccupied = false;    ///< This slot of the directory holds a server.
-  /// Lapsed directly from Ready, as after a crash or a registry fault.
-  bool LapsedWithoutDraining = false;
   /// Another server has registered with its address since.
   bool IsAddressReused = false;
 
   /// Whether it announced the end of the run that \p registration shows as
   /// ready. A run does not become ready again.
   bool hasLeft(const ServerRegistration &registration) const {
-    const bool isLeaving =
-        Registration.State == ServerState::Draining ||
-        (Registration.State == ServerState::Lapsed && !LapsedWithoutDraining);
+    const bool isLeaving = Registration.State == ServerState::Draining ||
+                           (Registration.State == ServerState::Lapsed &&
+                            !Registration.HasLapsedUnannounced);
     return isLeaving && Registration.Identity != 0 &&
            registration.State == ServerState::Ready &&
            Registration.StartTimeMs == registration.StartTimeMs;
@@ -75,6 +73,11 @@
   /// entries again.
   DirectoryChange confirm(const ServerRegistration &registration,
                           common::TimePoint now);
+  /// Keeps the address of a server whose entry the registry does not hold any
+  /// more, as a peer told it, so that its open flows are forwarded. Does not
+  /// change what is known of the server.
+  void rememberLapsed(const ServerRegistration &registration,
+                      common::TimePoint now);
   /// Discards lapsed servers after the retention time. Returns the highest
   /// revision of \p era among those discarded, 0 if there are none.
   std::uint64_t discardExpired(common::TimePoint now, std::uint64_t era);
@@ -83,6 +86,8 @@
   /// service is preferred, then the one known longest, since the host that
   /// wrote the tag did not know the other.
   const KnownServer *findByTag(std::uint32_t tag, NameTable::Id service) const;
+  /// All servers that \p tag may identify.
+  const std::vector<ServerId> &serversWithTag(std::uint32_t tag) const;
   /// The server with \p identity, or nullptr.
   const KnownServer *findByIdentity(std::uint64_t identity) const;
   /// The server named \p name, or nullptr.
@@ -120,6 +125,11 @@
                          common::TimePoint now);
   DirectoryChange add(const ServerRegistration &registration,
                       common::TimePoint now);
+  /// A new slot for the server of \p registration, without an address.
+  KnownServer &addLapsed(const ServerRegistration &registration,
+                         common::TimePoint now);
+  /// Takes service, zone and address from \p registration.
+  void fillAddress(KnownServer &server, const ServerRegistration &registration);
   /// Stores \p registration and returns how it differs from what was known.
   DirectoryChange store(KnownServer &server,
                         const ServerRegistration &registration,
--- a/Source/Routing/ServerPlacement.cpp
+++ b/Source/Routing/ServerPlacement.cpp
@@ -29,8 +29,9 @@
   if (server.Registration.State == ServerState::Draining)
     return Rank::Unusable;
   if (server.Registration.State == ServerState::Lapsed)
-    return useLapsed && server.LapsedWithoutDraining ? Rank::Lapsed
-                                                     : Rank::Unusable;
+    return useLapsed && server.Registration.HasLapsedUnannounced
+               ? Rank::Lapsed
+               : Rank::Unusable;
   if (Health.isSuspect(id, now) ||
       (server.Zone < UnreachableZones.size() && UnreachableZones[server.Zone]))
     return Rank::Suspected;
--- a/Source/UnitTests/Fleet/OpenFlowTest.cpp
+++ b/Source/UnitTests/Fleet/OpenFlowTest.cpp
@@ -67,7 +67,6 @@
   RoutingFixture it;
   it.add(1);
   for (int n = 0; n < 4; ++n) {
-    it.Router.setDirectoryCompleteAt(it.Clock.now() + 10ms);
     it.Clock.advance(200ms);
     BOOST_TEST(
         !std::holds_alternative<ResetFlow>(it.data(1, 77, 1000, 5000, 100)));
--- a/Source/UnitTests/Routing/PacketRouterTest.cpp
+++ b/Source/UnitTests/Routing/PacketRouterTest.cpp
@@ -337,22 +337,33 @@
   }
 }
 
-// Flows of a server that this host has not learned of yet must not be reset.
-// Only a directory that was complete after the tag was first seen shows that
-// the server has ended.
-BOOST_AUTO_TEST_CASE(UnknownTagIsResetOnlyByANewerDirectory) {
+// Flows of a server that this host does not know must not be reset, however
+// long it does not learn of it: the server's entry may have expired. Each copy
+// of a packet makes the host ask its peers again, and once one has told it the
+// server, the flow goes on.
+BOOST_AUTO_TEST_CASE(UnknownTagsAreAskedForAndNeverReset) {
   RoutingFixture it;
   it.add(1);
-  it.Router.setDirectoryCompleteAt(it.Clock.now() - 1ms);
-  BOOST_TEST(
-      std::holds_alternative<DropPacket>(it.data(1, 77, 1000, 5000, 100)));
-  it.Clock.advance(200ms);
-  BOOST_TEST(
-      std::holds_alternative<DropPacket>(it.data(1, 77, 1000, 5000, 100)));
-  it.Router.setDirectoryCompleteAt(it.Clock.now());
-  it.Clock.advance(400ms);
+  RoutingFixture other;
+  other.add(2);
+  const auto tag = other.Directory.at(0).Tag;
+  for (const auto pause : {0ms, 200ms, 400ms, 5000ms}) {
+    it.Clock.advance(pause);
+    it.Router.onTick(it.Clock.now());
+    BOOST_TEST(
+        std::holds_alternative<DropPacket>(it.data(1, tag, 1000, 5000, 100)));
+    BOOST_TEST(
+        std::holds_alternative<DropPacket>(it.data(2, tag, 1000, 5000, 100)));
+    BOOST_TEST(it.Router.hasUnknownTags());
+    BOOST_TEST(it.Router.takeUnknownTags(32, it.Clock.now()) ==
+                   std::vector{tag},
+               boost::test_tools::per_element());
+    BOOST_TEST(!it.Router.hasUnknownTags());
+  }
+  it.Directory.rememberLapsed(other.Directory.at(0).Registration,
+                              it.Clock.now());
   BOOST_TEST(
-      std::holds_alternative<ResetFlow>(it.data(1, 77, 1000, 5000, 100)));
+      std::holds_alternative<ForwardPacket>(it.data(1, tag, 1000, 5000, 100)));
 }
 
 // Callers control addresses, tags and retransmission counts, so the tables that
--- a/Source/UnitTests/Routing/ServerDirectoryTest.cpp
+++ b/Source/UnitTests/Routing/ServerDirectoryTest.cpp
@@ -157,4 +157,60 @@
   BOOST_TEST((directory.apply(it, clock.now()) == DirectoryChange::Refreshed));
 }
 
+// A server whose entry is gone must not come back as a server for new flows
+// when a peer names it, nor be kept longer than by the peer; its address must
+// be known.
+BOOST_AUTO_TEST_CASE(RememberedServersAreLapsed) {
+  common::ManualClock clock;
+  ServerDirectory directory(60s);
+  auto it = registration("s-1", 1, 5);
+  it.LapsedFor = 20s;
+  directory.rememberLapsed(it, clock.now());
+  const auto *known = directory.findByName("s-1");
+  BOOST_REQUIRE(known != nullptr);
+  BOOST_TEST(directory.readyCount() == 0U);
+  BOOST_TEST(!known->Registration.HasLapsedUnannounced);
+  BOOST_TEST((known->Registration.Address == it.Address));
+  BOOST_TEST((directory.findByTag(known->Tag, 0) == known));
+  clock.advance(41s);
+  directory.discardExpired(clock.now(), 0);
+  BOOST_TEST(directory.findByName("s-1") == nullptr);
+  it.LapsedFor = 60s;
+  directory.rememberLapsed(it, clock.now());
+  BOOST_TEST(directory.findByName("s-1") == nullptr);
+}
+
+// What is known of a server, and a later entry of the registry, must not give
+// way to what a peer remembers.
+BOOST_AUTO_TEST_CASE(RegistrationsGoBeforeRememberedServers) {
+  common::ManualClock clock;
+  ServerDirectory directory(60s);
+  const auto it = registration("s-1", 1, 5);
+  directory.apply(it, clock.now());
+  directory.rememberLapsed(it, clock.now());
+  BOOST_TEST(directory.readyCount() == 1U);
+  const auto other = registration("s-2", 2, 6);
+  directory.rememberLapsed(other, clock.now());
+  directory.apply(registration("s-2", 2, 7), clock.now());
+  BOOST_TEST(directory.readyCount() == 2U);
+}
+
+// Another server at the address shows that a remembered one has ended.
+BOOST_AUTO_TEST_CASE(RememberedServerGivesWayAtItsAddress) {
+  for (const bool isRememberedFirst : {true, false}) {
+    common::ManualClock clock;
+    ServerDirectory directory(60s);
+    const auto gone = registration("s-1", 1, 5);
+    auto next = registration("s-2", 2, 4);
+    next.Address = gone.Address;
+    if (isRememberedFirst)
+      directory.rememberLapsed(gone, clock.now());
+    directory.apply(next, clock.now());
+    if (!isRememberedFirst)
+      directory.rememberLapsed(gone, clock.now());
+    BOOST_TEST(directory.findByName("s-1")->IsAddressReused);
+    BOOST_TEST(!directory.findByName("s-2")->IsAddressReused);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
