Keep the flows of routes that a host does not know yet

Cause: a host without a route for an address took it for removed and reset the flow. While a change spreads, which may take seconds, other hosts have the route already and open flows; as the routers move flows between hosts, their packets reach hosts that have never had it.

A route now counts as removed only if an earlier configuration of the host had it. Otherwise the flow goes to the server that its tag names, or the packet is dropped (unknown_route). SYNs are refused as before.

--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -44,6 +44,8 @@
     return state::Cause::NoRoute;
   case RefusalReason::RouteRemoved:
     return state::Cause::RouteRemoved;
+  case RefusalReason::UnknownRoute:
+    return state::Cause::NoRoute;
   case RefusalReason::NoServer:
     return state::Cause::NoBackendServer;
   case RefusalReason::UnknownServer:
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/hash/hash.h"
 
+#include <limits>
 #include <span>
 
 namespace auburnroute::routing {
@@ -13,6 +14,8 @@
 
 /// Callers give up on a connection attempt 1.4 s after the first SYN.
 constexpr milliseconds SynLifetime{1500};
+/// Matches no service of the directory.
+constexpr auto NoService = std::numeric_limits<NameTable::Id>::max();
 /// How long unknown tags are kept, so that their number is bounded.
 constexpr milliseconds UnknownTagMemory{2000};
 
@@ -26,6 +29,8 @@
     return "no_route";
   case RefusalReason::RouteRemoved:
     return "route_removed";
+  case RefusalReason::UnknownRoute:
+    return "unknown_route";
   case RefusalReason::NoServer:
     return "no_server";
   case RefusalReason::UnknownServer:
@@ -66,16 +71,30 @@
       return onSyn(*route, packet, now);
     return onFlowPacket(*route, packet, now);
   }
-  if (packet.Rst)
-    return refuse({.Flow = id,
-                   .Why = RefusalReason::NoRoute,
-                   .IsDropped = true,
-                   .Tag = packet.Echo});
-  return refuse(
-      {.Flow = id,
-       .Why = packet.Syn ? RefusalReason::NoRoute : RefusalReason::RouteRemoved,
-       .IsSyn = packet.Syn,
-       .Tag = packet.Echo});
+  return onPacketWithoutRoute(packet, now);
+}
+
+RoutingOutcome PacketRouter::onPacketWithoutRoute(const FlowPacket &packet,
+                                                  TimePoint now) {
+  RefusedPacket refused{.Flow = {packet.Source, packet.Destination},
+                        .Why = RefusalReason::NoRoute,
+                        .IsDropped = packet.Rst,
+                        .IsSyn = packet.Syn,
+                        .Tag = packet.Echo};
+  if (packet.Rst || packet.Syn)
+    return refuse(refused);
+  if (Routes.wasRemoved(packet.Destination)) {
+    refused.Why = RefusalReason::RouteRemoved;
+    return refuse(refused);
+  }
+  // A host with a later configuration has opened the flow. The tag alone says
+  // where it belongs; without a route, no service is preferred.
+  const auto *server = Directory.findByTag(packet.Echo, NoService);
+  if (server != nullptr && !endOf(*server, now))
+    return ForwardPacket{Directory.idOf(*server), packet.Echo};
+  refused.Why = RefusalReason::UnknownRoute;
+  refused.IsDropped = true;
+  return refuse(refused);
 }
 
 RoutingOutcome PacketRouter::refuse(const RefusedPacket &packet) {
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -76,6 +76,10 @@
                        common::TimePoint now);
   RoutingOutcome onFlowPacket(const Route &route, const FlowPacket &packet,
                               common::TimePoint now);
+  /// Handles a packet to an address that the active configuration has no route
+  /// for.
+  RoutingOutcome onPacketWithoutRoute(const FlowPacket &packet,
+                                      common::TimePoint now);
   RoutingOutcome refuse(const RefusedPacket &packet);
   /// The service of a flow; the same for all retransmissions of its SYN.
   NameTable::Id serviceOf(const Route &route, const FlowId &id);
--- a/Source/Routing/RouteTable.cpp
+++ b/Source/Routing/RouteTable.cpp
@@ -21,11 +21,17 @@
 bool RouteTable::apply(RoutingConfiguration configuration) {
   if (configuration.Version <= Configuration.Version)
     return false;
+  if (RemovedAddresses.size() + ByAddress.size() <= MaxRemovedAddresses)
+    for (const auto &[address, index] : ByAddress)
+      RemovedAddresses.insert(address);
   Configuration = std::move(configuration);
   ByAddress.clear();
   ByAddress.reserve(Configuration.Routes.size());
-  for (std::uint32_t i = 0; i < Configuration.Routes.size(); ++i)
-    ByAddress.try_emplace(Configuration.Routes[i].Address.key(), i);
+  for (std::uint32_t i = 0; i < Configuration.Routes.size(); ++i) {
+    const auto address = Configuration.Routes[i].Address.key();
+    ByAddress.try_emplace(address, i);
+    RemovedAddresses.erase(address);
+  }
   return true;
 }
 
--- a/Source/Routing/RouteTable.h
+++ b/Source/Routing/RouteTable.h
@@ -4,6 +4,7 @@
 #include "Routing/NameTable.h"
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 
 #include <chrono>
 #include <cstdint>
@@ -47,12 +48,23 @@
 
   /// The route at \p address, or nullptr.
   const Route *find(common::Endpoint address) const;
+  /// Whether an earlier configuration of this host had a route at \p address
+  /// and the active one has none. A route that another host knows from a later
+  /// configuration is not a removed one.
+  bool wasRemoved(common::Endpoint address) const {
+    return RemovedAddresses.contains(address.key());
+  }
   std::uint64_t version() const { return Configuration.Version; }
   const RoutingConfiguration &configuration() const { return Configuration; }
 
 private:
+  /// Bounds RemovedAddresses over the life of a process. Addresses beyond it
+  /// count as unknown, so that their flows end by the callers' timeouts.
+  static constexpr std::size_t MaxRemovedAddresses = 65536;
+
   RoutingConfiguration Configuration;
   absl::flat_hash_map<std::uint64_t, std::uint32_t> ByAddress;
+  absl::flat_hash_set<std::uint64_t> RemovedAddresses;
 };
 
 } // namespace auburnroute::routing
--- a/Source/Routing/RoutingOutcome.h
+++ b/Source/Routing/RoutingOutcome.h
@@ -14,6 +14,7 @@
   NoRoute,         ///< No route matches the destination.
   RouteRemoved,    ///< The route of an open flow was removed from the
                    ///< configuration.
+  UnknownRoute,    ///< An open flow of a route that this host never had.
   NoServer,        ///< No backend server is available for a new flow.
   UnknownServer,   ///< The tag matches no known backend server.
   ServerGone,      ///< The backend server of an open flow has ended.
--- a/Source/UnitTests/Routing/PacketRouterTest.cpp
+++ b/Source/UnitTests/Routing/PacketRouterTest.cpp
@@ -406,6 +406,37 @@
       std::holds_alternative<ResetFlow>(it.syn(3, 0, RoutingFixture::Sheets)));
 }
 
+// A flow of a route that this host has not learned of yet goes on by its tag.
+// If the server has ended, its address may be another service's.
+BOOST_AUTO_TEST_CASE(FlowsOfUnknownRoutesAreForwardedByTheirTag) {
+  RoutingFixture it;
+  const auto id = it.add(1, "sheets");
+  const auto tag = it.Directory.at(id).Tag;
+  constexpr common::Endpoint unknown{0xc6120009, 443};
+  BOOST_TEST(forwardOf(it.data(1, tag, 1000, 5000, 100, unknown)).Server == id);
+  BOOST_TEST(std::holds_alternative<DropPacket>(
+      it.data(1, tag + 1, 1000, 5000, 100, unknown)));
+  auto successor = it.Directory.at(id).Registration;
+  successor.Name = "s2";
+  successor.Identity = 2;
+  successor.Revision = ++it.Revision;
+  it.Directory.apply(successor, it.Clock.now());
+  it.lapse(1);
+  BOOST_TEST(std::holds_alternative<DropPacket>(
+      it.data(1, tag, 1000, 5000, 100, unknown)));
+  BOOST_TEST(std::holds_alternative<ResetFlow>(it.syn(2, 0, unknown)));
+}
+
+// A route that was removed and added again must not reset its flows.
+BOOST_AUTO_TEST_CASE(RouteAddedAgainIsNotARemovedOne) {
+  RoutingFixture it;
+  it.configure(2, false);
+  BOOST_TEST(it.Routes.wasRemoved(RoutingFixture::Sheets));
+  it.configure(3, true);
+  BOOST_TEST(!it.Routes.wasRemoved(RoutingFixture::Sheets));
+  BOOST_TEST(!it.Routes.wasRemoved(RoutingFixture::Orders));
+}
+
 // After two servers of another zone stop answering, new flows avoid the whole
 // zone.
 BOOST_AUTO_TEST_CASE(UnreachableZoneIsAvoided) {
