Let a verdict end when its evidence does, and let requests through to refute it

Cause: a verdict that a server is dead kept away the packets that would refute it: its open flows were reset, and new ones avoided it. It counted from the arrival of the message, so a host that reported the server late was told it anew, and with it the host that had decided; it could outlast the fault behind it by twice its time.

It now counts from the first unanswered packet, wherever and however often it is told. The requests of a quarter of the flows, and non-idempotent ones, whose callers gain nothing by a reset, are forwarded once; an answer ends the verdict for the zone. Their retransmissions are reset, so callers of a dead server lose 200 ms.

VerdictToldAgainEndsAtTheSameTime and VerdictLetsSomeRequestsThrough check it.

--- a/Source/Fleet/FailureAggregator.cpp
+++ b/Source/Fleet/FailureAggregator.cpp
@@ -112,7 +112,8 @@
   absl::erase_if(Cases, [&](const auto &entry) {
     const auto &it = entry.second;
     if (it.Verdict)
-      return now - it.DecidedAt > Limits.Hold;
+      return now - (it.Verdict == VerdictKind::Dead ? it.Since : it.DecidedAt) >
+             Limits.Hold;
     return it.Reports.empty() && now - it.AnsweredAt > Limits.EvidenceWindow;
   });
   auto decisions = std::exchange(Decisions, {});
--- a/Source/Fleet/FailureAggregator.h
+++ b/Source/Fleet/FailureAggregator.h
@@ -30,7 +30,8 @@
   int Announcements = 2;
   /// Reports that are not renewed for this long do not count.
   std::chrono::milliseconds EvidenceWindow{1000};
-  /// How long a verdict stands. Then the server is tried again.
+  /// How long a verdict stands; that of a dead server counts from the first
+  /// unanswered packet. Then the server is tried again.
   std::chrono::milliseconds Hold{4000};
   /// Reports come from other hosts, so their number is bounded.
   std::size_t MaxServers = 2048;
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -14,6 +14,10 @@
 
 /// Callers give up on a connection attempt 1.4 s after the first SYN.
 constexpr milliseconds SynLifetime{1500};
+/// Under a verdict, requests of one in this many flows are forwarded all the
+/// same: a server that answers one of them is alive, and its flows are reset no
+/// more.
+constexpr std::uint32_t FlowsPerProbe = 4;
 /// Matches no service of the directory.
 constexpr auto NoService = std::numeric_limits<NameTable::Id>::max();
 /// How long unknown tags are kept, so that their number is bounded.
@@ -195,6 +199,20 @@
              : ServerEnd();
 }
 
+bool PacketRouter::mayProbe(const ServerEnd &end, const Route &route,
+                            const FlowId &id) {
+  if (end.Reason != EndReason::Verdict)
+    return false;
+  // The first copy of a request: later ones would wait for the caller's
+  // timeout.
+  const auto *flow = Flows.find(id);
+  if (flow == nullptr || flow->RetransmissionCount > 0)
+    return false;
+  // A reset gains the caller of a non-idempotent request nothing.
+  return route.Kind == RequestKind::NonIdempotent ||
+         (id.Caller.Address + id.Caller.Port) % FlowsPerProbe == 0;
+}
+
 RoutingOutcome PacketRouter::onFlowPacket(const Route &route,
                                           const FlowPacket &packet,
                                           TimePoint now) {
@@ -231,7 +249,8 @@
   // A reset lets the caller retry on a new flow at once instead of waiting for
   // a timeout.
   if (packet.PayloadSize > 0)
-    if (const auto end = endOf(*server, now)) {
+    if (const auto end = endOf(*server, now);
+        end && !mayProbe(end, route, id)) {
       Flows.erase(id);
       return refuse({.Flow = id,
                      .Why = RefusalReason::ServerGone,
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -94,6 +94,9 @@
   /// is unknown.
   void recordAnswer(ServerId server, common::TimePoint sentAt,
                     common::TimePoint now);
+  /// Whether to forward a packet of flow \p id though its server is taken for
+  /// dead.
+  bool mayProbe(const ServerEnd &end, const Route &route, const FlowId &id);
   /// Whether the server has certainly ended, so that its flows can be reset.
   ServerEnd endOf(const KnownServer &server, common::TimePoint now);
 
--- a/Source/Routing/ServerHealthTracker.cpp
+++ b/Source/Routing/ServerHealthTracker.cpp
@@ -205,14 +205,18 @@
                                         TimePoint now) {
   auto &server = activityRef(id);
   if (server.LastAnswer > since ||
-      server.PeerAnswerAt > since + Limits.MaxReportedAgeError)
+      server.PeerAnswerAt > since + Limits.MaxReportedAgeError ||
+      since + Limits.SuspicionHold <= now)
     return false;
   if (!isSuspect(id, now)) {
     server.Why = SuspicionReason::Reported;
     server.SuspectedAt = now;
   }
   server.ReportedSince = since;
-  server.SuspectUntil = server.DeadUntil = now + Limits.SuspicionHold;
+  // Counted from the silence and not from the message: a verdict that is told
+  // again must not outlast its evidence.
+  server.DeadUntil = std::max(server.DeadUntil, since + Limits.SuspicionHold);
+  server.SuspectUntil = std::max(server.SuspectUntil, server.DeadUntil);
   return true;
 }
 
--- a/Source/UnitTests/Routing/PacketRouterTest.cpp
+++ b/Source/UnitTests/Routing/PacketRouterTest.cpp
@@ -187,6 +187,41 @@
       it.data(10, dead.Tag, 1000, 5000, 100)));
 }
 
+// A wrong verdict must not keep away the packets that refute it: the requests
+// of a quarter of the flows, and non-idempotent ones, are forwarded once. Their
+// retransmissions are reset, so that callers of a dead server lose 200 ms only.
+BOOST_AUTO_TEST_CASE(VerdictLetsSomeRequestsThrough) {
+  RoutingFixture it;
+  it.add(1);
+  it.add(2);
+  const auto tag = it.Directory.at(0).Tag;
+  it.Clock.advance(500ms);
+  BOOST_TEST(
+      it.Health.onDeadVerdict(0, it.Clock.now() - 500ms, it.Clock.now()));
+  std::uint16_t forwarded = 0;
+  std::uint16_t probe = 0;
+  for (std::uint16_t port = 100; port < 300; ++port)
+    if (std::holds_alternative<ForwardPacket>(
+            it.data(port, tag, 1000, 5000, 100))) {
+      ++forwarded;
+      probe = port;
+    }
+  BOOST_TEST(forwarded >= 40);
+  BOOST_TEST(forwarded <= 60);
+  it.Clock.advance(200ms);
+  BOOST_TEST(
+      std::holds_alternative<ResetFlow>(it.data(probe, tag, 1000, 5000, 100)));
+
+  auto configuration = it.Routes.configuration();
+  configuration.Version = 2;
+  for (auto &route : configuration.Routes)
+    route.Kind = routing::RequestKind::NonIdempotent;
+  it.Routes.apply(configuration);
+  for (std::uint16_t port = 300; port < 310; ++port)
+    BOOST_TEST(std::holds_alternative<ForwardPacket>(
+        it.data(port, tag, 1000, 5000, 100)));
+}
+
 // At a verdict of the zone the callers of pending requests are reset without
 // waiting for their next packet, up to 1.4 s later. A non-idempotent request is
 // left: its server may be slow, and its caller may not retry it.
--- a/Source/UnitTests/Routing/ServerHealthTrackerTest.cpp
+++ b/Source/UnitTests/Routing/ServerHealthTrackerTest.cpp
@@ -114,4 +114,19 @@
   BOOST_TEST(!Health.onDeadVerdict(1, since, Clock.now()));
 }
 
+// After a cut has healed, hosts that missed the verdict are told it again. It
+// must end when it would have ended for the others, not start anew.
+BOOST_AUTO_TEST_CASE(VerdictToldAgainEndsAtTheSameTime) {
+  const auto since = Clock.now();
+  Clock.advance(500ms);
+  BOOST_TEST(Health.onDeadVerdict(1, since, Clock.now()));
+  Clock.advance(3s);
+  BOOST_TEST(Health.onDeadVerdict(1, since, Clock.now()));
+  Clock.advance(499ms);
+  BOOST_TEST(Health.isDead(1, Clock.now()));
+  Clock.advance(1ms);
+  BOOST_TEST(!Health.isDead(1, Clock.now()));
+  BOOST_TEST(!Health.onDeadVerdict(1, since, Clock.now()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
