--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -346,6 +346,7 @@
     if (const auto any = Peers.choose(1, now); !any.empty())
       address = any.front();
   IsFetchingSnapshot = true;
+  SnapshotRequestedAt = now;
   SnapshotClient = std::make_unique<reactor::AsyncHttpClient>(
       Loop, common::Endpoint{address, Self.Port});
   const auto target = absl::StrCat("/view?after=", View.revision(),
@@ -368,7 +369,11 @@
     return;
   }
   Metrics.add(EdgeCounter::SnapshotsFetched);
-  View.applySnapshot(snapshot->View, snapshot->Age, Clock.now());
+  // The answer may have been under way since the request.
+  const auto now = Clock.now();
+  const auto transfer =
+      std::chrono::duration_cast<milliseconds>(now - SnapshotRequestedAt);
+  View.applySnapshot(snapshot->View, snapshot->Age + transfer, now);
   OnViewChanged();
 }
 
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -140,6 +140,7 @@
   state::StartMode Mode = state::StartMode::Restart;
   common::TimePoint NextRound;
   common::TimePoint NextTagQuestion;
+  common::TimePoint SnapshotRequestedAt;
   std::size_t RoundCount = 0;
   std::uint64_t AnnouncedChangeCount = 0;
   std::uint64_t AnnouncedRevision = 0; ///< In era AnnouncedEra.
