Check resets of open flows strictly, and start hosts without the registry

Its check saw a reset only while the caller waited for an answer, did not look whether the server had the end of the handshake, and skipped resets sent by other servers. Its callers gave up flows after 3 s, so no flow outlived an outage, and no host started while the registry was away.

The check now follows the rule FLOW: a reset of a flow that is open at its server counts whenever it arrives and whoever sent it but the server, unless the server or its links were disturbed in the last 4 s; state of host and registry excuses nothing. Part (b), three packets in 2 s that reach other servers and none the own, is checked as well. Callers use an open connection until its server is gone.

--- a/Source/UnitTests/Process/edge_fleet.py
+++ b/Source/UnitTests/Process/edge_fleet.py
@@ -5,7 +5,7 @@
 backend servers that stop answering) and checks the guarantees from what callers
 and backend servers observe.
 
-usage: edge_fleet.py BIN_DIR --seed N [--seconds S] [--calm] [--net N]
+usage: edge_fleet.py BIN_DIR --seed N [--seconds S] [--calm] [--net N] [--hosts N]
 """
 import argparse
 import asyncio
@@ -27,6 +27,7 @@
 CHANGE_BOUND_SECONDS = 3.0  # until a change is in force on all hosts
 SETTLE_SECONDS = 4.0  # without a fault, after which the bounds hold
 REQUEST_TIMEOUT_SECONDS = 3.0  # after which a caller gives up a request
+STRAY_SECONDS, STRAY_PACKETS = 2.0, 3  # packets to other servers, none to the own, that break an open flow
 KEYED_CHECKSUM = 0x5EED  # any value other than 0, which marks a reset by a host
 
 now = time.monotonic
@@ -151,8 +152,8 @@
             writer.close()
 
     async def answer(self, path, parameters):
-        if self.mode == "down":
-            return 503, {}
+        if self.mode in ("down", "busy"):
+            return (503 if self.mode == "down" else 429), {}
         if path == "/kv-range":
             items = [it for key, it in sorted(self.items.items()) if key > parameters.get("after", "")]
             return 200, {"items": items[:10], "has_more": len(items) > 10, "at_rev": self.revision}
@@ -273,12 +274,13 @@
             self.transport.sendto(packet.encode(), (host, port))
 
     def on_datagram(self, data, addr):
-        if not self.alive or self.fleet.is_cut(self, addr[0]) or random.random() < self.fleet.loss_rate:
+        if self.fleet.is_cut(self, addr[0]) or random.random() < self.fleet.loss_rate:
             return
         identity = struct.unpack(">Q", data[:8])[0]
-        if identity not in (0, self.identity):
-            return
         p = Packet.decode(data[8:])
+        self.fleet.on_packet_arrived(self, p)
+        if not self.alive or identity not in (0, self.identity):
+            return
         if p.keyed != KEYED_CHECKSUM:
             self.fleet.report_failure(f"{self.name}: received a packet with checksum {p.keyed:#x}, "
                                       f"expected {KEYED_CHECKSUM:#x}")
@@ -344,11 +346,11 @@
     def mark_disturbed(self):
         self.disturbed_at = now()
 
-    async def kill(self):
+    async def kill(self, down_seconds=0.3):
         self.mark_disturbed()
         self.process.kill()
         await self.process.wait()
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(down_seconds)
         self.mark_disturbed()
         await self.start()
 
@@ -414,7 +416,7 @@
     def __init__(self, fleet, number, zone):
         self.fleet, self.zone = fleet, zone
         self.ip = fleet.address(2, number)
-        self.flows, self.port = {}, 1024
+        self.flows, self.port = {}, 1024  # queues of arrived packets
 
     async def start(self):
         self.transport = await open_udp((self.ip, PACKET_PORT), self.on_datagram)
@@ -426,6 +428,8 @@
 
     def on_datagram(self, data, addr):
         p = Packet.decode(data)
+        if p.flags & RST:
+            self.fleet.on_reset(p, addr[0])
         queue = self.flows.get(p.dst[1])
         if queue is not None:
             queue.put_nowait((p, addr[0]))
@@ -464,18 +468,17 @@
             return None, p
         self.fleet.counts["opened"] += 1
         flow = {"me": me, "to": to, "queue": queue, "seq": seq + 1, "ack": p.seq + 1, "echo": p.echo,
-                "server": source}
+                "server": next(it for it in self.fleet.servers if it.host == source),
+                "is_reset": False, "reached_at": now(), "strays": []}
+        self.fleet.flows[me] = flow
         self.send(Packet(me, to, ACK, flow["seq"], flow["ack"], flow["echo"]))
         return flow, None
 
     async def request(self, flow, text, limit):
         data = text.encode()
         packet = Packet(flow["me"], flow["to"], ACK, flow["seq"], flow["ack"], flow["echo"], data)
-        p, source = await self.exchange(flow["queue"], packet, lambda it: it.data and it.seq == flow["ack"], limit)
-        if p is None:
-            return None
-        if p.flags & RST:
-            self.fleet.on_reset(flow, p, source)
+        p, _ = await self.exchange(flow["queue"], packet, lambda it: it.data and it.seq == flow["ack"], limit)
+        if p is None or p.flags & RST:
             return None
         flow["seq"] += len(data)
         flow["ack"] += len(p.data)
@@ -484,6 +487,7 @@
         return p.data.decode()
 
     def close(self, flow):
+        self.fleet.check_strays(flow)
         self.send(Packet(flow["me"], flow["to"], FIN | ACK, flow["seq"], flow["ack"], flow["echo"]))
         self.flows.pop(flow["me"][1], None)
 
@@ -495,11 +499,13 @@
     def __init__(self, bin_dir, seed, folder, net, odd_bin_dir=None):
         self.bin_dir, self.folder, self.net = bin_dir, folder, net
         self.odd_bin_dir = odd_bin_dir or bin_dir
-        self.random = random.Random(seed)
+        self.random, self.fault_random = random.Random(seed), random.Random(f"overlapping faults {seed}")
         self.registry = Registry()
         self.hosts, self.servers, self.callers = [], [], []
+        self.flows = {}  # opened flows by the caller's address
         self.run_counts, self.failures = {}, []
-        self.counts = {"sent": 0, "answered": 0, "unanswered": 0, "refused": 0, "feeds": 0, "opened": 0, "resets": 0}
+        self.counts = {"sent": 0, "answered": 0, "unanswered": 0, "refused": 0, "feeds": 0, "opened": 0, "resets": 0,
+                       "max_lag_ms": 0}
         self.version, self.idle_route_dropped_at = 0, None
         self.number = 0
         self.planned_only = True
@@ -548,12 +554,50 @@
                 and now() - self.idle_route_dropped_at > CHANGE_BOUND_SECONDS and self.is_settled(host.disturbed_at):
             self.report_failure(f"{host.name} used a route {now() - self.idle_route_dropped_at:.1f} s after its removal")
 
-    def on_reset(self, flow, packet, source):
+    def must_stay_open(self, flow):
+        """Whether only the flow's server may reset it: the server got the end of the handshake and lives, and neither
+        it nor its links were disturbed of late. The state of hosts and registry excuses nothing."""
+        server = flow["server"]
+        return server.alive and server.flows.get(flow["me"], {}).get("open", False) \
+            and now() - server.disturbed_at > SETTLE_SECONDS and self.cut_zone is None and not self.loss_rate
+
+    def on_reset(self, packet, source):
+        flow = self.flows.get(packet.dst)
+        if flow is None or flow["is_reset"]:
+            return
         self.counts["resets"] += 1
-        server = next((it for it in self.servers if it.host == flow["server"]), None)
-        if packet.keyed == 0 and server is not None and server.alive and now() - server.disturbed_at > SETTLE_SECONDS \
-                and self.cut_zone is None and not self.loss_rate:
-            self.report_failure(f"{source} reset a flow of {server.name}, which is alive")
+        flow["is_reset"] = True
+        if source != flow["server"].host and self.must_stay_open(flow):
+            self.report_failure(f"{self.name_at(source)} reset {self.flow_name(flow)}, an open flow of "
+                                f"{flow['server'].name}, which is alive")
+
+    def on_packet_arrived(self, server, packet):
+        flow = self.flows.get(packet.src)
+        if flow is None:
+            return
+        if server is not flow["server"]:
+            flow["strays"].append((now(), server.name))
+        self.check_strays(flow)
+        if server is flow["server"]:
+            flow["reached_at"], flow["strays"] = now(), []
+
+    def check_strays(self, flow):
+        """Reports packets of an open flow that reach other servers while none reaches its own."""
+        strays = flow["strays"]
+        close = any(last[0] - first[0] <= STRAY_SECONDS for first, last in zip(strays, strays[STRAY_PACKETS - 1:]))
+        if close and now() - flow["reached_at"] >= STRAY_SECONDS and self.must_stay_open(flow):
+            self.report_failure(f"{len(strays)} packets of {self.flow_name(flow)}, an open flow of "
+                                f"{flow['server'].name}, reached {sorted({it[1] for it in strays})}, none its server")
+            flow["strays"] = []
+
+    def name_at(self, ip):
+        names = {it.ip: it.name for it in self.hosts} | {it.host: it.name for it in self.servers}
+        return names.get(ip, ip)
+
+    @staticmethod
+    def flow_name(flow):
+        """Returns the flow as the log lines of the hosts name it."""
+        return "%s:%d>%s:%d" % (*flow["me"], *flow["to"])
 
     def route(self, zone, packet):
         """Returns the host that the routers choose for a packet."""
@@ -600,7 +644,8 @@
                 await host.proxy.start()
                 await host.start()
                 asyncio.ensure_future(host.probe())
-        for n in range(8):
+        # More callers than this would take the whole processor.
+        for n in range(min(4 * hosts_per_zone, 24)):
             caller = Caller(self, n + 1, zones[n % len(zones)])
             self.callers.append(caller)
             await caller.start()
@@ -635,7 +680,7 @@
                     self.counts["unanswered"] += 1
                 else:
                     self.check_answer(request, answer, service)
-            await asyncio.sleep(self.random.uniform(0.01, 0.1))
+            await asyncio.sleep(self.pause_factor * self.random.uniform(0.01, 0.1))
 
     async def keep_feed(self, caller):
         """Keeps a flow open as long as it works and replaces it when it breaks."""
@@ -650,15 +695,20 @@
                 request = f"feed/orders/{self.number_of_request}"
                 self.counts["sent"] += 1
                 answer = await caller.request(flow, request, REQUEST_TIMEOUT_SECONDS)
+                # A caller uses an open connection as long as its server is there.
+                while answer is None and flow["server"].alive and not flow["is_reset"] and not self.planned_only \
+                        and not self.is_over:
+                    self.counts["unanswered"] += 1
+                    answer = await caller.request(flow, request, REQUEST_TIMEOUT_SECONDS)
                 if answer is None:
                     self.counts["unanswered"] += 1
-                    server = next(it for it in self.servers if it.host == flow["server"])
+                    server = flow["server"]
                     if self.planned_only and server.alive:
                         self.report_failure(f"a feed to {server.name} broke during planned changes")
                     caller.close(flow)
                     break
                 self.check_answer(request, answer, "orders")
-                await asyncio.sleep(self.random.uniform(0.05, 0.4))
+                await asyncio.sleep(self.pause_factor * self.random.uniform(0.05, 0.4))
 
     # Faults and planned changes.
     async def expire_entry(self, server):
@@ -693,6 +743,7 @@
         self.registry.set_mode(mode)
         await asyncio.sleep(seconds)
         self.registry.set_mode("up")
+        self.log_event("registry back")
 
     async def restore_registry(self, age, seconds):
         self.registry.restore(age)
@@ -705,10 +756,8 @@
         await asyncio.gather(*rewrites)
         self.registry.disturbed_at = now()
 
-    async def restore_after_changes(self, seconds):
+    async def restore_after_changes(self):
         """Loses two versions and has the next one written at the revision that the hosts know."""
-        await asyncio.sleep(seconds)
-        self.busy.add("registry")
         began = now()
         for n in range(6):
             self.registry.put("other/key", str(n))
@@ -722,9 +771,176 @@
             self.registry.put("other/key", "again")
         self.publish()
         self.registry.put("other/key", "last")
-        self.busy.discard("registry")
         self.log_event(f"registry restored; revision {known} is that of version {self.version}")
 
+    # Faults that overlap: hosts that start or pause while the registry or links are away, servers without an entry.
+    # They have a random stream of their own, so that a seed's other events stay the same.
+    async def restart_hosts(self, hosts, gap_seconds=0.0):
+        """Kills those hosts that have no other event and starts them again, gap_seconds after each other."""
+        hosts = [it for it in hosts if it.name not in self.busy and it.process.returncode is None]
+        names = {it.name for it in hosts}
+        self.busy |= names
+        self.log_event(f"hosts killed {sorted(names)}, {gap_seconds:.1f} s apart")
+
+        async def restart(wait_seconds, host):
+            await asyncio.sleep(wait_seconds)
+            await host.kill()
+        await asyncio.gather(*(restart(n * gap_seconds, it) for n, it in enumerate(hosts)))
+        self.log_event(f"hosts started {sorted(names)}")
+        self.busy -= names
+
+    async def unlist(self, servers, absent_seconds):
+        """Removes entries of living servers, which come back later, or at the end if absent_seconds is None."""
+        self.log_event(f"entries removed {[it.name for it in servers]}, back after {absent_seconds} s")
+        for it in servers:
+            self.registry.remove(f"servers/{it.name}")
+        if absent_seconds is None:
+            await self.events_over.wait()
+        else:
+            await asyncio.sleep(absent_seconds)
+        for it in servers:
+            # A server that drains or was restored has written an entry meanwhile.
+            if it.alive and f"servers/{it.name}" not in self.registry.items:
+                it.register(it.state)
+        self.log_event(f"entries back {[it.name for it in servers]}")
+
+    async def open_and_give_up(self, seconds, flows_per_second):
+        """Has each caller open further flows and give up those whose SYNs no server answers in time."""
+        async def open_one(caller):
+            flow, _ = await caller.open(self.ROUTES["orders"])
+            if flow is not None:
+                caller.close(flow)
+        end, opening = now() + seconds, []
+        while now() < end:
+            opening += [asyncio.ensure_future(open_one(it)) for it in self.callers]
+            await asyncio.sleep(1 / flows_per_second)
+        await asyncio.gather(*opening)
+
+    async def use_after_idling(self, seconds, flows_per_caller):
+        """Opens flows, sends nothing on them for the given time, and then one request on each."""
+        async def use(caller, number, idle_seconds):
+            flow, _ = await caller.open(self.ROUTES["orders"])
+            if flow is None:
+                return
+            await asyncio.sleep(idle_seconds)
+            self.counts["sent"] += 1
+            request = f"idle/orders/{number}"
+            answer = await caller.request(flow, request, REQUEST_TIMEOUT_SECONDS)
+            caller.close(flow)
+            if answer is None:
+                self.counts["unanswered"] += 1
+            else:
+                self.check_answer(request, answer, "orders")
+        await asyncio.gather(*(use(it, number, seconds + self.fault_random.uniform(0, 3))
+                               for it in self.callers for number in range(flows_per_caller)))
+
+    async def start_without_registry(self, mode, away_seconds, killed_after, groups, gap_seconds, unlisted, back_after):
+        """Restarts groups of hosts, the first ones while the registry is away, so that packets wait in their sockets."""
+        lapses = []
+
+        async def lapse():
+            # A lease lasts for three heartbeats of 0.7 s.
+            await asyncio.sleep(min(2.1, away_seconds - 0.1))
+            lapses.append(asyncio.ensure_future(self.unlist(unlisted, back_after)))
+
+        async def restart_groups():
+            await asyncio.sleep(killed_after)
+            for n, hosts in enumerate(groups):
+                await asyncio.sleep(5 if n else 0)
+                await self.restart_hosts(hosts, gap_seconds)
+        # The last of these callers have given up when the registry is back: their SYNs stay unanswered.
+        others = [restart_groups(), self.open_and_give_up(away_seconds - 1.5, 10)] + ([lapse()] if unlisted else [])
+        others.append(self.use_after_idling(away_seconds, 5))
+        await asyncio.gather(self.disrupt_registry(mode, away_seconds), *others)
+        await asyncio.gather(*lapses)
+
+    async def unlist_and_restart(self, servers, back_after, groups, gap_seconds):
+        async def restart_groups():
+            for hosts in groups:
+                await asyncio.sleep(5)
+                await self.restart_hosts(hosts, gap_seconds)
+        await asyncio.gather(self.unlist(servers, back_after), restart_groups())
+
+    async def pause_hosts(self, pauses):
+        """Pauses hosts, each after a while: (host, wait_seconds, pause_seconds)."""
+        async def pause(host, wait_seconds, pause_seconds):
+            await asyncio.sleep(wait_seconds)
+            if host.name in self.busy or host.process.returncode is not None:
+                return
+            self.busy.add(host.name)
+            self.log_event(f"pause {host.name} {pause_seconds:.1f} s")
+            await host.pause(pause_seconds)
+            self.busy.discard(host.name)
+        await asyncio.gather(*(pause(*it) for it in pauses))
+
+    async def restart_cut_zone(self, zone, cut_seconds, killed_after, registry_mode):
+        """Restarts all hosts of a zone while its links to the other zones, and to the registry, are cut."""
+        hosts = [it for it in self.hosts if it.zone == zone]
+
+        async def restart():
+            await asyncio.sleep(killed_after)
+            await self.restart_hosts(hosts)
+        links = [it.disrupt_registry_link(registry_mode, cut_seconds) for it in hosts] if registry_mode else []
+        await asyncio.gather(self.cut_zone_links(zone, cut_seconds), restart(), *links)
+
+    def choose_hosts(self):
+        """One host, a zone, most hosts of each zone (then the routers use all of them), or all."""
+        pick = self.fault_random
+        zones = [[it for it in self.hosts if it.zone == zone] for zone in sorted({it.zone for it in self.hosts})]
+        most = [it for hosts in zones for it in pick.sample(hosts, len(hosts) // 2 + 1)]
+        return pick.choice([[pick.choice(self.hosts)], pick.choice(zones), most, self.hosts])
+
+    def trigger_overlapping_fault(self):
+        pick = self.fault_random
+        live = [it for it in self.servers if it.alive]
+        servers = pick.sample(live, pick.choice([1, 2, 3, len(live) // 2, len(live)]))
+        absent = pick.choice([pick.uniform(0, 2), pick.uniform(2, 9), None])
+        groups = [self.choose_hosts() for _ in range(pick.choice([1, 1, 2]))]
+        gap = pick.choice([0, 0, 0.3, 1])
+        away = pick.uniform(2, 7)
+        mode = pick.choice(["silent", "reset", "busy", "down"])
+        kind = pick.choice(["away", "away", "lapse", "lapse", "unlist", "pauses", "cut"])
+        zone = pick.choice(sorted({it.zone for it in self.hosts}))
+        link_mode = pick.choice([None, "silent", "reset", "one_way"])
+        pauses = [(pick.choice(self.hosts), pick.uniform(0, 4), pick.uniform(0.2, 3)) for _ in range(2 * len(self.hosts))]
+        subject, action = {
+            "away": ("registry", lambda: self.start_without_registry(mode, away, pick.uniform(0, away), groups, gap, [], 0)),
+            "lapse": ("registry", lambda: self.start_without_registry(mode, away, pick.uniform(0, away), groups, gap,
+                                                                      servers, absent)),
+            "unlist": ("entries", lambda: self.unlist_and_restart(servers, absent, groups, gap)),
+            "pauses": ("pauses", lambda: self.pause_hosts(pauses)),
+            "cut": ("links", lambda: self.restart_cut_zone(zone, away, pick.uniform(0, away), link_mode)),
+        }[kind]
+        if subject in self.busy:
+            return
+        self.log_event(f"overlapping fault: {kind}, registry {mode}, {away:.1f} s")
+        self.begin(subject, action())
+
+    async def inject_overlapping_faults(self, end):
+        while now() < end:
+            await asyncio.sleep(self.fault_random.uniform(0.5, 3))
+            self.trigger_overlapping_fault()
+
+    async def start_all_without_registry(self):
+        """All hosts start while the registry is away, so no peer has a view: packets wait in their sockets until the
+        registry is back, when the callers of the oldest ones have given up."""
+        mode = self.fault_random.choice(["silent", "reset", "busy"])
+        await self.start_without_registry(mode, 6, 1, [self.hosts], 0, [], 0)
+
+    async def start_hosts_after_lapse(self):
+        """Entries lapse while the registry is away and aren't written again; hosts start 5 s and more after its return."""
+        servers = self.fault_random.sample(self.servers, len(self.servers) // 3)
+        halves = [self.hosts[0::2], self.hosts[1::2]]
+        await self.start_without_registry("reset", 3, 8, halves, 0, servers, None)
+
+    def begin(self, subject, action):
+        """Runs an event; its subject can have no other meanwhile."""
+        self.busy.add(subject)
+        task = asyncio.ensure_future(action)
+        task.add_done_callback(lambda it: (self.busy.discard(subject),
+                                           it.exception() and self.report_failure(repr(it.exception()))))
+        self.tasks.append(task)
+
     def trigger_event(self):
         host = self.random.choice(self.hosts)
         live = [it for it in self.servers if it.alive and not it.draining_since]
@@ -760,10 +976,17 @@
         if name == "reload":
             host.process.send_signal(signal.SIGHUP)
             return
-        self.busy.add(subject)
-        task = asyncio.ensure_future(action())
-        task.add_done_callback(lambda it: (self.busy.discard(subject), it.exception() and self.report_failure(str(it.exception()))))
-        self.tasks.append(task)
+        self.begin(subject, action())
+
+    async def measure_lag(self):
+        """Records the longest time for which callers and backend servers stood still, as a busy machine makes them."""
+        while not self.is_over:
+            due = now() + 0.05
+            await asyncio.sleep(0.05)
+            lag = round(1000 * (now() - due))
+            if lag > 150:
+                self.log_event(f"the stand-ins stood still for {lag} ms")
+            self.counts["max_lag_ms"] = max(self.counts["max_lag_ms"], lag)
 
     async def flows_placed(self):
         all_metrics = [await it.metrics() for it in self.hosts]
@@ -778,19 +1001,28 @@
         finally:
             self.is_over = True
 
-    async def run(self, seconds, planned_only, restores=False):
+    async def run(self, seconds, planned_only, course, hosts_per_zone):
         self.planned_only = planned_only
-        self.is_over, self.busy, self.tasks = False, set(), []
-        await self.start()
+        # With few requests a host sees no answer of a server for some time, which must not end flows either.
+        self.pause_factor = 8 if course in SLOW_COURSES else 1 if planned_only else self.fault_random.choice([1, 1, 6])
+        self.is_over, self.busy, self.tasks, self.events_over = False, set(), [], asyncio.Event()
+        await self.start(hosts_per_zone=hosts_per_zone, servers_per_zone=2 * hosts_per_zone)
         self.log_event("ready")
         load = [asyncio.ensure_future(it) for caller in self.callers
                 for it in (self.send_requests(caller), self.keep_feed(caller), self.keep_feed(caller))]
+        load.append(asyncio.ensure_future(self.measure_lag()))
         end = now() + seconds
-        if restores:
-            self.tasks.append(asyncio.ensure_future(self.restore_after_changes(seconds)))
-        while now() < end and not restores:
+        if course:
+            await asyncio.sleep(seconds)
+            self.begin("registry", course(self))
+            # Entries that come back at the end wait for events_over.
+            await asyncio.wait(self.tasks, timeout=15)
+        elif not planned_only:
+            self.tasks.append(asyncio.ensure_future(self.inject_overlapping_faults(end)))
+        while now() < end and not course:
             await asyncio.sleep(self.random.uniform(0.3, 1.5))
             self.trigger_event()
+        self.events_over.set()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         # All requests must be answered once the fleet has settled.
         await asyncio.sleep(SETTLE_SECONDS)
@@ -859,13 +1091,23 @@
             self.report_failure(f"auburnctl cause does not report the start of {gone.name}")
 
 
+# Runs of one fault instead of random events.
+COURSES = (("--restored", Fleet.restore_after_changes, "the registry is restored from a copy"),
+           ("--registry-away", Fleet.start_all_without_registry, "hosts start while the registry is away"),
+           ("--unlisted", Fleet.start_hosts_after_lapse, "hosts start while the registry lacks entries of living servers"))
+SLOW_COURSES = (Fleet.start_all_without_registry, Fleet.start_hosts_after_lapse)
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("bin_dir")
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--calm", action="store_true", help="planned changes only, no faults")
-    parser.add_argument("--restored", action="store_true", help="instead of random events, restore the registry from a copy")
+    courses = parser.add_mutually_exclusive_group()
+    for name, course, help_text in COURSES:
+        courses.add_argument(name, dest="course", action="store_const", const=course, help=help_text)
+    parser.add_argument("--hosts", type=int, default=2, help="hosts per zone, of which there are two")
     parser.add_argument("--net", type=int, default=0, choices=range(25), help="loopback network, to run several at once")
     parser.add_argument("--odd-bin-dir", help="programs of the hosts with odd numbers, for a fleet of two versions")
     parser.add_argument("--logs", help="folder for the logs; kept")
@@ -875,7 +1117,7 @@
     random.seed(options.seed)
     fleet = Fleet(options.bin_dir, options.seed, folder, options.net, options.odd_bin_dir)
     try:
-        asyncio.run(fleet.run_to_the_end(options.seconds, options.calm, options.restored))
+        asyncio.run(fleet.run_to_the_end(options.seconds, options.calm, options.course, options.hosts))
     finally:
         for host in fleet.hosts:
             if host.process is not None and host.process.returncode is None:
