Wait for faults that begin late, and keep the events of each soak run

The run now waits for all faults and begins none after its end.

Entries that lapse while the registry is away come back after its return, as servers cannot write before.

--- a/Source/UnitTests/Process/edge_fleet.py
+++ b/Source/UnitTests/Process/edge_fleet.py
@@ -504,6 +504,7 @@
         self.hosts, self.servers, self.callers = [], [], []
         self.flows = {}  # opened flows by the caller's address
         self.run_counts, self.failures = {}, []
+        self.watched = []  # shares of the live servers of which a reset would be reported, every 50 ms
         self.counts = {"sent": 0, "answered": 0, "unanswered": 0, "refused": 0, "feeds": 0, "opened": 0, "resets": 0,
                        "max_lag_ms": 0}
         self.version, self.idle_route_dropped_at = 0, None
@@ -558,8 +559,11 @@
         """Whether only the flow's server may reset it: the server got the end of the handshake and lives, and neither
         it nor its links were disturbed of late. The state of hosts and registry excuses nothing."""
         server = flow["server"]
-        return server.alive and server.flows.get(flow["me"], {}).get("open", False) \
-            and now() - server.disturbed_at > SETTLE_SECONDS and self.cut_zone is None and not self.loss_rate
+        return server.flows.get(flow["me"], {}).get("open", False) and self.is_undisturbed(server)
+
+    def is_undisturbed(self, server):
+        return server.alive and now() - server.disturbed_at > SETTLE_SECONDS and self.cut_zone is None \
+            and not self.loss_rate
 
     def on_reset(self, packet, source):
         flow = self.flows.get(packet.dst)
@@ -839,9 +843,11 @@
         lapses = []
 
         async def lapse():
-            # A lease lasts for three heartbeats of 0.7 s.
-            await asyncio.sleep(min(2.1, away_seconds - 0.1))
-            lapses.append(asyncio.ensure_future(self.unlist(unlisted, back_after)))
+            # A lease lasts for three heartbeats of 0.7 s. Servers write again once the registry is back.
+            lapsed_after = min(2.1, away_seconds - 0.1)
+            await asyncio.sleep(lapsed_after)
+            absent = None if back_after is None else away_seconds - lapsed_after + back_after
+            lapses.append(asyncio.ensure_future(self.unlist(unlisted, absent)))
 
         async def restart_groups():
             await asyncio.sleep(killed_after)
@@ -895,7 +901,7 @@
         live = [it for it in self.servers if it.alive]
         servers = pick.sample(live, pick.choice([1, 2, 3, len(live) // 2, len(live)]))
         absent = pick.choice([pick.uniform(0, 2), pick.uniform(2, 9), None])
-        groups = [self.choose_hosts() for _ in range(pick.choice([1, 1, 2]))]
+        groups = [self.choose_hosts() for _ in range(pick.choice([1, 2, 2]))]
         gap = pick.choice([0, 0, 0.3, 1])
         away = pick.uniform(2, 7)
         mode = pick.choice(["silent", "reset", "busy", "down"])
@@ -911,15 +917,16 @@
             "pauses": ("pauses", lambda: self.pause_hosts(pauses)),
             "cut": ("links", lambda: self.restart_cut_zone(zone, away, pick.uniform(0, away), link_mode)),
         }[kind]
-        if subject in self.busy:
+        if subject in self.busy or (subject == "links" and not self.has_link_faults):
             return
         self.log_event(f"overlapping fault: {kind}, registry {mode}, {away:.1f} s")
         self.begin(subject, action())
 
     async def inject_overlapping_faults(self, end):
         while now() < end:
-            await asyncio.sleep(self.fault_random.uniform(0.5, 3))
-            self.trigger_overlapping_fault()
+            await asyncio.sleep(min(self.fault_random.uniform(0.5, 3), end - now()))
+            if now() < end:
+                self.trigger_overlapping_fault()
 
     async def start_all_without_registry(self):
         """All hosts start while the registry is away, so no peer has a view: packets wait in their sockets until the
@@ -964,6 +971,8 @@
         name, what, action = self.random.choice(planned if self.planned_only else planned + faults)
         # Hosts, servers and the registry have at most one event at a time.
         subject = name.split()[0] if " " in name else what or name
+        if subject == "links" and not self.has_link_faults:
+            return
         if subject in self.busy or (name != "publish" and host.process.returncode is not None):
             return
         self.log_event(f"{name} {what}")
@@ -983,6 +992,8 @@
         while not self.is_over:
             due = now() + 0.05
             await asyncio.sleep(0.05)
+            live = [it for it in self.servers if it.alive]
+            self.watched.append(sum(self.is_undisturbed(it) for it in live) / len(live))
             lag = round(1000 * (now() - due))
             if lag > 150:
                 self.log_event(f"the stand-ins stood still for {lag} ms")
@@ -1003,6 +1014,8 @@
 
     async def run(self, seconds, planned_only, course, hosts_per_zone):
         self.planned_only = planned_only
+        # Cut and lossy links excuse resets, so half of the runs have none.
+        self.has_link_faults = self.fault_random.random() < 0.5
         # With few requests a host sees no answer of a server for some time, which must not end flows either.
         self.pause_factor = 8 if course in SLOW_COURSES else 1 if planned_only else self.fault_random.choice([1, 1, 6])
         self.is_over, self.busy, self.tasks, self.events_over = False, set(), [], asyncio.Event()
@@ -1023,7 +1036,9 @@
             await asyncio.sleep(self.random.uniform(0.3, 1.5))
             self.trigger_event()
         self.events_over.set()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        # Tasks can begin others.
+        while any(not it.done() for it in self.tasks):
+            await asyncio.wait(self.tasks)
         # All requests must be answered once the fleet has settled.
         await asyncio.sleep(SETTLE_SECONDS)
         await self.check_views()
@@ -1126,7 +1141,10 @@
                 except ProcessLookupError:
                     pass
     print(json.dumps({"seed": options.seed, "planned_only": options.calm, **fleet.counts,
+                      "watched_percent": round(100 * sum(fleet.watched) / max(1, len(fleet.watched))),
                       "registry_calls": fleet.registry.calls, "faults": fleet.failures}))
+    with open(os.path.join(folder, "events.log"), "w") as out:
+        out.write("\n".join(fleet.log + fleet.failures) + "\n")
     if fleet.failures:
         print("\n".join(fleet.log), file=sys.stderr)
         print(f"logs: {folder}", file=sys.stderr)
