--- a/Source/UnitTests/Process/edge_fleet.py
+++ b/Source/UnitTests/Process/edge_fleet.py
@@ -1000,7 +1000,7 @@
             self.counts["max_lag_ms"] = max(self.counts["max_lag_ms"], lag)
 
     async def flows_placed(self):
-        all_metrics = [await it.metrics() for it in self.hosts]
+        all_metrics = await asyncio.gather(*(it.metrics() for it in self.hosts))
         return sum(it["auburnedge_flows_placed_total"] - it["auburnedge_syns_repeated_total"] for it in all_metrics)
 
     async def run_to_the_end(self, *arguments):
