Log the evidence of verdicts, and what ended them

After a reset of an open flow by a verdict, the logs told who decided it but not from which packets, and nothing told whether an answer, the answer of a peer or time ended it. So a wrong verdict could not be told from a right one.

The host that decides logs the evidence in its verdict line: requests, SYNs, reporters, several callers or one, its slowest answer and whether it sees many retransmissions. It does so also if the other owner of the server decided first; the counters still count a verdict once. An owner logs which host saw the answer that refutes a verdict. StandingVerdicts keeps what stands on a host, and verdict_ended tells what ended it, after which time. Counters count the ends by reason, and deaths that an answer refuted. Messages between hosts are unchanged, and a verdict costs two lines on each host, within the limits of EventLog.

RecordingVerdictObserver counts new verdicts only, as before; the new events are recorded beside them.

--- a/Source/Edge/EdgeMetrics.cpp
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -60,6 +60,14 @@
     return "verdicts_dead_total";
   case EdgeCounter::AnsweringVerdicts:
     return "verdicts_answering_total";
+  case EdgeCounter::VerdictsEndedByAnswer:
+    return "verdicts_ended_by_answer_total";
+  case EdgeCounter::VerdictsEndedByPeerAnswer:
+    return "verdicts_ended_by_peer_answer_total";
+  case EdgeCounter::VerdictsEndedByTime:
+    return "verdicts_ended_by_time_total";
+  case EdgeCounter::DeadVerdictsRefuted:
+    return "dead_verdicts_refuted_total";
   case EdgeCounter::VerdictsRejected:
     return "verdicts_rejected_total";
   case EdgeCounter::FlowsAbandoned:
--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -28,6 +28,11 @@
   SuspectedVerdicts,
   DeadVerdicts,
   AnsweringVerdicts,
+  // Verdicts of both kinds, suspected and dead, by what ended them.
+  VerdictsEndedByAnswer,
+  VerdictsEndedByPeerAnswer,
+  VerdictsEndedByTime,
+  DeadVerdictsRefuted, ///< Verdicts "dead" among them that an answer ended.
   VerdictsRejected,
   FlowsAbandoned,
   RegistryCalls,
--- a/Source/Edge/EventLog.cpp
+++ b/Source/Edge/EventLog.cpp
@@ -89,6 +89,8 @@
     return "cleared";
   case LogEvent::Verdict:
     return "verdict";
+  case LogEvent::VerdictEnded:
+    return "verdict_ended";
   case LogEvent::VerdictRejected:
     return "verdict_rejected";
   case LogEvent::Late:
--- a/Source/Edge/EventLog.h
+++ b/Source/Edge/EventLog.h
@@ -33,6 +33,7 @@
   Suspected,
   Cleared,
   Verdict,
+  VerdictEnded,
   VerdictRejected,
   Late,
   LogDropped,
--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -88,6 +88,40 @@
   return std::nullopt;
 }
 
+/// The counter of verdicts that ended for \p why.
+std::optional<EdgeCounter> endCounterOf(fleet::VerdictEndReason why) {
+  switch (why) {
+  case fleet::VerdictEndReason::Answer:
+    return EdgeCounter::VerdictsEndedByAnswer;
+  case fleet::VerdictEndReason::PeerAnswer:
+    return EdgeCounter::VerdictsEndedByPeerAnswer;
+  case fleet::VerdictEndReason::Time:
+    return EdgeCounter::VerdictsEndedByTime;
+  case fleet::VerdictEndReason::ServerChanged:
+    break;
+  }
+  return std::nullopt;
+}
+
+/// A log field with the IPv4 address of a host; empty for 0, an unknown host.
+std::string hostField(std::string_view name, std::uint32_t address) {
+  if (address == 0)
+    return {};
+  return absl::StrCat(",\"", toAbsl(name), "\":\"",
+                      common::addressToString(address), "\"");
+}
+
+std::string basisFields(const fleet::VerdictBasis &basis) {
+  const auto &[evidence, quality, reporters] = basis;
+  return absl::StrCat(
+      ",\"requests\":", evidence.RequestCount, ",\"syns\":", evidence.SynCount,
+      ",\"reporters\":", reporters,
+      ",\"several_callers\":", evidence.HasSeveralCallers ? "true" : "false",
+      ",\"slowest_answer_ms\":", quality.Slowest.count(),
+      ",\"many_retransmissions\":",
+      quality.HasManyRetransmissions ? "true" : "false");
+}
+
 std::string flowField(const FlowId &flow) {
   return absl::StrCat("\"flow\":\"", routing::toString(flow), "\"");
 }
@@ -198,26 +232,49 @@
     Log.write(LogEvent::Cleared, serverField(server));
 }
 
-void EventRecorder::onVerdict(ServerId server, fleet::VerdictKind kind,
-                              std::chrono::milliseconds age,
-                              std::uint32_t decidedBy) {
-  switch (kind) {
-  case fleet::VerdictKind::Suspected:
-    Metrics.add(EdgeCounter::SuspectedVerdicts);
-    break;
-  case fleet::VerdictKind::Dead:
-    Metrics.add(EdgeCounter::DeadVerdicts);
-    break;
-  case fleet::VerdictKind::Answering:
-    Metrics.add(EdgeCounter::AnsweringVerdicts);
-    break;
+void EventRecorder::onVerdict(const fleet::VerdictEvent &verdict) {
+  if (verdict.IsNew) {
+    switch (verdict.Kind) {
+    case fleet::VerdictKind::Suspected:
+      Metrics.add(EdgeCounter::SuspectedVerdicts);
+      break;
+    case fleet::VerdictKind::Dead:
+      Metrics.add(EdgeCounter::DeadVerdicts);
+      break;
+    case fleet::VerdictKind::Answering:
+      Metrics.add(EdgeCounter::AnsweringVerdicts);
+      break;
+    }
   }
   if (Log.tryAdmit(LogEvent::Verdict))
     Log.write(LogEvent::Verdict,
-              absl::StrCat(serverField(server), ",\"verdict\":\"",
-                           toAbsl(fleet::toString(kind)),
-                           "\",\"age_ms\":", age.count(), ",\"decided_by\":\"",
-                           common::addressToString(decidedBy), "\""));
+              absl::StrCat(serverField(verdict.Server), ",\"verdict\":\"",
+                           toAbsl(fleet::toString(verdict.Kind)),
+                           "\",\"age_ms\":", verdict.Age.count(),
+                           hostField("decided_by", verdict.DecidedBy),
+                           verdict.Basis ? basisFields(*verdict.Basis)
+                                         : std::string(),
+                           hostField("answer_seen_by", verdict.AnswerSeenBy)));
+}
+
+void EventRecorder::onVerdictEnd(const fleet::VerdictEnd &end) {
+  if (const auto counter = endCounterOf(end.Why))
+    Metrics.add(*counter);
+  if (end.Kind == fleet::VerdictKind::Dead &&
+      (end.Why == fleet::VerdictEndReason::Answer ||
+       end.Why == fleet::VerdictEndReason::PeerAnswer))
+    Metrics.add(EdgeCounter::DeadVerdictsRefuted);
+  if (Log.tryAdmit(LogEvent::VerdictEnded))
+    Log.write(LogEvent::VerdictEnded,
+              absl::StrCat(serverField(end.Server), ",\"verdict\":\"",
+                           toAbsl(fleet::toString(end.Kind)),
+                           "\",\"ended_by\":\"",
+                           toAbsl(fleet::toString(end.Why)),
+                           "\",\"stood_ms\":", end.Duration.count(),
+                           ",\"age_ms\":", end.Age.count(),
+                           hostField("decided_by", end.DecidedBy),
+                           hostField("told_by", end.ToldBy),
+                           hostField("answer_seen_by", end.AnswerSeenBy)));
 }
 
 void EventRecorder::onRejected(fleet::EvidenceRejection why,
--- a/Source/Edge/EventRecorder.h
+++ b/Source/Edge/EventRecorder.h
@@ -34,9 +34,8 @@
   void onAnswered(const routing::FlowId &flow, routing::ServerId server,
                   std::chrono::milliseconds time,
                   std::chrono::milliseconds objective) override;
-  void onVerdict(routing::ServerId server, fleet::VerdictKind kind,
-                 std::chrono::milliseconds age,
-                 std::uint32_t decidedBy) override;
+  void onVerdict(const fleet::VerdictEvent &verdict) override;
+  void onVerdictEnd(const fleet::VerdictEnd &end) override;
   void onRejected(fleet::EvidenceRejection why, std::uint64_t identity,
                   std::uint32_t sender) override;
   void recordConfiguration(std::uint64_t version);
--- a/Source/Fleet/FailureAggregator.cpp
+++ b/Source/Fleet/FailureAggregator.cpp
@@ -31,11 +31,14 @@
     known.Reports.push_back({reporter, evidence, now});
   // The reporter missed the verdict, or started after it.
   if (known.Verdict == VerdictKind::Dead)
-    Decisions.push_back(
-        {{identity, startTimeMs, *known.Verdict, {}}, known.Since, reporter});
+    Decisions.push_back({{identity, startTimeMs, *known.Verdict, {}},
+                         known.Since,
+                         reporter,
+                         known.Basis});
 }
 
-void FailureAggregator::onAnswer(std::uint64_t identity, TimePoint answeredAt) {
+void FailureAggregator::onAnswer(std::uint64_t identity, TimePoint answeredAt,
+                                 std::uint32_t seenBy) {
   const auto it = Cases.find(identity);
   if (it == Cases.end() || answeredAt <= it->second.AnsweredAt)
     return;
@@ -48,9 +51,11 @@
     return;
   known.Verdict.reset();
   Decisions.push_back(
-      {{identity, known.StartTimeMs, VerdictKind::Answering, {}},
-       answeredAt,
-       {}});
+      {.Verdict = {identity, known.StartTimeMs, VerdictKind::Answering, {}},
+       .Since = answeredAt,
+       .OnlyTo = {},
+       .AnswerSeenBy = seenBy,
+       .IsFirst = true});
 }
 
 SilenceEvidence FailureAggregator::total(const Case &it) {
@@ -79,13 +84,18 @@
 }
 
 void FailureAggregator::decide(std::uint64_t identity, Case &it,
-                               VerdictKind kind, TimePoint since,
+                               VerdictKind kind, const VerdictBasis &basis,
                                TimePoint now) {
   it.Verdict = kind;
   it.DecidedAt = now;
-  it.Since = since;
+  it.Since = basis.Evidence.Since;
+  it.Basis = basis;
   it.AnnouncementsLeft = Limits.Announcements - 1;
-  Decisions.push_back({{identity, it.StartTimeMs, kind, {}}, since, {}});
+  Decisions.push_back({.Verdict = {identity, it.StartTimeMs, kind, {}},
+                       .Since = it.Since,
+                       .OnlyTo = {},
+                       .Basis = basis,
+                       .IsFirst = true});
 }
 
 std::vector<FailureAggregator::Decision>
@@ -101,13 +111,16 @@
     if (!evidence.HasSeveralCallers ||
         evidence.RequestCount + evidence.SynCount < Limits.SuspectedCount)
       continue;
+    const VerdictBasis basis{evidence, quality, it.Reports.size()};
     if (!it.Verdict)
-      decide(identity, it, VerdictKind::Suspected, evidence.Since, now);
+      decide(identity, it, VerdictKind::Suspected, basis, now);
     else if (isDead(it, evidence, quality, zoneHostCount, now))
-      decide(identity, it, VerdictKind::Dead, evidence.Since, now);
+      decide(identity, it, VerdictKind::Dead, basis, now);
     else if (it.AnnouncementsLeft-- > 0)
-      Decisions.push_back(
-          {{identity, it.StartTimeMs, *it.Verdict, {}}, it.Since, {}});
+      Decisions.push_back({{identity, it.StartTimeMs, *it.Verdict, {}},
+                           it.Since,
+                           {},
+                           it.Basis});
   }
   absl::erase_if(Cases, [&](const auto &entry) {
     const auto &it = entry.second;
--- a/Source/Fleet/FailureAggregator.h
+++ b/Source/Fleet/FailureAggregator.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 #include "Fleet/GossipMessage.h"
+#include "Fleet/VerdictEvent.h"
 #include "Routing/ServerHealthTracker.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -55,6 +56,12 @@
     common::TimePoint Since;
     /// Only this host needs it.
     std::optional<std::uint32_t> OnlyTo;
+    /// Set for Suspected and Dead.
+    std::optional<VerdictBasis> Basis = std::nullopt;
+    /// IPv4 address of the host that saw the answer; 0 if that is unknown.
+    std::uint32_t AnswerSeenBy = 0;
+    /// Whether it was not announced before.
+    bool IsFirst = false;
   };
 
   explicit FailureAggregator(VerdictLimits limits = {}) : Limits(limits) {}
@@ -65,8 +72,10 @@
                 std::uint32_t reporter,
                 const routing::SilenceEvidence &evidence,
                 common::TimePoint now);
-  /// Some host saw an answer at \p answeredAt.
-  void onAnswer(std::uint64_t identity, common::TimePoint answeredAt);
+  /// Host \p seenBy (IPv4 address; 0 if unknown) saw an answer at \p
+  /// answeredAt.
+  void onAnswer(std::uint64_t identity, common::TimePoint answeredAt,
+                std::uint32_t seenBy = 0);
   /// The decisions since the last call. \p zoneHostCount: number of hosts that
   /// may report, including this one.
   std::vector<Decision> takeDecisions(const routing::AnswerQuality &quality,
@@ -91,6 +100,7 @@
     common::TimePoint DecidedAt;
     int AnnouncementsLeft = 0;
     common::TimePoint Since; ///< First unanswered packet.
+    VerdictBasis Basis;
     common::TimePoint AnsweredAt;
   };
   /// The sum of the reports.
@@ -99,7 +109,7 @@
               const routing::AnswerQuality &quality, std::size_t zoneHostCount,
               common::TimePoint now) const;
   void decide(std::uint64_t identity, Case &it, VerdictKind kind,
-              common::TimePoint since, common::TimePoint now);
+              const VerdictBasis &basis, common::TimePoint now);
 
   VerdictLimits Limits;
   absl::flat_hash_map<std::uint64_t, Case> Cases;
--- a/Source/Fleet/SharedFailureDetector.cpp
+++ b/Source/Fleet/SharedFailureDetector.cpp
@@ -80,6 +80,8 @@
 
 void SharedFailureDetector::poll(TimePoint now) {
   discardIfPaused(now);
+  for (const auto &it : Standing.takeEnded(now))
+    Observer.onVerdictEnd(it);
   reportRetransmissions(now);
   reportAnswers(now);
   decide(now);
@@ -121,7 +123,7 @@
   const auto identity = Directory.at(id).Registration.Identity;
   for (const auto owner : ownersOf(identity, now)) {
     if (owner == Peers.self().Address)
-      Aggregator.onAnswer(identity, answeredAt);
+      Aggregator.onAnswer(identity, answeredAt, owner);
     else
       messageTo(owner).Answers.push_back({identity, ageOf(answeredAt, now)});
   }
@@ -139,7 +141,7 @@
   for (const auto &it : Aggregator.takeDecisions(Health.answerQuality(),
                                                  zoneHosts(now).size(), now)) {
     // The verdict of a host that has seen a later answer itself is void.
-    const bool isValid = apply(it.Verdict, Peers.self().Address, now);
+    const bool isValid = apply(it.Verdict, Peers.self().Address, &it, now);
     if (!isValid)
       continue;
     if (it.OnlyTo) {
@@ -156,7 +158,9 @@
 }
 
 bool SharedFailureDetector::apply(const ServerVerdict &verdict,
-                                  std::uint32_t sender, TimePoint now) {
+                                  std::uint32_t sender,
+                                  const FailureAggregator::Decision *own,
+                                  TimePoint now) {
   const auto reject = [&](EvidenceRejection why) {
     Observer.onRejected(why, verdict.Identity, sender);
     return false;
@@ -168,12 +172,36 @@
     return reject(EvidenceRejection::OtherRun);
   const auto id = Directory.idOf(*server);
   const auto at = now - verdict.Age;
-  const bool wasSuspect = Health.isSuspect(id, now);
   const bool wasDead = Health.activity(id).DeadUntil > now;
+  VerdictEvent event{.Server = id,
+                     .Kind = verdict.Kind,
+                     .Age = verdict.Age,
+                     .DecidedBy = sender};
+  if (own != nullptr) {
+    event.Basis = own->Basis;
+    event.AnswerSeenBy = own->AnswerSeenBy;
+  }
+  // Another owner may have decided the same before. The line of each has its
+  // evidence.
+  const auto observe = [&](bool isNew) {
+    event.IsNew = isNew;
+    if (isNew || (own != nullptr && own->IsFirst))
+      Observer.onVerdict(event);
+  };
+  // The last verdict may have ended since the last poll.
+  if (const auto end = Standing.takeEnded(id, now))
+    Observer.onVerdictEnd(*end);
   if (verdict.Kind == VerdictKind::Answering) {
+    const bool wasSuspect = Health.isSuspect(id, now);
     Health.onPeerAnswer(id, at);
-    if (wasSuspect && !Health.isSuspect(id, now))
-      Observer.onVerdict(id, verdict.Kind, verdict.Age, sender);
+    observe(wasSuspect && !Health.isSuspect(id, now));
+    if (auto end = Standing.takeEnded(id, now)) {
+      end->Why = VerdictEndReason::PeerAnswer;
+      end->Age = verdict.Age;
+      end->ToldBy = sender;
+      end->AnswerSeenBy = event.AnswerSeenBy;
+      Observer.onVerdictEnd(*end);
+    }
     return true;
   }
   if (Health.activity(id).LastAnswer > at) {
@@ -182,14 +210,18 @@
   }
   Health.watch(id);
   if (verdict.Kind == VerdictKind::Suspected) {
-    if (Health.onReport(id, at, now))
-      Observer.onVerdict(id, verdict.Kind, verdict.Age, sender);
+    const bool isNew = Health.onReport(id, at, now);
+    if (isNew)
+      Standing.onApplied(id, verdict.Kind, sender, now);
+    observe(isNew);
     return true;
   }
-  if (Health.onDeadVerdict(id, at, now) && !wasDead) {
+  const bool isApplied = Health.onDeadVerdict(id, at, now);
+  if (isApplied && !wasDead)
     Dead.push_back(id);
-    Observer.onVerdict(id, verdict.Kind, verdict.Age, sender);
-  }
+  if (isApplied)
+    Standing.onApplied(id, verdict.Kind, sender, now);
+  observe(isApplied && !wasDead);
   return true;
 }
 
@@ -200,7 +232,7 @@
     if (it.hasEvidence())
       onSuspect(it, message.Sender.Address, now);
   for (const auto &it : message.Answers)
-    onAnswer(it, now);
+    onAnswer(it, message.Sender.Address, now);
   for (const auto &it : message.Verdicts)
     onVerdict(it, message.Sender, now);
   if (!message.Suspects.empty())
@@ -232,8 +264,8 @@
 }
 
 void SharedFailureDetector::onAnswer(const ReportedAnswer &answer,
-                                     TimePoint now) {
-  Aggregator.onAnswer(answer.Identity, now - answer.Age);
+                                     std::uint32_t seenBy, TimePoint now) {
+  Aggregator.onAnswer(answer.Identity, now - answer.Age, seenBy);
 }
 
 void SharedFailureDetector::onVerdict(const ServerVerdict &verdict,
@@ -250,7 +282,7 @@
                         sender.Address);
     return;
   }
-  apply(verdict, sender.Address, now);
+  apply(verdict, sender.Address, nullptr, now);
 }
 
 std::vector<SharedFailureDetector::Outgoing>
--- a/Source/Fleet/SharedFailureDetector.h
+++ b/Source/Fleet/SharedFailureDetector.h
@@ -4,6 +4,8 @@
 #include "Fleet/FailureAggregator.h"
 #include "Fleet/GossipMessage.h"
 #include "Fleet/PeerTable.h"
+#include "Fleet/StandingVerdicts.h"
+#include "Fleet/VerdictEvent.h"
 #include "Routing/ServerDirectory.h"
 #include "Routing/ServerHealthTracker.h"
 
@@ -33,11 +35,8 @@
 public:
   virtual ~VerdictObserver() = default;
 
-  /// \p age: since the first unanswered packet, or since the answer. \p
-  /// decidedBy: IPv4 address of the host that collected the evidence.
-  virtual void onVerdict(routing::ServerId server, VerdictKind kind,
-                         std::chrono::milliseconds age,
-                         std::uint32_t decidedBy) = 0;
+  virtual void onVerdict(const VerdictEvent &verdict) = 0;
+  virtual void onVerdictEnd(const VerdictEnd &end) = 0;
   virtual void onRejected(EvidenceRejection why, std::uint64_t identity,
                           std::uint32_t sender) = 0;
 };
@@ -62,7 +61,7 @@
                         routing::ServerHealthTracker &health,
                         VerdictObserver &observer, VerdictLimits limits = {})
       : Peers(peers), Directory(directory), Health(health), Observer(observer),
-        Aggregator(limits) {}
+        Aggregator(limits), Standing(directory, health) {}
 
   /// Reports what this host has seen and decides on what it has collected. Must
   /// be called at least every 100 ms, and soon after a retransmission.
@@ -84,12 +83,14 @@
   void reportRetransmissions(common::TimePoint now);
   void reportAnswers(common::TimePoint now);
   void decide(common::TimePoint now);
-  /// Applies a verdict to this host. Returns false if it was rejected.
+  /// Applies a verdict to this host; \p own is the decision if this host made
+  /// it, or null. Returns false if it was rejected.
   bool apply(const ServerVerdict &verdict, std::uint32_t sender,
-             common::TimePoint now);
+             const FailureAggregator::Decision *own, common::TimePoint now);
   void onSuspect(const ReportedSuspect &suspect, std::uint32_t reporter,
                  common::TimePoint now);
-  void onAnswer(const ReportedAnswer &answer, common::TimePoint now);
+  void onAnswer(const ReportedAnswer &answer, std::uint32_t seenBy,
+                common::TimePoint now);
   void onVerdict(const ServerVerdict &verdict, const PeerInfo &sender,
                  common::TimePoint now);
   /// The outgoing message to \p host that is being filled.
@@ -106,6 +107,7 @@
   routing::ServerHealthTracker &Health;
   VerdictObserver &Observer;
   FailureAggregator Aggregator;
+  StandingVerdicts Standing;
   /// Servers with retransmissions that were not reported yet.
   std::vector<routing::ServerId> Unreported;
   std::vector<routing::ServerId> Dead;
--- a/Source/UnitTests/Edge/EventRecorderTest.cpp
+++ b/Source/UnitTests/Edge/EventRecorderTest.cpp
@@ -3,6 +3,7 @@
 #include "State/BurnReportCodec.h"
 #include "State/CauseCodec.h"
 #include "State/CauseReport.h"
+#include "UnitTests/Edge/CapturedOutput.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -138,4 +139,89 @@
   BOOST_TEST(metrics.value(EdgeCounter::ResetsVerdict) == 1U);
 }
 
+// Guards against a verdict whose evidence is not logged, which makes a wrong
+// reset unexplainable.
+BOOST_AUTO_TEST_CASE(VerdictOfThisHostIsLoggedWithItsEvidence) {
+  const auto id = add();
+  unittests::CapturedOutput output;
+  fleet::VerdictBasis basis;
+  basis.Evidence.RequestCount = 3;
+  basis.Evidence.SynCount = 1;
+  basis.Evidence.HasSeveralCallers = true;
+  basis.Quality = {.Slowest = 120ms, .HasManyRetransmissions = false};
+  basis.ReporterCount = 2;
+  Recorder.onVerdict({.Server = id,
+                      .Kind = fleet::VerdictKind::Dead,
+                      .Age = 480ms,
+                      .DecidedBy = 0x0a010007,
+                      .Basis = basis});
+  Recorder.onVerdict({.Server = id,
+                      .Kind = fleet::VerdictKind::Dead,
+                      .Age = 490ms,
+                      .DecidedBy = 0x0a010008});
+  Log.flush();
+  const auto text = output.read();
+  BOOST_TEST(text.find(R"("server":"s-1","verdict":"dead","age_ms":480,)"
+                       R"("decided_by":"10.1.0.7","requests":3,"syns":1,)"
+                       R"("reporters":2,"several_callers":true,)"
+                       R"("slowest_answer_ms":120,)"
+                       R"("many_retransmissions":false})") != std::string::npos,
+             text);
+  BOOST_TEST(text.find(R"("age_ms":490,"decided_by":"10.1.0.8"})") !=
+                 std::string::npos,
+             text);
+}
+
+// Guards against verdicts that end unnoticed, and against a refuted death that
+// cannot be told from one that held.
+BOOST_AUTO_TEST_CASE(EndsOfVerdictsAreLoggedAndCounted) {
+  using edge::EdgeCounter;
+  using fleet::VerdictEndReason;
+  using fleet::VerdictKind;
+  const auto id = add();
+  unittests::CapturedOutput output;
+  Recorder.onVerdictEnd({.Server = id,
+                         .Kind = VerdictKind::Dead,
+                         .Why = VerdictEndReason::PeerAnswer,
+                         .Duration = 700ms,
+                         .Age = 20ms,
+                         .DecidedBy = 0x0a010007,
+                         .ToldBy = 0x0a010008,
+                         .AnswerSeenBy = 0x0a010009});
+  Recorder.onVerdictEnd({.Server = id,
+                         .Kind = VerdictKind::Suspected,
+                         .Why = VerdictEndReason::Answer});
+  Recorder.onVerdictEnd({.Server = id,
+                         .Kind = VerdictKind::Dead,
+                         .Why = VerdictEndReason::Time,
+                         .Duration = 4000ms});
+  Recorder.onVerdictEnd({.Server = id,
+                         .Kind = VerdictKind::Dead,
+                         .Why = VerdictEndReason::ServerChanged});
+  Log.flush();
+  const auto text = output.read();
+  BOOST_TEST(
+      text.find(R"("event":"verdict_ended","server":"s-1","verdict":"dead",)"
+                R"("ended_by":"peer_answer","stood_ms":700,"age_ms":20,)"
+                R"("decided_by":"10.1.0.7","told_by":"10.1.0.8",)"
+                R"("answer_seen_by":"10.1.0.9"})") != std::string::npos,
+      text);
+  const auto &metrics = Recorder.metrics();
+  BOOST_TEST(metrics.value(EdgeCounter::VerdictsEndedByAnswer) == 1U);
+  BOOST_TEST(metrics.value(EdgeCounter::VerdictsEndedByPeerAnswer) == 1U);
+  BOOST_TEST(metrics.value(EdgeCounter::VerdictsEndedByTime) == 1U);
+  BOOST_TEST(metrics.value(EdgeCounter::DeadVerdictsRefuted) == 1U);
+}
+
+// The verdict that the other owner of a server decides as well must not count
+// twice.
+BOOST_AUTO_TEST_CASE(RepeatedVerdictsAreNotCounted) {
+  using edge::EdgeCounter;
+  const auto id = add();
+  for (const bool isNew : {true, false})
+    Recorder.onVerdict(
+        {.Server = id, .Kind = fleet::VerdictKind::Dead, .IsNew = isNew});
+  BOOST_TEST(Recorder.metrics().value(EdgeCounter::DeadVerdicts) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Fleet/DetectorZone.h
+++ b/Source/UnitTests/Fleet/DetectorZone.h
@@ -16,15 +16,22 @@
 /// Records what a detector decides.
 class RecordingVerdictObserver final : public fleet::VerdictObserver {
 public:
-  void onVerdict(routing::ServerId server, fleet::VerdictKind kind,
-                 std::chrono::milliseconds, std::uint32_t) override {
-    Verdicts.emplace_back(server, kind);
+  void onVerdict(const fleet::VerdictEvent &verdict) override {
+    Events.push_back(verdict);
+    if (verdict.IsNew)
+      Verdicts.emplace_back(verdict.Server, verdict.Kind);
+  }
+  void onVerdictEnd(const fleet::VerdictEnd &end) override {
+    Ends.push_back(end);
   }
   void onRejected(fleet::EvidenceRejection why, std::uint64_t,
                   std::uint32_t) override {
     Rejected.push_back(why);
   }
 
+  std::vector<fleet::VerdictEvent> Events;
+  std::vector<fleet::VerdictEnd> Ends;
+  /// The server and kind of new verdicts.
   std::vector<std::pair<routing::ServerId, fleet::VerdictKind>> Verdicts;
   std::vector<fleet::EvidenceRejection> Rejected;
 };
--- a/Source/UnitTests/Fleet/SharedFailureDetectorTest.cpp
+++ b/Source/UnitTests/Fleet/SharedFailureDetectorTest.cpp
@@ -10,6 +10,7 @@
 using namespace auburnroute;
 using namespace std::chrono_literals;
 using fleet::EvidenceRejection;
+using fleet::VerdictEndReason;
 using fleet::VerdictKind;
 using unittests::DetectorHost;
 using unittests::DetectorZone;
@@ -261,6 +262,142 @@
   }
 }
 
+// Guards against a verdict of this host that operators cannot trace to the
+// packets behind it, and an answer whose witness is unknown.
+BOOST_AUTO_TEST_CASE(OwnerTellsItsEvidenceAndWhoSawTheAnswer) {
+  common::ManualClock clock;
+  clock.advance(10s);
+  DetectorHost host(DetectorZone::FirstAddress, 8, clock.now());
+  // In a zone of two hosts both collect the evidence on every server.
+  const fleet::PeerInfo peer{DetectorZone::FirstAddress + 1, "a", 1, 1};
+  host.Peers.applyDirectUpdate(peer, clock.now());
+  host.Detector.poll(clock.now());
+  fleet::GossipMessage report;
+  report.Sender = peer;
+  report.Suspects.push_back({1, 300ms, 3, 1, 100, true});
+  host.Detector.onMessage(report, clock.now());
+  clock.advance(150ms);
+  host.Detector.poll(clock.now());
+  const auto &events = host.Observer.Events;
+  BOOST_REQUIRE(events.size() == 2U);
+  BOOST_TEST((events[0].Kind == VerdictKind::Suspected));
+  BOOST_TEST((events[1].Kind == VerdictKind::Dead));
+  for (const auto &event : events) {
+    BOOST_TEST(event.DecidedBy == DetectorZone::FirstAddress);
+    BOOST_REQUIRE(event.Basis.has_value());
+    BOOST_TEST(event.Basis->Evidence.RequestCount == 3U);
+    BOOST_TEST(event.Basis->Evidence.SynCount == 1U);
+    BOOST_TEST(event.Basis->Evidence.HasSeveralCallers);
+    BOOST_TEST(event.Basis->ReporterCount == 1U);
+    BOOST_TEST(event.Basis->Quality.HasManyRetransmissions);
+  }
+  BOOST_TEST((events[1].Age == 450ms));
+
+  clock.advance(100ms);
+  fleet::GossipMessage answer;
+  answer.Sender = peer;
+  answer.Answers.push_back({1, 10ms});
+  host.Detector.onMessage(answer, clock.now());
+  host.Detector.poll(clock.now());
+  BOOST_REQUIRE(events.size() == 3U);
+  BOOST_TEST((events[2].Kind == VerdictKind::Answering));
+  BOOST_TEST(events[2].AnswerSeenBy == peer.Address);
+  BOOST_REQUIRE(host.Observer.Ends.size() == 1U);
+  const auto &end = host.Observer.Ends.front();
+  BOOST_TEST((end.Kind == VerdictKind::Dead));
+  BOOST_TEST((end.Why == VerdictEndReason::PeerAnswer));
+  BOOST_TEST((end.Duration == 100ms));
+  BOOST_TEST((end.Age == 10ms));
+  BOOST_TEST(end.ToldBy == DetectorZone::FirstAddress);
+  BOOST_TEST(end.AnswerSeenBy == peer.Address);
+}
+
+// Two hosts decide on each server. The evidence of the one that comes second
+// must not be lost, and its verdict must not count as another one.
+BOOST_AUTO_TEST_CASE(SecondOwnerTellsItsEvidence) {
+  common::ManualClock clock;
+  clock.advance(10s);
+  DetectorHost host(DetectorZone::FirstAddress, 8, clock.now());
+  const fleet::PeerInfo peer{DetectorZone::FirstAddress + 1, "a", 1, 1};
+  host.Peers.applyDirectUpdate(peer, clock.now());
+  host.Detector.poll(clock.now());
+  fleet::GossipMessage message;
+  message.Sender = peer;
+  message.Suspects.push_back({1, 300ms, 3, 1, 100, true});
+  message.Verdicts.push_back({1, 0, VerdictKind::Dead, 300ms});
+  host.Detector.onMessage(message, clock.now());
+  clock.advance(150ms);
+  host.Detector.poll(clock.now());
+  BOOST_TEST(host.Observer.Verdicts.size() == 1U);
+  const auto &events = host.Observer.Events;
+  BOOST_REQUIRE(events.size() == 3U);
+  BOOST_TEST(events[0].IsNew);
+  BOOST_TEST(events[0].DecidedBy == peer.Address);
+  BOOST_TEST(!events[0].Basis.has_value());
+  BOOST_TEST(!events[2].IsNew);
+  BOOST_TEST((events[2].Kind == VerdictKind::Dead));
+  BOOST_TEST(events[2].Basis.has_value());
+}
+
+// Guards against verdicts whose end cannot be told afterwards: what ended them
+// shows whether the server was alive.
+BOOST_AUTO_TEST_CASE(EndOfAVerdictTellsWhatEndedIt) {
+  const auto isEndedBy = [](const VerdictFixture &it, VerdictEndReason why,
+                            std::chrono::milliseconds duration) {
+    const auto &ends = it.Host.Observer.Ends;
+    return ends.size() == 1 && ends.front().Why == why &&
+           ends.front().Kind == VerdictKind::Dead &&
+           ends.front().Duration == duration &&
+           ends.front().DecidedBy == it.Sender.Address;
+  };
+  {
+    VerdictFixture it;
+    it.receive();
+    it.Clock.advance(200ms);
+    it.Host.Health.onAnswer(0, 0, it.Clock.now() - 50ms, it.Clock.now());
+    it.Clock.advance(30ms);
+    it.Host.Detector.poll(it.Clock.now());
+    BOOST_TEST(isEndedBy(it, VerdictEndReason::Answer, 200ms));
+    it.Host.Detector.poll(it.Clock.now());
+    BOOST_TEST(it.Host.Observer.Ends.size() == 1U);
+  }
+  {
+    VerdictFixture it;
+    it.receive();
+    it.Clock.advance(200ms);
+    it.Verdict.Kind = VerdictKind::Answering;
+    it.Verdict.Age = 10ms;
+    it.receive();
+    BOOST_TEST(isEndedBy(it, VerdictEndReason::PeerAnswer, 200ms));
+    BOOST_TEST(it.Host.Observer.Ends.front().ToldBy == it.Sender.Address);
+    it.Host.Detector.poll(it.Clock.now());
+    BOOST_TEST(it.Host.Observer.Ends.size() == 1U);
+  }
+  {
+    VerdictFixture it;
+    it.receive();
+    const auto start = it.Clock.now();
+    while (it.Host.Health.isDead(0, it.Clock.now())) {
+      it.Host.Detector.poll(it.Clock.now());
+      BOOST_REQUIRE(it.Host.Observer.Ends.empty());
+      it.Clock.advance(100ms);
+    }
+    it.Host.Detector.poll(it.Clock.now());
+    BOOST_TEST(
+        isEndedBy(it, VerdictEndReason::Time, since(start, it.Clock.now())));
+  }
+  {
+    VerdictFixture it;
+    it.receive();
+    it.Clock.advance(100ms);
+    auto restarted = unittests::sampleServer(1, 100);
+    restarted.StartTimeMs = 5;
+    it.Host.Directory.apply(restarted, it.Clock.now());
+    it.Host.Detector.poll(it.Clock.now());
+    BOOST_TEST(isEndedBy(it, VerdictEndReason::ServerChanged, 100ms));
+  }
+}
+
 // The detector is the only source of verdicts, so a host without peers in its
 // zone must find a dead server by itself, and no other one.
 BOOST_AUTO_TEST_CASE(LoneHostFindsASilentServer) {
--- a/Source/UnitTests/Fuzz/GossipFuzz.cpp
+++ b/Source/UnitTests/Fuzz/GossipFuzz.cpp
@@ -12,8 +12,8 @@
 
 class IgnoringVerdictObserver final : public fleet::VerdictObserver {
 public:
-  void onVerdict(routing::ServerId, fleet::VerdictKind,
-                 std::chrono::milliseconds, std::uint32_t) override {}
+  void onVerdict(const fleet::VerdictEvent &) override {}
+  void onVerdictEnd(const fleet::VerdictEnd &) override {}
   void onRejected(fleet::EvidenceRejection, std::uint64_t,
                   std::uint32_t) override {}
 };
