Explain from the logs why an open flow was reset or its packets dropped

auburnctl explain named the cause of a refused packet of an open flow, but not the rule, its evidence, or who decided it, and nothing told a wrong reset from a right one.

OpenFlowRefusal explains them: for a verdict, who decided it, how old it was and, with the log of that host, from which packets; for a lapsed entry, when it lapsed and what went unanswered; for a taken address, which server has it; for an unknown tag, which server it names, which hosts knew that server, and when the host itself did. If any host saw an answer of the same run of the server later than 100 ms after a reset, it says that the reset was wrong. What only a missing log could tell is listed as unknown. StoreCodec::identityOf is public for the tags of servers. The sentences for server_gone and unknown_server no longer claim that the server had terminated or was not registered, which the logs do not show.

--- a/Source/Tool/FlowExplanation.cpp
+++ b/Source/Tool/FlowExplanation.cpp
@@ -1,11 +1,14 @@
 #include "Tool/FlowExplanation.h"
 
+#include "Tool/OpenFlowRefusal.h"
+
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/time/time.h"
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 namespace auburnroute::tool {
 
@@ -21,10 +24,24 @@
     list.push_back(std::move(text));
 }
 
+/// What ended the verdict of a line "verdict_ended".
+std::string describeEnd(const LogLine &line) {
+  const auto why = line.text("ended_by");
+  if (why == "answer")
+    return "this host saw an answer";
+  if (why == "peer_answer")
+    return absl::StrCat("another host saw an answer, as ", line.text("told_by"),
+                        " told");
+  if (why == "time")
+    return "its time ran out";
+  return "the server restarted or was removed";
+}
+
 /// Describes the event of a log line, without time and host; empty for events
 /// that explanations leave out.
 std::string describe(const LogLine &line) {
   const auto server = line.text("server");
+  const auto reason = line.text("reason");
   if (line.Event == "placed")
     return absl::StrCat("SYN ", line.number("copy") + 1, " sent to ", server,
                         ", which had ", line.number("busy"), " requests and ",
@@ -36,7 +53,8 @@
     return absl::StrCat(line.Fields.value("reset", false)
                             ? "answered with a TCP reset"
                             : "packet dropped",
-                        ", cause ", line.text("cause"));
+                        ", cause ", line.text("cause"),
+                        reason.empty() ? "" : absl::StrCat(" (", reason, ")"));
   if (line.Event == "suspected")
     return absl::StrCat("no response from ", server, " for ",
                         line.number("silent_ms"), " ms (", line.text("cause"),
@@ -52,6 +70,10 @@
                         line.text("verdict"), " (decided by ",
                         line.text("decided_by"), ", ", line.number("age_ms"),
                         " ms after the first unanswered packet or the answer)");
+  if (line.Event == "verdict_ended")
+    return absl::StrCat("the verdict that ", server, " is ",
+                        line.text("verdict"), " ended after ",
+                        line.number("stood_ms"), " ms: ", describeEnd(line));
   if (line.Event == "server")
     return absl::StrCat(server, " of service ", line.text("service"), " is ",
                         line.text("state"), " (", line.text("change"), ")");
@@ -90,6 +112,7 @@
   explanation.Flow = flow;
   explanation.readFlowLines(archive);
   if (explanation.IsFound) {
+    explanation.addOpenFlowRefusals(archive);
     explanation.addOutdatedConfiguration(archive);
     explanation.addRelatedEvents(archive);
   }
@@ -138,16 +161,47 @@
     appendUnique(Causes, "no server of the service was registered and ready");
   else if (cause == "server_gone")
     appendUnique(Causes,
-                 "the server of the open flow had terminated or was "
-                 "unreachable; whether it processed the request is unknown");
+                 "the server of the open flow was taken to have ended; whether "
+                 "it processed the request is unknown");
   else if (cause == "unknown_server")
-    appendUnique(Causes, "the flow belongs to a server that is not registered");
+    appendUnique(Causes,
+                 "the flow belongs to a server that the host did not know");
   else if (cause == "no_configuration")
     appendUnique(Causes, "the host had no configuration yet");
   else
     appendUnique(Causes, absl::StrCat("refused: ", cause));
 }
 
+void FlowExplanation::addOpenFlowRefusals(LogArchive &archive) {
+  struct Refusal {
+    const LogLine *First = nullptr;
+    std::size_t Count = 0;
+  };
+  std::map<std::tuple<std::string, std::string, std::string, bool>, Refusal>
+      refusals;
+  for (const auto &line : archive.lines())
+    if (line.text("flow") == Flow && OpenFlowRefusal::isExplained(line)) {
+      auto &it = refusals[{line.Host, line.text("cause"), line.text("reason"),
+                           line.Fields.value("reset", false)}];
+      if (it.Count++ == 0)
+        it.First = &line;
+    }
+  std::vector<Refusal> inOrder;
+  inOrder.reserve(refusals.size());
+  for (const auto &[key, it] : refusals)
+    inOrder.push_back(it);
+  std::ranges::sort(inOrder, {},
+                    [](const Refusal &it) { return it.First->TimeMs; });
+  for (const auto &it : inOrder) {
+    const OpenFlowRefusal refusal(*it.First, it.Count, archive);
+    appendUnique(Servers, refusal.server());
+    for (const auto &cause : refusal.causes())
+      appendUnique(Causes, cause);
+    for (const auto &unknown : refusal.unknowns())
+      appendUnique(Unknowns, unknown);
+  }
+}
+
 void FlowExplanation::addOutdatedConfiguration(LogArchive &archive) {
   std::map<std::string, std::int64_t> versionByHost;
   const LogLine *newest = nullptr;
@@ -182,7 +236,8 @@
     const bool isOfServer =
         contains(Servers, line.text("server")) &&
         (line.Event == "server" || line.Event == "cleared" ||
-         line.Event == "suspected" || line.Event == "verdict");
+         line.Event == "suspected" || line.Event == "verdict" ||
+         line.Event == "verdict_ended");
     const bool isOfHost =
         contains(Hosts, line.Host) &&
         (line.Event == "pause" || line.Event == "start" ||
--- a/Source/Tool/FlowExplanation.h
+++ b/Source/Tool/FlowExplanation.h
@@ -36,6 +36,9 @@
   void addRelatedEvents(LogArchive &archive);
   void addUnknowns(LogArchive &archive);
   void addRefusalCause(const LogLine &line);
+  /// Adds why packets of the open flow were reset or dropped, once for each
+  /// host and rule.
+  void addOpenFlowRefusals(LogArchive &archive);
 
   std::string Flow;
   bool IsFound = false;
--- a/Source/UnitTests/Tool/ExplainTest.cpp
+++ b/Source/UnitTests/Tool/ExplainTest.cpp
@@ -1,9 +1,14 @@
+#include "Routing/ServerTag.h"
 #include "Tool/CommandTable.h"
 #include "Tool/FlowExplanation.h"
 
+#include "absl/strings/str_cat.h"
+
 #include <boost/test/unit_test.hpp>
 
+#include <cstdint>
 #include <sstream>
+#include <string>
 
 using namespace auburnroute::tool;
 
@@ -34,6 +39,30 @@
 )";
 }
 
+/// Logs of two hosts, behind a collector: a-1 resets the flow by a verdict that
+/// a-2 decided.
+std::string verdictLog() {
+  return R"(1 a-1 {"time_ms":1000,"event":"start","host":"a-1","zone":"a","packets":"10.1.0.1:8272"}
+1 a-2 {"time_ms":1000,"event":"start","host":"a-2","zone":"a","packets":"10.1.0.2:8272"}
+1 a-2 {"time_ms":5000,"event":"verdict","server":"i-7","verdict":"dead","age_ms":600,"decided_by":"10.1.0.2","requests":9,"syns":9,"reporters":9,"several_callers":true,"slowest_answer_ms":9,"many_retransmissions":true}
+1 a-2 {"time_ms":9898,"event":"verdict","server":"i-7","verdict":"dead","age_ms":479,"decided_by":"10.1.0.2","requests":3,"syns":1,"reporters":2,"several_callers":true,"slowest_answer_ms":120,"many_retransmissions":false}
+1 a-1 {"time_ms":9900,"event":"verdict","server":"i-7","verdict":"dead","age_ms":480,"decided_by":"10.1.0.2"}
+1 a-1 {"time_ms":10000,"event":"refused","flow":")" +
+         Flow +
+         R"(","cause":"server_gone","reset":true,"server":"i-7","tag":"00000001","reason":"verdict","requests":1,"syns":0,"silent_ms":300,"server_state":"ready","revision":7,"view_age_ms":300}
+)";
+}
+
+/// The lines of \p host behind a collector.
+std::string linesOf(const std::string &log, const std::string &host) {
+  std::istringstream in(log);
+  std::string lines;
+  for (std::string line; std::getline(in, line);)
+    if (line.starts_with("1 " + host + " "))
+      lines += line + "\n";
+  return lines;
+}
+
 bool contains(const std::string &text, std::string_view part) {
   return text.find(part) != std::string::npos;
 }
@@ -92,6 +121,184 @@
                             "ended at revision 23, era 2 is at revision 22"));
 }
 
+// Guards against a reset by a verdict that names neither the host that decided
+// it nor the packets that it decided from, although the logs of both are given.
+BOOST_AUTO_TEST_CASE(VerdictIsTracedToTheEvidenceOfTheDecidingHost) {
+  LogArchive archive;
+  archive.addText(verdictLog(), "all.log");
+  const auto text = FlowExplanation::of(Flow, archive).text();
+  BOOST_TEST(contains(text, "a-1 reset the flow because of the verdict that "
+                            "i-7 was dead. a-2 (10.1.0.2) decided it 100 ms "
+                            "before, 480 ms after the first unanswered packet"),
+             text);
+  BOOST_TEST(contains(text, "a-2 (10.1.0.2) decided from 3 requests and 1 SYN "
+                            "of several callers without an answer, reported by "
+                            "2 hosts; the slowest of its recent answers had "
+                            "taken 120 ms, and few of its answered requests"),
+             text);
+  BOOST_TEST(contains(text, "a-1 itself knew of 1 request and 0 SYNs without "
+                            "an answer, the first of them sent 300 ms before"),
+             text);
+  BOOST_TEST(!contains(text, "reset was wrong"), text);
+  BOOST_TEST(
+      contains(text, "whether i-7 was alive: no line tells of an answer"),
+      text);
+}
+
+// Guards against a guess about evidence that only a log which is not given has.
+BOOST_AUTO_TEST_CASE(EvidenceOfAMissingLogIsUnknown) {
+  LogArchive archive;
+  archive.addText(linesOf(verdictLog(), "a-1"), "a-1.log");
+  const auto json = FlowExplanation::of(Flow, archive).json();
+  BOOST_TEST(contains(json["causes"].dump(), "host 10.1.0.2 decided it 100 ms "
+                                             "before"),
+             json["causes"]);
+  BOOST_TEST(!contains(json["causes"].dump(), "decided from"), json["causes"]);
+  BOOST_TEST(contains(json["unknown"].dump(),
+                      "what host 10.1.0.2 decided the verdict from"),
+             json["unknown"]);
+}
+
+// Guards against a reset that is explained as the end of a server, although a
+// host saw the server answer afterwards.
+BOOST_AUTO_TEST_CASE(AnswerAfterTheResetShowsThatItWasWrong) {
+  const auto explain = [](std::string_view lines) {
+    LogArchive archive;
+    archive.addText(verdictLog(), "all.log");
+    archive.addText(lines, "more.log");
+    return FlowExplanation::of(Flow, archive).text();
+  };
+  const auto own = explain(
+      R"(1 a-1 {"time_ms":10900,"event":"verdict_ended","server":"i-7","verdict":"dead","ended_by":"answer","stood_ms":950,"age_ms":50,"decided_by":"10.1.0.2"}
+)");
+  BOOST_TEST(contains(own, "the reset was wrong: the server was alive. a-1 saw "
+                           "an answer of i-7 850 ms after the reset"),
+             own);
+  BOOST_TEST(contains(own, "the verdict that i-7 is dead ended after 950 ms: "
+                           "this host saw an answer"),
+             own);
+  const auto peers = explain(
+      R"(1 a-1 {"time_ms":10500,"event":"verdict_ended","server":"i-7","verdict":"dead","ended_by":"peer_answer","stood_ms":600,"age_ms":20,"decided_by":"10.1.0.2","told_by":"10.1.0.2"}
+1 a-2 {"time_ms":10501,"event":"verdict","server":"i-7","verdict":"answering","age_ms":21,"decided_by":"10.1.0.2","answer_seen_by":"10.1.0.9"}
+)");
+  BOOST_TEST(contains(peers, "host 10.1.0.9 saw an answer of i-7 480 ms after"),
+             peers);
+  // Seen elsewhere before the reset, within the silence.
+  const auto during = explain(
+      R"(1 a-3 {"time_ms":9950,"event":"cleared","server":"i-7"}
+)");
+  BOOST_TEST(contains(during,
+                      "a-3 saw an answer of i-7 50 ms before the reset, "
+                      "after the first packet that counted"),
+             during);
+  BOOST_TEST(!contains(during, "reset was wrong"), during);
+}
+
+// Guards against answers of a server's next run that make a right reset look
+// wrong, and against answers so close to the reset that clocks cannot order
+// them.
+BOOST_AUTO_TEST_CASE(AnswerOfTheNextRunDoesNotShowThatTheResetWasWrong) {
+  for (
+      const auto *lines :
+      {R"(1 a-1 {"time_ms":10400,"event":"server","server":"i-7","service":"orders","state":"ready","change":"restarted"}
+1 a-3 {"time_ms":10900,"event":"cleared","server":"i-7"}
+)",
+       R"(1 a-3 {"time_ms":10050,"event":"cleared","server":"i-7"}
+)"}) {
+    LogArchive archive;
+    archive.addText(verdictLog(), "all.log");
+    archive.addText(lines, "more.log");
+    const auto text = FlowExplanation::of(Flow, archive).text();
+    BOOST_TEST(!contains(text, "reset was wrong"), text);
+  }
+}
+
+// Guards against resets after a lapsed entry whose evidence is not told.
+BOOST_AUTO_TEST_CASE(ResetsAfterALapseTellTheirRule) {
+  const auto refused = [](const char *reason) {
+    return R"(1 a-1 {"time_ms":9000,"event":"server","server":"i-7","service":"orders","address":"10.0.0.7:8000","state":"lapsed","change":"lapsed"}
+1 a-1 {"time_ms":9500,"event":"server","server":"i-8","service":"carts","address":"10.0.0.7:8000","state":"ready","change":"added"}
+1 a-1 {"time_ms":10000,"event":"refused","flow":")" +
+           Flow +
+           R"(","cause":"server_gone","reset":true,"server":"i-7","tag":"00000001","reason":")" +
+           reason +
+           R"(","requests":2,"syns":1,"silent_ms":700,"server_state":"lapsed","revision":7,"view_age_ms":300}
+)";
+  };
+  LogArchive silent;
+  silent.addText(refused("lapsed_and_silent"), "all.log");
+  const auto text = FlowExplanation::of(Flow, silent).text();
+  BOOST_TEST(contains(text, "a-1 reset the flow because the registry entry of "
+                            "i-7 had lapsed 1000 ms before and it was silent: "
+                            "a-1 knew of 2 requests and 1 SYN without an "
+                            "answer, the first of them sent 700 ms before"),
+             text);
+  LogArchive taken;
+  taken.addText(refused("address_taken"), "all.log");
+  const auto other = FlowExplanation::of(Flow, taken).text();
+  BOOST_TEST(contains(other, "another server had registered with its address "
+                             "10.0.0.7:8000: i-8 of service carts, 500 ms "
+                             "before"),
+             other);
+}
+
+// Guards against dropped packets of a flow whose server is known to other
+// hosts, or to this one a little later, without a word of it.
+BOOST_AUTO_TEST_CASE(UnknownTagNamesItsServerAndTheHostsThatKnewIt) {
+  const auto tag = auburnroute::routing::ServerTag::of(0x7a).front();
+  const auto refused = [&](std::int64_t timeMs) {
+    return absl::StrCat(
+        R"(1 a-1 {"time_ms":)", timeMs, R"(,"event":"refused","flow":")", Flow,
+        R"(","cause":"unknown_server","reset":false,"tag":")",
+        absl::Hex(tag, absl::kZeroPad8), R"(","revision":7,"view_age_ms":40}
+)");
+  };
+  LogArchive archive;
+  archive.addText(
+      R"(1 b-1 {"time_ms":9000,"event":"server","server":"i-7a","service":"orders","state":"lapsed","change":"lapsed"}
+1 b-2 {"time_ms":9600,"event":"placed","flow":"1.2.3.4:5>6.7.8.9:10","server":"i-7a","copy":0}
+1 b-3 {"time_ms":9000,"event":"late","flow":"1.2.3.4:5>6.7.8.9:10","server":"i-7a","answer_ms":5}
+1 b-3 {"time_ms":9700,"event":"start","host":"b-3"}
+1 b-4 {"time_ms":9700,"event":"late","flow":"1.2.3.4:5>6.7.8.9:10","server":"i-7b","answer_ms":5}
+)" + refused(10000) +
+          refused(10400) +
+          R"(1 a-1 {"time_ms":10700,"event":"server","server":"i-7a","service":"orders","state":"ready","change":"added"}
+1 b-2 {"time_ms":11000,"event":"late","flow":"1.2.3.4:5>6.7.8.9:10","server":"i-7a","answer_ms":5}
+)",
+      "all.log");
+  const auto text = FlowExplanation::of(Flow, archive).text();
+  BOOST_TEST(
+      contains(text, absl::StrCat("a-1 dropped 2 packets because it knew no "
+                                  "server with the tag ",
+                                  absl::Hex(tag, absl::kZeroPad8))),
+      text);
+  BOOST_TEST(contains(text, "the tag names i-7a, which was known to b-1 (as "
+                            "lapsed, line server 1000 ms before), b-2 (line "
+                            "placed 400 ms before)\n"),
+             text);
+  BOOST_TEST(contains(text, "a-1 knew i-7a 700 ms later"), text);
+  BOOST_TEST(contains(text, "the server was alive: b-2 saw an answer of i-7a "
+                            "1000 ms after the packet was dropped"),
+             text);
+  BOOST_TEST(!contains(text, "i-7b"), text);
+}
+
+// Guards against a server that is made up for a tag which no line explains.
+BOOST_AUTO_TEST_CASE(TagWithoutAServerInTheLogsIsUnknown) {
+  LogArchive archive;
+  archive.addText(
+      R"(1 a-1 {"time_ms":10000,"event":"refused","flow":")" + Flow +
+          R"(","cause":"unknown_server","reset":true,"tag":"00000005","revision":7,"view_age_ms":40}
+1 a-2 {"time_ms":9000,"event":"cleared","server":"i-7a"}
+)",
+      "all.log");
+  const auto text = FlowExplanation::of(Flow, archive).text();
+  BOOST_TEST(contains(text, "a-1 reset the flow because it knew no server with "
+                            "the tag 00000005"),
+             text);
+  BOOST_TEST(contains(text, "which server the tag names"), text);
+}
+
 // Guards against made-up explanations of a flow that no log line names.
 BOOST_AUTO_TEST_CASE(FlowWithoutLogLinesIsNotFound) {
   LogArchive archive;
--- a/Source/platform/StoreCodec.cpp
+++ b/Source/platform/StoreCodec.cpp
@@ -54,18 +54,6 @@
   return value;
 }
 
-/// Parses the hexadecimal digits after the last '-' of \p id, or all of it
-/// without a '-'; nullopt if they are not a non-zero 64-bit number.
-std::optional<std::uint64_t> parseIdentity(std::string_view id) {
-  const auto dash = id.rfind('-');
-  const auto digits = dash == std::string_view::npos ? id : id.substr(dash + 1);
-  std::uint64_t value = 0;
-  if (digits.empty() || digits.size() > 16 ||
-      !absl::SimpleHexAtoi(common::toAbsl(digits), &value) || value == 0)
-    return std::nullopt;
-  return value;
-}
-
 std::optional<routing::ServerRegistration>
 decodeServer(std::string_view id, std::string_view value) {
   const auto object = parseObject(value);
@@ -75,7 +63,7 @@
   const auto address = member<std::string>(*object, "address");
   const auto zone = member<std::string>(*object, "zone");
   const auto state = member<std::string>(*object, "state");
-  const auto identity = parseIdentity(id);
+  const auto identity = StoreCodec::identityOf(id);
   if (!service || !routing::isValidName(*service) || !address || !zone ||
       !routing::isValidName(*zone) || !state || !identity ||
       !routing::isValidName(id))
@@ -241,6 +229,17 @@
       "/kv-range?prefix=", call.After.empty() ? "" : "&after=", call.After);
 }
 
+std::optional<std::uint64_t> StoreCodec::identityOf(std::string_view name) {
+  const auto dash = name.rfind('-');
+  const auto digits =
+      dash == std::string_view::npos ? name : name.substr(dash + 1);
+  std::uint64_t value = 0;
+  if (digits.empty() || digits.size() > 16 ||
+      !absl::SimpleHexAtoi(common::toAbsl(digits), &value) || value == 0)
+    return std::nullopt;
+  return value;
+}
+
 absl::StatusOr<std::uint64_t>
 StoreCodec::eraOf(const common::HttpResponse &response) {
   const auto *text = response.header(EraHeader);
--- a/Source/platform/StoreCodec.h
+++ b/Source/platform/StoreCodec.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,10 @@
   /// number.
   static absl::StatusOr<std::uint64_t>
   eraOf(const common::HttpResponse &response);
+  /// The identity of the backend server with the key \p name: the hexadecimal
+  /// digits after the last '-', or all of it without a '-'. nullopt if they are
+  /// not a non-zero 64-bit number.
+  static std::optional<std::uint64_t> identityOf(std::string_view name);
   /// Decodes the body of a response to \p call with status 200. Malformed
   /// entries are skipped and counted in the page. Errors: InvalidArgument if
   /// the body is not a response to that kind of call.
