Explain packets of open flows of an unknown route

Hosts drop packets of a route that they never had, with the cause unknown_route. auburnctl explain said no more than the name of the cause. It now tells that the host lacked the route, which server the tag names, and which hosts knew it.

--- a/Source/Tool/FlowExplanation.cpp
+++ b/Source/Tool/FlowExplanation.cpp
@@ -163,6 +163,8 @@
     appendUnique(Causes,
                  "the server of the open flow was taken to have ended; whether "
                  "it processed the request is unknown");
+  else if (cause == "unknown_route")
+    appendUnique(Causes, "the host never had the route of the open flow");
   else if (cause == "unknown_server")
     appendUnique(Causes,
                  "the flow belongs to a server that the host did not know");
--- a/Source/Tool/OpenFlowRefusal.cpp
+++ b/Source/Tool/OpenFlowRefusal.cpp
@@ -30,6 +30,7 @@
 
 bool OpenFlowRefusal::isExplained(const LogLine &line) {
   return line.Event == "refused" && (line.text("cause") == "unknown_server" ||
+                                     line.text("cause") == "unknown_route" ||
                                      line.text("cause") == "server_gone");
 }
 
@@ -42,7 +43,7 @@
       if (const auto packets = it.text("packets"); !packets.empty())
         HostByAddress[packets.substr(0, packets.rfind(':'))] = it.Host;
   const auto reason = Line.text("reason");
-  if (Line.text("cause") == "unknown_server")
+  if (Line.text("cause") != "server_gone")
     explainUnknownServer();
   else if (reason == "verdict")
     explainVerdict();
@@ -209,8 +210,10 @@
           ? " reset the flow"
           : absl::StrCat(" dropped ",
                          countOf(static_cast<std::int64_t>(Count), "packet")),
-      " because it knew no server with the tag",
-      tag.empty() ? "" : absl::StrCat(" ", tag),
+      Line.text("cause") == "unknown_route"
+          ? " because it had no route of the address yet, and no living server"
+          : " because it knew no server",
+      " with the tag", tag.empty() ? "" : absl::StrCat(" ", tag),
       " of the flow; its view was at", " revision ", Line.number("revision"),
       ", ", Line.number("view_age_ms"), " ms old"));
   if (Server.empty())
--- a/Source/Tool/OpenFlowRefusal.h
+++ b/Source/Tool/OpenFlowRefusal.h
@@ -13,7 +13,7 @@
 namespace auburnroute::tool {
 
 /// Explains from the log lines of several hosts why a host reset an open flow,
-/// or dropped its packets since their tag named no server that it knew.
+/// or dropped its packets since it did not know their server or route.
 class OpenFlowRefusal {
 public:
   /// Answers that were seen less than this long after a reset do not show that
--- a/Source/UnitTests/Tool/ExplainTest.cpp
+++ b/Source/UnitTests/Tool/ExplainTest.cpp
@@ -283,6 +283,30 @@
   BOOST_TEST(!contains(text, "i-7b"), text);
 }
 
+// Guards against a host that lacks a route of other hosts being explained as
+// one that lacks the server only.
+BOOST_AUTO_TEST_CASE(UnknownRouteNamesTheServerOfTheTag) {
+  LogArchive archive;
+  archive.addText(
+      absl::StrCat(
+          R"(1 a-2 {"time_ms":9000,"event":"configuration","version":8}
+1 a-2 {"time_ms":9600,"event":"cleared","server":"i-7a"}
+1 a-1 {"time_ms":10000,"event":"refused","flow":")",
+          Flow, R"(","cause":"unknown_route","reset":false,"tag":")",
+          absl::Hex(auburnroute::routing::ServerTag::of(0x7a).front(),
+                    absl::kZeroPad8),
+          R"(","revision":7,"view_age_ms":40}
+)"),
+      "all.log");
+  const auto text = FlowExplanation::of(Flow, archive).text();
+  BOOST_TEST(contains(text, "a-1 dropped 1 packet because it had no route of "
+                            "the address yet, and no living server with the "
+                            "tag"),
+             text);
+  BOOST_TEST(contains(text, "the tag names i-7a, which was known to a-2"),
+             text);
+}
+
 // Guards against a server that is made up for a tag which no line explains.
 BOOST_AUTO_TEST_CASE(TagWithoutAServerInTheLogsIsUnknown) {
   LogArchive archive;
