--- a/Source/UnitTests/Routing/PacketRouterTest.cpp
+++ b/Source/UnitTests/Routing/PacketRouterTest.cpp
@@ -447,10 +447,10 @@
   RoutingFixture it;
   const auto id = it.add(1, "sheets");
   const auto tag = it.Directory.at(id).Tag;
-  constexpr common::Endpoint unknown{0xc6120009, 443};
-  BOOST_TEST(forwardOf(it.data(1, tag, 1000, 5000, 100, unknown)).Server == id);
+  constexpr common::Endpoint Unknown{0xc6120009, 443};
+  BOOST_TEST(forwardOf(it.data(1, tag, 1000, 5000, 100, Unknown)).Server == id);
   BOOST_TEST(std::holds_alternative<DropPacket>(
-      it.data(1, tag + 1, 1000, 5000, 100, unknown)));
+      it.data(1, tag + 1, 1000, 5000, 100, Unknown)));
   auto successor = it.Directory.at(id).Registration;
   successor.Name = "s2";
   successor.Identity = 2;
@@ -458,8 +458,8 @@
   it.Directory.apply(successor, it.Clock.now());
   it.lapse(1);
   BOOST_TEST(std::holds_alternative<DropPacket>(
-      it.data(1, tag, 1000, 5000, 100, unknown)));
-  BOOST_TEST(std::holds_alternative<ResetFlow>(it.syn(2, 0, unknown)));
+      it.data(1, tag, 1000, 5000, 100, Unknown)));
+  BOOST_TEST(std::holds_alternative<ResetFlow>(it.syn(2, 0, Unknown)));
 }
 
 // A route that was removed and added again must not reset its flows.
