Test that verdicts fit the limit of the log

VerdictsFitTheLimitOfTheLog guards against verdict lines that crowd each other out when many servers fall silent at once.

Run: FleetTests/VerdictsFitTheLimitOfTheLog.

--- a/Source/UnitTests/Fleet/SharedFailureDetectorTest.cpp
+++ b/Source/UnitTests/Fleet/SharedFailureDetectorTest.cpp
@@ -167,6 +167,33 @@
   BOOST_TEST(zone.MessageBytes / 20 / LargeZoneHosts < 2500U);
 }
 
+// Guards against lines of verdicts that crowd each other out: each event is
+// limited to 100 lines a second, and the lines of a host must explain each of
+// its verdicts, also when a quarter of the servers falls silent at once.
+BOOST_AUTO_TEST_CASE(VerdictsFitTheLimitOfTheLog) {
+  constexpr std::size_t MaxLinesPerSecond = 100;
+  DetectorZone zone(LargeZoneHosts, LargeZoneServers, 1);
+  zone.run(WarmUp, RequestRate);
+  for (routing::ServerId id = 0; id < LargeZoneServers / 4; ++id)
+    zone.setSilent(id);
+  std::vector<std::size_t> events(LargeZoneHosts);
+  std::vector<std::size_t> ends(LargeZoneHosts);
+  std::size_t most = 0;
+  for (int second = 0; second < 20; ++second) {
+    zone.run(1s, RequestRate);
+    for (std::size_t n = 0; n < LargeZoneHosts; ++n) {
+      const auto &seen = zone.Hosts[n]->Observer;
+      most = std::max(
+          {most, seen.Events.size() - events[n], seen.Ends.size() - ends[n]});
+      events[n] = seen.Events.size();
+      ends[n] = seen.Ends.size();
+    }
+  }
+  BOOST_TEST_MESSAGE("at most " << most << " lines of an event a second");
+  BOOST_TEST(zone.Dead.size() == LargeZoneServers / 4);
+  BOOST_TEST(most <= MaxLinesPerSecond);
+}
+
 // A process that was paused has seen no answers meanwhile, and what it had
 // collected is outdated.
 BOOST_AUTO_TEST_CASE(PausedOwnerDiscardsItsEvidence) {
