Print failed checks of captured log lines

Checks that ran while standard output was captured failed without a message. Output is now captured only while lines are written.

Run: EdgeTests; without `told_by` and `peer_answer` on the page both tests fail, each with its message.

--- a/Source/UnitTests/Edge/DocumentationTest.cpp
+++ b/Source/UnitTests/Edge/DocumentationTest.cpp
@@ -91,33 +91,38 @@
   const auto id = directory.idOf(*directory.findByName("s-1"));
   const routing::FlowId flow{{0xc0000201, 1024}, {0xc6120001, 443}};
 
-  unittests::CapturedOutput output;
-  recorder.recordServer(server, routing::DirectoryChange::Added);
-  recorder.onPlaced(flow, id, 0);
-  recorder.onRefused({.Flow = flow,
-                      .Why = routing::RefusalReason::ServerGone,
-                      .Server = id,
-                      .Tag = 7,
-                      .End = {.Reason = routing::EndReason::Verdict}});
-  recorder.onSuspected(flow, id, routing::SuspicionReason::DataUnanswered,
-                       std::chrono::milliseconds(200));
-  recorder.onSuspicionCleared(id);
-  recorder.onVerdict({.Server = id,
-                      .DecidedBy = 1,
-                      .Basis = fleet::VerdictBasis(),
-                      .AnswerSeenBy = 1});
-  recorder.onVerdictEnd(
-      {.Server = id, .DecidedBy = 1, .ToldBy = 1, .AnswerSeenBy = 1});
-  recorder.onRejected(fleet::EvidenceRejection::Refuted, 1, 1);
-  recorder.onAnswered(flow, id, std::chrono::milliseconds(200),
-                      std::chrono::milliseconds(100));
-  recorder.recordConfiguration(1);
-  recorder.recordEra({});
-  recorder.recordReconciliation({});
-  log.flush();
+  std::string text;
+  {
+    // Failed checks are printed to standard output, too.
+    unittests::CapturedOutput output;
+    recorder.recordServer(server, routing::DirectoryChange::Added);
+    recorder.onPlaced(flow, id, 0);
+    recorder.onRefused({.Flow = flow,
+                        .Why = routing::RefusalReason::ServerGone,
+                        .Server = id,
+                        .Tag = 7,
+                        .End = {.Reason = routing::EndReason::Verdict}});
+    recorder.onSuspected(flow, id, routing::SuspicionReason::DataUnanswered,
+                         std::chrono::milliseconds(200));
+    recorder.onSuspicionCleared(id);
+    recorder.onVerdict({.Server = id,
+                        .DecidedBy = 1,
+                        .Basis = fleet::VerdictBasis(),
+                        .AnswerSeenBy = 1});
+    recorder.onVerdictEnd(
+        {.Server = id, .DecidedBy = 1, .ToldBy = 1, .AnswerSeenBy = 1});
+    recorder.onRejected(fleet::EvidenceRejection::Refuted, 1, 1);
+    recorder.onAnswered(flow, id, std::chrono::milliseconds(200),
+                        std::chrono::milliseconds(100));
+    recorder.recordConfiguration(1);
+    recorder.recordEra({});
+    recorder.recordReconciliation({});
+    log.flush();
+    text = output.read();
+  }
 
   const auto page = readPage("docs/OPERATIONS.md");
-  std::istringstream lines(output.read());
+  std::istringstream lines(text);
   int count = 0;
   for (std::string line; std::getline(lines, line); ++count) {
     const auto fields = nlohmann::json::parse(line);
--- a/Source/UnitTests/Edge/EventRecorderTest.cpp
+++ b/Source/UnitTests/Edge/EventRecorderTest.cpp
@@ -7,6 +7,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
+#include <utility>
+
 using namespace auburnroute;
 using namespace std::chrono_literals;
 using state::Cause;
@@ -143,7 +146,9 @@
 // reset unexplainable.
 BOOST_AUTO_TEST_CASE(VerdictOfThisHostIsLoggedWithItsEvidence) {
   const auto id = add();
-  unittests::CapturedOutput output;
+  // Failed checks are printed to standard output, too, so it is not captured
+  // for longer than needed.
+  std::optional<unittests::CapturedOutput> output(std::in_place);
   fleet::VerdictBasis basis;
   basis.Evidence.RequestCount = 3;
   basis.Evidence.SynCount = 1;
@@ -160,7 +165,8 @@
                       .Age = 490ms,
                       .DecidedBy = 0x0a010008});
   Log.flush();
-  const auto text = output.read();
+  const auto text = output->read();
+  output.reset();
   BOOST_TEST(text.find(R"("server":"s-1","verdict":"dead","age_ms":480,)"
                        R"("decided_by":"10.1.0.7","requests":3,"syns":1,)"
                        R"("reporters":2,"several_callers":true,)"
@@ -179,7 +185,7 @@
   using fleet::VerdictEndReason;
   using fleet::VerdictKind;
   const auto id = add();
-  unittests::CapturedOutput output;
+  std::optional<unittests::CapturedOutput> output(std::in_place);
   Recorder.onVerdictEnd({.Server = id,
                          .Kind = VerdictKind::Dead,
                          .Why = VerdictEndReason::PeerAnswer,
@@ -199,7 +205,8 @@
                          .Kind = VerdictKind::Dead,
                          .Why = VerdictEndReason::ServerChanged});
   Log.flush();
-  const auto text = output.read();
+  const auto text = output->read();
+  output.reset();
   BOOST_TEST(
       text.find(R"("event":"verdict_ended","server":"s-1","verdict":"dead",)"
                 R"("ended_by":"peer_answer","stood_ms":700,"age_ms":20,)"
