Log each fetch of a peer's view, and count those that failed

Cause: a host that stays without a view logs neither which hosts it asked for theirs nor what they answered.

No change of decisions.

--- a/Source/Edge/EdgeMetrics.cpp
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -98,6 +98,8 @@
     return "gossip_messages_malformed_total";
   case EdgeCounter::SnapshotsFetched:
     return "snapshots_fetched_total";
+  case EdgeCounter::SnapshotsFailed:
+    return "snapshot_failures_total";
   case EdgeCounter::TagsAsked:
     return "unknown_tags_asked_total";
   case EdgeCounter::Pauses:
--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -48,6 +48,7 @@
   GossipReceived,
   GossipMalformed,
   SnapshotsFetched,
+  SnapshotsFailed,
   TagsAsked,
   Pauses,
   Stalls,
--- a/Source/Edge/EventLog.cpp
+++ b/Source/Edge/EventLog.cpp
@@ -79,6 +79,8 @@
     return "registry_era";
   case LogEvent::Peer:
     return "peer";
+  case LogEvent::ViewFetch:
+    return "view_fetch";
   case LogEvent::Placed:
     return "placed";
   case LogEvent::Refused:
--- a/Source/Edge/EventLog.h
+++ b/Source/Edge/EventLog.h
@@ -28,6 +28,7 @@
   RegistryRead,
   RegistryEra,
   Peer,
+  ViewFetch,
   Placed,
   Refused,
   Suspected,
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -346,35 +346,60 @@
     if (const auto any = Peers.choose(1, now); !any.empty())
       address = any.front();
   IsFetchingSnapshot = true;
-  SnapshotRequestedAt = now;
   SnapshotClient = std::make_unique<reactor::AsyncHttpClient>(
       Loop, common::Endpoint{address, Self.Port});
   const auto target = absl::StrCat("/view?after=", View.revision(),
                                    "&version=", View.configurationVersion(),
                                    "&era=", View.era());
-  SnapshotClient->get(target, SnapshotTimeout,
-                      [this](const auto &result) { onSnapshot(result); });
+  SnapshotClient->get(
+      target, SnapshotTimeout,
+      [this, fetch = SnapshotFetch{address, SnapshotTimeout, Clock.now()}](
+          const auto &result) { onSnapshot(fetch, result); });
 }
 
-void PeerExchange::onSnapshot(const absl::StatusOr<HttpResponse> &result) {
+void PeerExchange::onSnapshot(const SnapshotFetch &fetch,
+                              const absl::StatusOr<HttpResponse> &result) {
   IsFetchingSnapshot = false;
-  const auto snapshot = result.ok() && result->Status == HttpResponse::Ok
-                            ? GossipCodec::decodeSnapshot(result->Body)
-                            : std::nullopt;
+  const auto now = Clock.now();
+  const bool isFirst = !View.isComplete();
+  const bool hasBody = result.ok() && result->Status == HttpResponse::Ok;
+  const auto snapshot =
+      hasBody ? GossipCodec::decodeSnapshot(result->Body) : std::nullopt;
+  // The answer may have been under way since the request.
+  const auto age =
+      snapshot
+          ? snapshot->Age +
+                std::chrono::duration_cast<milliseconds>(now - fetch.StartedAt)
+          : milliseconds(0);
+  std::string_view outcome = "taken";
   if (!snapshot) {
     // The next message of a peer triggers a retry.
+    const bool isLate = !result.ok() && now - fetch.StartedAt >= fetch.Timeout;
+    outcome = hasBody ? "malformed" : isLate ? "timed_out" : "refused";
     InitialView.onFetchFailed();
-    if (result.ok() && result->Status == HttpResponse::Ok)
+    Metrics.add(EdgeCounter::SnapshotsFailed);
+    if (hasBody)
       Metrics.add(EdgeCounter::GossipMalformed);
-    return;
+  } else {
+    Metrics.add(EdgeCounter::SnapshotsFetched);
+    View.applySnapshot(snapshot->View, age, now);
+    OnViewChanged();
   }
-  Metrics.add(EdgeCounter::SnapshotsFetched);
-  // The answer may have been under way since the request.
-  const auto now = Clock.now();
-  const auto transfer =
-      std::chrono::duration_cast<milliseconds>(now - SnapshotRequestedAt);
-  View.applySnapshot(snapshot->View, snapshot->Age + transfer, now);
-  OnViewChanged();
+  logFetch(fetch, isFirst, outcome, age);
+}
+
+void PeerExchange::logFetch(const SnapshotFetch &fetch, bool isFirst,
+                            std::string_view outcome, milliseconds age) {
+  if (!Log.tryAdmit(LogEvent::ViewFetch))
+    return;
+  const auto took =
+      std::chrono::duration_cast<milliseconds>(Clock.now() - fetch.StartedAt);
+  Log.write(LogEvent::ViewFetch,
+            absl::StrCat(
+                "\"host\":\"", common::toString({fetch.Address, Self.Port}),
+                "\",\"first\":", isFirst ? "true" : "false", ",\"result\":\"",
+                common::toAbsl(outcome), "\",\"age_ms\":", age.count(),
+                ",\"took_ms\":", took.count()));
 }
 
 void PeerExchange::fetchCauses() {
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -106,9 +106,18 @@
   /// Announces the view if it changed or became more current since the last
   /// announcement.
   void announceIfChanged();
+  /// A pending GET /view.
+  struct SnapshotFetch {
+    std::uint32_t Address = 0;
+    std::chrono::milliseconds Timeout{0};
+    common::TimePoint StartedAt;
+  };
   /// Fetches what this host lacks from a peer whose view has \p age.
   void fetchSnapshot(std::uint32_t address, std::chrono::milliseconds age);
-  void onSnapshot(const absl::StatusOr<common::HttpResponse> &result);
+  void onSnapshot(const SnapshotFetch &fetch,
+                  const absl::StatusOr<common::HttpResponse> &result);
+  void logFetch(const SnapshotFetch &fetch, bool isFirst,
+                std::string_view outcome, std::chrono::milliseconds age);
   /// Sends the causes that are new or changed, at most one batch per
   /// CauseSendInterval.
   void sendCauses();
@@ -140,7 +149,6 @@
   state::StartMode Mode = state::StartMode::Restart;
   common::TimePoint NextRound;
   common::TimePoint NextTagQuestion;
-  common::TimePoint SnapshotRequestedAt;
   std::size_t RoundCount = 0;
   std::uint64_t AnnouncedChangeCount = 0;
   std::uint64_t AnnouncedRevision = 0; ///< In era AnnouncedEra.
