Fetch the first view from each known host before asking one again

Cause: a starting host did not fetch from the peer that offered its view but from one host of its own zone, drawn anew at each offer, if any was thought alive.

Ruled out, by view_fetch lines and the moments of the peers' messages: the age of the views (0.7 to 1.5 s, and any age is taken after the registry's first failure at 60 ms), who sends gossip to a starting host (four hosts within 6 ms), SnapshotTimeout (refusals took 1 ms), and the reader's back-off.

Change: InitialViewSource keeps the offers and decides which host is asked. Offers are kept, so a fetch needs no further message after a failure or once older views are allowed. A fetched view is now held to the same limit of age as the offers; without a registry a view much older than the youngest offer is left.

--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -6,6 +6,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -55,8 +57,7 @@
   setSeeds(seeds);
   StartedAt = Clock.now();
   const bool isSeed = Seeds.size() < seeds.size();
-  Mode = mode;
-  InitialView.start(startModeOf(mode, isSeed), StartedAt);
+  InitialView.start(startModeOf(mode, isSeed), Seeds, StartedAt);
   Socket.start([this] { onReadable(); });
   sendView(Seeds, /*wantsAnswer=*/true, /*since=*/0, /*withHosts=*/true);
 }
@@ -82,6 +83,7 @@
   const auto now = Clock.now();
   announceIfChanged();
   pollEvidence();
+  fetchFirstView();
   if (now < NextRound)
     return;
   NextRound = now + RoundInterval;
@@ -295,6 +297,7 @@
   if (View.isComplete())
     return;
   InitialView.onRegistryFailed();
+  fetchFirstView();
   sendView(Seeds, /*wantsAnswer=*/true, /*since=*/0, /*withHosts=*/true);
 }
 
@@ -324,7 +327,7 @@
   History.merge(message.Causes);
   if (message.Changes.To != 0) {
     if (!View.applyPeerChanges(message.Changes, message.ViewAge, now))
-      fetchSnapshot(from, message.ViewAge);
+      onLaterView(message, from);
   }
   for (const auto &it : message.NamedServers)
     View.applyNamedServer(it, now);
@@ -334,17 +337,28 @@
     sendView({from}, /*wantsAnswer=*/false, /*since=*/0, /*withHosts=*/true);
 }
 
-void PeerExchange::fetchSnapshot(std::uint32_t address, milliseconds age) {
+void PeerExchange::onLaterView(const GossipMessage &message,
+                               std::uint32_t from) {
+  if (View.isComplete()) {
+    fetchSnapshot(from, SnapshotTimeout);
+  } else if (message.Changes.ConfigurationVersion != 0) {
+    InitialView.onOffer(from, message.ViewAge, Clock.now());
+    fetchFirstView();
+  }
+}
+
+void PeerExchange::fetchFirstView() {
+  if (View.isComplete() || IsFetchingSnapshot || !InitialView.hasOffers())
+    return;
   const auto now = Clock.now();
-  if (IsFetchingSnapshot ||
-      (!View.isComplete() && !InitialView.onPeerView(age, now)))
+  if (const auto next =
+          InitialView.nextFetch(Peers.choose(Peers.aliveCount(now), now), now))
+    fetchSnapshot(next->Host, next->Timeout);
+}
+
+void PeerExchange::fetchSnapshot(std::uint32_t address, milliseconds timeout) {
+  if (IsFetchingSnapshot)
     return;
-  // All hosts that restart ask the same seeds, which send their lists of hosts.
-  // Whole views are taken from any of these hosts, so that a roll of the fleet
-  // does not load the seeds. At a first start the others have none.
-  if (!View.isComplete() && Mode == state::StartMode::Restart)
-    if (const auto any = Peers.choose(1, now); !any.empty())
-      address = any.front();
   IsFetchingSnapshot = true;
   SnapshotClient = std::make_unique<reactor::AsyncHttpClient>(
       Loop, common::Endpoint{address, Self.Port});
@@ -352,8 +366,8 @@
                                    "&version=", View.configurationVersion(),
                                    "&era=", View.era());
   SnapshotClient->get(
-      target, SnapshotTimeout,
-      [this, fetch = SnapshotFetch{address, SnapshotTimeout, Clock.now()}](
+      target, timeout,
+      [this, fetch = SnapshotFetch{address, timeout, Clock.now()}](
           const auto &result) { onSnapshot(fetch, result); });
 }
 
@@ -373,19 +387,25 @@
           : milliseconds(0);
   std::string_view outcome = "taken";
   if (!snapshot) {
-    // The next message of a peer triggers a retry.
     const bool isLate = !result.ok() && now - fetch.StartedAt >= fetch.Timeout;
     outcome = hasBody ? "malformed" : isLate ? "timed_out" : "refused";
-    InitialView.onFetchFailed();
+    using Failure = fleet::InitialViewSource::FetchFailure;
+    InitialView.onFetchFailed(isLate ? Failure::TimedOut : Failure::Refused);
     Metrics.add(EdgeCounter::SnapshotsFailed);
     if (hasBody)
       Metrics.add(EdgeCounter::GossipMalformed);
+  } else if (isFirst && !InitialView.onFetched(age, now)) {
+    outcome = "too_old";
+    Metrics.add(EdgeCounter::SnapshotsFailed);
   } else {
     Metrics.add(EdgeCounter::SnapshotsFetched);
     View.applySnapshot(snapshot->View, age, now);
     OnViewChanged();
   }
   logFetch(fetch, isFirst, outcome, age);
+  // The client that runs this handler must not be replaced before it returns.
+  if (!View.isComplete())
+    boost::asio::post(Loop, [this] { fetchFirstView(); });
 }
 
 void PeerExchange::logFetch(const SnapshotFetch &fetch, bool isFirst,
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -112,8 +112,12 @@
     std::chrono::milliseconds Timeout{0};
     common::TimePoint StartedAt;
   };
-  /// Fetches what this host lacks from a peer whose view has \p age.
-  void fetchSnapshot(std::uint32_t address, std::chrono::milliseconds age);
+  /// The sender of \p message has a view that its changes don't lead to.
+  void onLaterView(const fleet::GossipMessage &message, std::uint32_t from);
+  /// Fetches the first view of this host, if a peer has one.
+  void fetchFirstView();
+  /// Fetches what this host lacks, unless a fetch is pending.
+  void fetchSnapshot(std::uint32_t address, std::chrono::milliseconds timeout);
   void onSnapshot(const SnapshotFetch &fetch,
                   const absl::StatusOr<common::HttpResponse> &result);
   void logFetch(const SnapshotFetch &fetch, bool isFirst,
@@ -146,7 +150,6 @@
   std::function<std::chrono::milliseconds()> OnWakeUp;
   std::function<void()> OnViewChanged;
   std::vector<std::uint32_t> Seeds;
-  state::StartMode Mode = state::StartMode::Restart;
   common::TimePoint NextRound;
   common::TimePoint NextTagQuestion;
   std::size_t RoundCount = 0;
--- a/Source/UnitTests/Fleet/FleetViewTest.cpp
+++ b/Source/UnitTests/Fleet/FleetViewTest.cpp
@@ -415,4 +415,36 @@
   BOOST_TEST(it.View.snapshotSince(20, 1).From == 0U);
 }
 
+// A host that starts while the registry is away may get an old view first.
+// Nothing of it may come back once more is known, nor may it count as current.
+BOOST_AUTO_TEST_CASE(HostThatStartedWithAnOldViewDoesNotReturnToIt) {
+  common::ManualClock clock;
+  const auto now = clock.now();
+  ViewFixture old;
+  load(old, now);
+  const auto oldSnapshot = old.View.snapshotSince(0, 0);
+  const auto oldChanges = old.View.recentChanges(8);
+  ViewFixture later;
+  load(later, now);
+  auto page =
+      samplePage(20, {sampleServer(1, 15, routing::ServerState::Draining)}, 2);
+  page.Removed.push_back({"s2", 18});
+  later.View.applyChanges(page, now, now);
+
+  ViewFixture it;
+  it.View.applySnapshot(oldSnapshot, 60s, now);
+  BOOST_TEST(it.View.isComplete());
+  BOOST_TEST((it.View.age(now) >= 60s));
+  it.View.applySnapshot(later.View.snapshotSince(0, 0), 200ms, now);
+  for (const auto age : {0ms, 60000ms}) {
+    it.View.applySnapshot(oldSnapshot, age, now);
+    it.View.applyPeerChanges(oldChanges, age, now);
+    BOOST_TEST(it.View.configurationVersion() == 2U);
+    BOOST_TEST(it.View.revision() == 20U);
+    BOOST_TEST((it.View.age(now) >= 200ms));
+    BOOST_TEST((it.stateOf("s1") == routing::ServerState::Draining));
+    BOOST_TEST((it.stateOf("s2") == routing::ServerState::Lapsed));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
