Do not count requests to an earlier run against a restarted server

Cause: when a server starts again under its name, its health is reset, but its flows stay as they were. Retransmissions of requests that the run before left unanswered then count for the new run, which does not know these flows.

RequestsToAnEarlierRunAreNoEvidence checks the rule.

--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -124,6 +124,9 @@
 void PacketRouter::recordRetransmission(ServerId server, SuspicionReason why,
                                         const FlowId &id, TimePoint sentAt,
                                         TimePoint now) {
+  // The run before did not answer it.
+  if (sentAt < Directory.at(server).RunSeenAt)
+    return;
   if (Health.onRetransmission(server, why, id.Caller.Address, sentAt, now))
     Observer.onSuspected(
         id, server, why,
--- a/Source/Routing/ServerDirectory.cpp
+++ b/Source/Routing/ServerDirectory.cpp
@@ -65,6 +65,8 @@
   removeFromIndexes(id);
   if (before.Address != registration.Address)
     releaseAddress(id);
+  if (registration.StartTimeMs != before.StartTimeMs)
+    server.RunSeenAt = now;
   server.Registration = registration;
   server.Service = Services.idOf(registration.Service);
   server.Zone = Zones.idOf(registration.Zone);
--- a/Source/Routing/ServerDirectory.h
+++ b/Source/Routing/ServerDirectory.h
@@ -24,6 +24,7 @@
   NameTable::Id Zone = 0;
   std::uint32_t Tag = ServerTag::None; ///< Tag that new flows get.
   common::TimePoint FirstSeen;
+  common::TimePoint RunSeenAt; ///< When its current run became known.
   common::TimePoint ColdUntil;
   common::TimePoint LapsedAt; ///< Valid in state Lapsed.
   bool IsOccupied = false;    ///< This slot of the directory holds a server.
--- a/Source/UnitTests/Routing/PacketRouterTest.cpp
+++ b/Source/UnitTests/Routing/PacketRouterTest.cpp
@@ -356,6 +356,29 @@
   BOOST_TEST(it.Router.abandonFlowsOf(0, it.Clock.now()).empty());
 }
 
+// A server that starts again under its name does not know the requests that the
+// run before left unanswered: their retransmissions must not count against it.
+BOOST_AUTO_TEST_CASE(RequestsToAnEarlierRunAreNoEvidence) {
+  RoutingFixture it;
+  it.add(1);
+  it.add(2);
+  const auto tag = it.Directory.at(0).Tag;
+  it.data(1, tag, 1000, 5000, 100);
+  it.Clock.advance(100ms);
+  auto restarted = it.Directory.at(0).Registration;
+  restarted.StartTimeMs += 1000;
+  restarted.Revision = ++it.Revision;
+  it.Directory.apply(restarted, it.Clock.now());
+  it.Health.reset(0);
+  it.Clock.advance(100ms);
+  it.data(1, tag, 1000, 5000, 100);
+  BOOST_TEST(it.Observer.Suspected.empty());
+  it.data(2, tag, 1000, 5000, 100);
+  it.Clock.advance(200ms);
+  it.data(2, tag, 1000, 5000, 100);
+  BOOST_TEST(it.Observer.Suspected.size() == 1U);
+}
+
 // A host that is isolated from all servers must not reset flows.
 BOOST_AUTO_TEST_CASE(IsolatedHostResetsNoFlows) {
   RoutingFixture it;
