Reject reports on an earlier run of a server

Cause: a report has the server's identity and the time of silence but not its run. A host that has not learned of a restart yet reports what the run before left unanswered, and the evidence owner, which has, counted it for the new run.

ReportsOnAnEarlierRunAre- Rejected checks it.

--- a/Source/Fleet/SharedFailureDetector.cpp
+++ b/Source/Fleet/SharedFailureDetector.cpp
@@ -249,6 +249,12 @@
   }
   const auto id = Directory.idOf(*server);
   const auto since = now - suspect.SilentFor;
+  // The reporter may not know yet that the server has started again.
+  if (since < server->RunSeenAt) {
+    Observer.onRejected(EvidenceRejection::OtherRun, suspect.Identity,
+                        reporter);
+    return;
+  }
   if (Health.activity(id).LastAnswer > since) {
     Observer.onRejected(EvidenceRejection::Refuted, suspect.Identity, reporter);
     return;
--- a/Source/UnitTests/Fleet/SharedFailureDetectorTest.cpp
+++ b/Source/UnitTests/Fleet/SharedFailureDetectorTest.cpp
@@ -425,6 +425,30 @@
   }
 }
 
+// A host that does not know yet that a server has started again reports what
+// the run before left unanswered. The new run must not be taken for dead.
+BOOST_AUTO_TEST_CASE(ReportsOnAnEarlierRunAreRejected) {
+  common::ManualClock clock;
+  clock.advance(10s);
+  DetectorHost host(DetectorZone::FirstAddress, 8, clock.now());
+  const fleet::PeerInfo peer{DetectorZone::FirstAddress + 1, "a", 1, 1};
+  host.Peers.applyDirectUpdate(peer, clock.now());
+  auto restarted = unittests::sampleServer(1, 100);
+  restarted.StartTimeMs = 5;
+  host.Directory.apply(restarted, clock.now());
+  clock.advance(200ms);
+  fleet::GossipMessage report;
+  report.Sender = peer;
+  report.Suspects.push_back({1, 500ms, 3, 0, 100, true});
+  host.Detector.onMessage(report, clock.now());
+  BOOST_TEST(
+      (host.Observer.Rejected == std::vector{EvidenceRejection::OtherRun}));
+  BOOST_TEST(host.Detector.caseCount() == 0U);
+  report.Suspects.front().SilentFor = 200ms;
+  host.Detector.onMessage(report, clock.now());
+  BOOST_TEST(host.Detector.caseCount() == 1U);
+}
+
 // The detector is the only source of verdicts, so a host without peers in its
 // zone must find a dead server by itself, and no other one.
 BOOST_AUTO_TEST_CASE(LoneHostFindsASilentServer) {
