Let the refutation of a verdict take effect at once

Found in review: a verdict that was refuted could still reset flows.

- Between the verdict and the reset of its pending requests, up to 50 ms, an answer may arrive; abandonFlowsOf() reset them all the same.
VerdictResetsPendingRequests called it without any verdict and expected resets; it now has one.
- A peer's answer did not end a verdict if this host had a later unanswered packet, as a request has that was let through to a slow server.
- A stalled host dropped the message that the server answers, and kept the verdict.
- A host that missed that message was not told again when it reported the server.

RefutedVerdictResetsNoPendingRequests, PeerAnswerEndsAVerdictDespiteLaterRetrans- missions, StallEndsVerdicts and LateReportersAreToldOfAnAnswer check them.

--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -290,7 +290,9 @@
   message.ViewAge += waited;
   // Their ages would be too low, so that answers since would not refute them.
   message.Suspects.clear();
-  message.Verdicts.clear();
+  std::erase_if(message.Verdicts, [](const auto &it) {
+    return it.Kind != fleet::VerdictKind::Answering;
+  });
 }
 
 void PeerExchange::onRegistryFailure() {
--- a/Source/Fleet/FailureAggregator.cpp
+++ b/Source/Fleet/FailureAggregator.cpp
@@ -22,8 +22,13 @@
     known = Case();
     known.StartTimeMs = startTimeMs;
   }
-  if (evidence.Since <= known.AnsweredAt)
+  if (evidence.Since <= known.AnsweredAt) {
+    // The reporter missed that the server answered.
+    Decisions.push_back({{identity, startTimeMs, VerdictKind::Answering, {}},
+                         known.AnsweredAt,
+                         reporter});
     return;
+  }
   const auto it = std::ranges::find(known.Reports, reporter, &Report::Reporter);
   if (it != known.Reports.end())
     *it = {reporter, evidence, now};
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -269,6 +269,9 @@
                                                      TimePoint now) {
   std::vector<FlowPacket> abandoned;
   const auto end = endOf(Directory.at(server), now);
+  // An answer may have refuted the verdict since.
+  if (!end)
+    return abandoned;
   for (const auto &[id, acknowledged] : Flows.busyFlowsOf(server)) {
     const auto *route = Routes.find(id.Service);
     if (route == nullptr || route->Kind == RequestKind::NonIdempotent)
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -29,7 +29,7 @@
         PlacementPolicy(placement), Observer(observer) {}
 
   RoutingOutcome onPacket(const FlowPacket &packet, common::TimePoint now);
-  /// Gives up the flows with a pending request to \p server, which is dead:
+  /// Gives up the flows with a pending request to \p server if it is dead:
   /// its callers would otherwise wait for a retransmission or their timeout.
   /// Non-idempotent requests are left until they are retransmitted: a reset
   /// gains their callers nothing, and the server may be slow after all. Returns
--- a/Source/Routing/ServerHealthTracker.cpp
+++ b/Source/Routing/ServerHealthTracker.cpp
@@ -80,8 +80,10 @@
 }
 
 void ServerHealthTracker::discardEvidence() {
-  for (auto &it : Activities)
+  for (auto &it : Activities) {
     clearEvidence(it);
+    it.DeadUntil = {};
+  }
   takeRetransmissions();
 }
 
@@ -223,6 +225,9 @@
 void ServerHealthTracker::onPeerAnswer(ServerId id, TimePoint answeredAt) {
   auto &server = activityRef(id);
   server.PeerAnswerAt = std::max(server.PeerAnswerAt, answeredAt);
+  // Later unanswered packets of this host keep a suspicion, but are no verdict.
+  if (answeredAt > server.ReportedSince)
+    server.DeadUntil = {};
   const auto since =
       server.RetransmissionCount > 0
           ? std::max(server.FirstUnansweredAt, server.ReportedSince)
--- a/Source/Routing/ServerHealthTracker.h
+++ b/Source/Routing/ServerHealthTracker.h
@@ -155,8 +155,8 @@
   /// Watched servers that answered since the last call. They are not watched
   /// any more.
   std::vector<ServerId> takeAnswered();
-  /// Discards the unanswered packets of all servers. Suspicions and verdicts
-  /// stay.
+  /// Discards the unanswered packets of all servers, and verdicts, whose
+  /// refutation may have been missed. Suspicions stay.
   void discardEvidence();
   /// Discards the state of \p id, which now stands for another server or
   /// another run of the same one.
--- a/Source/UnitTests/Fleet/FailureAggregatorTest.cpp
+++ b/Source/UnitTests/Fleet/FailureAggregatorTest.cpp
@@ -184,6 +184,22 @@
   BOOST_TEST(decisions.front().OnlyTo.value_or(0) == 3U);
 }
 
+// A host that missed an answer, as a datagram may be lost, is told when it
+// reports the server; it would go on to reset flows.
+BOOST_AUTO_TEST_CASE(LateReportersAreToldOfAnAnswer) {
+  report(1, 100, 300ms);
+  report(2, 200, 300ms);
+  BOOST_TEST(isDead(200ms));
+  Aggregator.onAnswer(Server, Clock.now());
+  decisions();
+  report(3, 300, 200ms);
+  const auto decisions =
+      Aggregator.takeDecisions({50ms, false}, ZoneHosts, Clock.now());
+  BOOST_REQUIRE(decisions.size() == 1U);
+  BOOST_TEST((decisions.front().Verdict.Kind == VerdictKind::Answering));
+  BOOST_TEST(decisions.front().OnlyTo.value_or(0) == 3U);
+}
+
 // Verdicts end, so that a server that lives after all is used again.
 BOOST_AUTO_TEST_CASE(VerdictsEnd) {
   report(1, 100, 300ms);
--- a/Source/UnitTests/Routing/PacketRouterTest.cpp
+++ b/Source/UnitTests/Routing/PacketRouterTest.cpp
@@ -232,6 +232,9 @@
   it.data(1, dead, 1000, 5000, 100);
   it.data(2, dead, 1000, 7000, 100);
   it.data(3, dead, 1000, 5000, 0);
+  const auto since = it.Clock.now();
+  it.Clock.advance(500ms);
+  BOOST_TEST(it.Health.onDeadVerdict(0, since, it.Clock.now()));
   auto abandoned = it.Router.abandonFlowsOf(0, it.Clock.now());
   BOOST_REQUIRE(abandoned.size() == 2U);
   for (const auto &packet : abandoned)
@@ -249,6 +252,21 @@
   BOOST_TEST(it.Router.abandonFlowsOf(0, it.Clock.now()).empty());
 }
 
+// An answer that arrives between a verdict and the reset of its flows refutes
+// it.
+BOOST_AUTO_TEST_CASE(RefutedVerdictResetsNoPendingRequests) {
+  RoutingFixture it;
+  it.add(1);
+  const auto tag = it.Directory.at(0).Tag;
+  it.data(1, tag, 1000, 5000, 100);
+  it.data(2, tag, 1000, 7000, 100);
+  const auto since = it.Clock.now();
+  it.Clock.advance(500ms);
+  BOOST_TEST(it.Health.onDeadVerdict(0, since, it.Clock.now()));
+  it.data(2, tag, 1100, 8000, 0);
+  BOOST_TEST(it.Router.abandonFlowsOf(0, it.Clock.now()).empty());
+}
+
 // Once another server has registered at its address, a lapsed server has ended
 // for certain, and its packets would reach the other one.
 BOOST_AUTO_TEST_CASE(ReusedAddressEndsTheFlowsOfItsFormerServer) {
--- a/Source/UnitTests/Routing/ServerHealthTrackerTest.cpp
+++ b/Source/UnitTests/Routing/ServerHealthTrackerTest.cpp
@@ -129,4 +129,28 @@
   BOOST_TEST(!Health.onDeadVerdict(1, since, Clock.now()));
 }
 
+// A request that was let through under a verdict, and is slow, must not keep
+// the verdict up when a peer has seen an answer.
+BOOST_AUTO_TEST_CASE(PeerAnswerEndsAVerdictDespiteLaterRetransmissions) {
+  const auto since = Clock.now();
+  Clock.advance(500ms);
+  BOOST_TEST(Health.onDeadVerdict(1, since, Clock.now()));
+  const auto answeredAt = Clock.now() + 90ms;
+  Clock.advance(100ms);
+  retransmit();
+  Health.onPeerAnswer(1, answeredAt);
+  BOOST_TEST(!Health.isDead(1, Clock.now()));
+  BOOST_TEST(Health.isSuspect(1, Clock.now()));
+}
+
+// The message that refutes a verdict may be among those that a stalled host
+// discards.
+BOOST_AUTO_TEST_CASE(StallEndsVerdicts) {
+  const auto since = Clock.now();
+  Clock.advance(500ms);
+  BOOST_TEST(Health.onDeadVerdict(1, since, Clock.now()));
+  Health.discardEvidence();
+  BOOST_TEST(!Health.isDead(1, Clock.now()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
