--- a/Source/Emulator/EmulatedFleet.cpp
+++ b/Source/Emulator/EmulatedFleet.cpp
@@ -52,15 +52,12 @@
   entry.Host->configure(Configuration);
   for (const auto &[name, server] : Registry)
     entry.Host->apply(server, Queue.now());
-  entry.Host->setRegistryCompleteAt(Queue.now());
 }
 
 void EmulatedFleet::tick() {
   for (auto &it : HostEntries)
-    if (it.Host) {
+    if (it.Host)
       it.Host->onTick(Queue.now());
-      it.Host->setRegistryCompleteAt(Queue.now() - Config.PropagationTime);
-    }
   Queue.scheduleAfter(TickInterval, [this] { tick(); });
 }
 
--- a/Source/Emulator/EmulatedHost.h
+++ b/Source/Emulator/EmulatedHost.h
@@ -24,10 +24,6 @@
               common::TimePoint now) {
     Directory.apply(routing::removalOf(server, 0, revision), now);
   }
-  /// Records that the registry was read completely at \p time.
-  void setRegistryCompleteAt(common::TimePoint time) {
-    Router.setDirectoryCompleteAt(time);
-  }
 
   routing::RoutingOutcome onPacket(const routing::FlowPacket &packet,
                                    common::TimePoint now) {
