--- a/Source/UnitTests/Fleet/OpenFlowHost.cpp
+++ b/Source/UnitTests/Fleet/OpenFlowHost.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds MinAnnounceInterval{100};
 constexpr milliseconds MinFreshnessGain{700};
 constexpr milliseconds MinTagInterval{200};
+constexpr milliseconds SnapshotTimeout{600};
 constexpr std::size_t FanOut = 3;
 constexpr std::size_t MaxBroadcastHosts = 10;
 constexpr std::size_t RoundsPerSeed = 8;
@@ -52,7 +53,7 @@
   StartedAt = LastWakeUp = Clock.now();
   using Mode = fleet::InitialViewSource::Mode;
   InitialView.start(Self.IsFirstStart ? Mode::FirstAsSeed : Mode::Restart,
-                    StartedAt);
+                    Self.Seeds, StartedAt);
   sendView(Self.Seeds, /*wantsAnswer=*/true, /*since=*/0, /*withHosts=*/true);
   tick();
 }
@@ -126,6 +127,7 @@
   onViewChanged();
   if (Reader.failures() > 0 && !View.isComplete()) {
     InitialView.onRegistryFailed();
+    fetchFirstView();
     sendView(Self.Seeds, /*wantsAnswer=*/true, /*since=*/0, /*withHosts=*/true);
   }
   pollExchange();
@@ -213,6 +215,7 @@
   const auto now = Clock.now();
   announceIfChanged();
   pollEvidence();
+  fetchFirstView();
   if (now < NextRound)
     return;
   NextRound = now + RoundInterval;
@@ -313,8 +316,14 @@
   Detector.onMessage(message, now);
   const auto from = message.Sender.Address;
   if (message.Changes.To != 0 &&
-      !View.applyPeerChanges(message.Changes, message.ViewAge, now))
-    fetchSnapshot(from, message.ViewAge);
+      !View.applyPeerChanges(message.Changes, message.ViewAge, now)) {
+    if (View.isComplete()) {
+      fetchSnapshot(from, SnapshotTimeout);
+    } else if (message.Changes.ConfigurationVersion != 0) {
+      InitialView.onOffer(from, message.ViewAge, now);
+      fetchFirstView();
+    }
+  }
   for (const auto &it : message.NamedServers)
     View.applyNamedServer(it, now);
   if (!message.UnknownTags.empty())
@@ -326,29 +335,42 @@
   onViewChanged();
 }
 
-void OpenFlowHost::fetchSnapshot(std::uint32_t address, milliseconds age) {
+void OpenFlowHost::fetchFirstView() {
+  if (View.isComplete() || IsFetchingSnapshot || !InitialView.hasOffers())
+    return;
   const auto now = Clock.now();
-  if (IsFetchingSnapshot ||
-      (!View.isComplete() && !InitialView.onPeerView(age, now)))
+  if (const auto next =
+          InitialView.nextFetch(choosePeers(Peers.aliveCount(now)), now))
+    fetchSnapshot(next->Host, next->Timeout);
+}
+
+void OpenFlowHost::fetchSnapshot(std::uint32_t address, milliseconds timeout) {
+  if (IsFetchingSnapshot)
     return;
-  if (!View.isComplete() && !Self.IsFirstStart)
-    if (const auto any = choosePeers(1); !any.empty())
-      address = any.front();
   IsFetchingSnapshot = true;
-  SnapshotRequestedAt = now;
-  Links.fetchSnapshot(Self.Index, address);
+  SnapshotRequestedAt = Clock.now();
+  FetchTimeout = timeout;
+  Links.fetchSnapshot(Self.Index, address, timeout);
 }
 
 void OpenFlowHost::onSnapshot(
     const std::optional<fleet::AgedSnapshot> &snapshot) {
   IsFetchingSnapshot = false;
-  if (!snapshot) {
-    InitialView.onFetchFailed();
-    return;
-  }
   const auto now = Clock.now();
   const auto transfer =
       std::chrono::duration_cast<milliseconds>(now - SnapshotRequestedAt);
+  using Failure = fleet::InitialViewSource::FetchFailure;
+  if (!snapshot) {
+    InitialView.onFetchFailed(transfer >= FetchTimeout ? Failure::TimedOut
+                                                       : Failure::Refused);
+    fetchFirstView();
+    return;
+  }
+  if (!View.isComplete() &&
+      !InitialView.onFetched(snapshot->Age + transfer, now)) {
+    fetchFirstView();
+    return;
+  }
   View.applySnapshot(snapshot->View, snapshot->Age + transfer, now);
   onViewChanged();
 }
@@ -364,6 +386,13 @@
   return snapshot;
 }
 
+bool OpenFlowHost::isDead(const routing::ServerRegistration &server) const {
+  const auto *known = Directory.findByIdentity(server.Identity);
+  return known != nullptr &&
+         known->Registration.StartTimeMs == server.StartTimeMs &&
+         Health.isDead(Directory.idOf(*known), Clock.now());
+}
+
 void OpenFlowHost::onServer(const routing::ServerRegistration &server,
                             DirectoryChange change) {
   if (change == DirectoryChange::Added || change == DirectoryChange::Restarted)
--- a/Source/UnitTests/Fleet/OpenFlowHost.h
+++ b/Source/UnitTests/Fleet/OpenFlowHost.h
@@ -39,7 +39,8 @@
     sendToHosts(std::size_t host,
                 std::shared_ptr<const fleet::GossipMessage> message,
                 const std::vector<std::uint32_t> &to) = 0;
-    virtual void fetchSnapshot(std::size_t host, std::uint32_t from) = 0;
+    virtual void fetchSnapshot(std::size_t host, std::uint32_t from,
+                               std::chrono::milliseconds timeout) = 0;
     virtual void callRegistry(std::size_t host,
                               const fleet::RegistryCall &call) = 0;
     /// Empties the socket of \p host for callers' packets.
@@ -85,6 +86,8 @@
   bool isReady() const { return IsForwarding && !IsStopping; }
   bool isForwarding() const { return IsForwarding; }
   const fleet::FleetView &view() const { return View; }
+  /// Whether the run of \p server that this host knows counts as dead.
+  bool isDead(const routing::ServerRegistration &server) const;
   /// What the host answers to a fetch of its view.
   fleet::AgedSnapshot snapshotFor(const OpenFlowHost &other) const;
 
@@ -127,7 +130,8 @@
                 std::uint64_t since, bool withHosts);
   void send(const fleet::GossipMessage &message,
             const std::vector<std::uint32_t> &to);
-  void fetchSnapshot(std::uint32_t address, std::chrono::milliseconds age);
+  void fetchFirstView();
+  void fetchSnapshot(std::uint32_t address, std::chrono::milliseconds timeout);
   /// Sends a reset for each refused packet that was not dropped.
   void sendResets();
   void onViewChanged();
@@ -163,6 +167,7 @@
   common::TimePoint NextAnnounce;
   common::TimePoint NextTagQuestion;
   common::TimePoint SnapshotRequestedAt;
+  std::chrono::milliseconds FetchTimeout{0};
   common::TimePoint LastMessageAt;
   common::TimePoint AnnouncedFreshAt;
   std::size_t RoundCount = 0;
--- a/Source/UnitTests/Fleet/OpenFlowModel.cpp
+++ b/Source/UnitTests/Fleet/OpenFlowModel.cpp
@@ -56,7 +56,6 @@
 constexpr std::size_t MaxQueuedPackets = 600;
 /// Packets that the daemon reads at once.
 constexpr std::size_t BatchSize = 64;
-constexpr milliseconds SnapshotTimeout{600};
 constexpr milliseconds ProbeInterval{500};
 constexpr int MaxMissedProbes = 2;
 constexpr milliseconds RegistryStep{20};
@@ -324,6 +323,7 @@
     else if (machine.MissedProbes >= MaxMissedProbes)
       machine.IsInRotation = false;
   }
+  checkVerdicts();
   after(ProbeInterval, [this] { probeHosts(); });
 }
 
@@ -378,7 +378,8 @@
   readPackets(host, MaxQueuedPackets);
 }
 
-void OpenFlowModel::fetchSnapshot(std::size_t host, std::uint32_t from) {
+void OpenFlowModel::fetchSnapshot(std::size_t host, std::uint32_t from,
+                                  milliseconds timeout) {
   const std::size_t peer = from - FirstHostAddress;
   const auto generation = Machines[host].Generation;
   auto isDone = std::make_shared<bool>(false);
@@ -387,7 +388,7 @@
         if (!std::exchange(*isDone, true))
           Machines[host].Process->onSnapshot(snapshot);
       };
-  after(SnapshotTimeout, [this, host, generation, finish] {
+  after(timeout, [this, host, generation, finish] {
     deliverAnswer(host, generation, [finish] { finish(std::nullopt); });
   });
   if (isControlCut(host, peer))
@@ -790,9 +791,6 @@
   if (flow.Phase == CallerPhase::Closed)
     return;
   if (reply.Kind == ReplyKind::Reset) {
-    // A reset of a server that this flow did not open at is for another SYN.
-    if (reply.Server && flow.Server && reply.Server != flow.Server)
-      return;
     flow.Phase = CallerPhase::Closed;
     flow.IsClosed = true;
     flow.CallerEnd = "reset";
@@ -1186,6 +1184,26 @@
                           " ms): ", describe(*flow.OpenAt, n))});
 }
 
+void OpenFlowModel::checkVerdicts() {
+  for (std::size_t host = 0; host < Machines.size(); ++host) {
+    if (!canRun(host))
+      continue;
+    const auto zone = Machines[host].Zone;
+    for (std::size_t n = 0; n < Servers.size(); ++n) {
+      const auto &server = Servers[n];
+      // Callers of both zones may have sent the evidence.
+      if (!server.IsRunning || !Machines[host].Process->isDead(server.Entry) ||
+          isExcused(n, zone, 0) || isExcused(n, zone, 1))
+        continue;
+      Violations.push_back(
+          {"dead", absl::StrCat(timeText(now()), ": host ", host, " of zone ",
+                                ZoneNames[zone], " takes ", server.Entry.Name,
+                                " for dead, which sent its last packet at ",
+                                timeText(server.LastResponseAt))});
+    }
+  }
+}
+
 void OpenFlowModel::checkDirection(std::size_t host, std::size_t n,
                                    std::optional<std::size_t> server) {
   auto &flow = Flows[n];
--- a/Source/UnitTests/Fleet/OpenFlowModel.h
+++ b/Source/UnitTests/Fleet/OpenFlowModel.h
@@ -196,7 +196,8 @@
   void sendToHosts(std::size_t host,
                    std::shared_ptr<const fleet::GossipMessage> message,
                    const std::vector<std::uint32_t> &to) override;
-  void fetchSnapshot(std::size_t host, std::uint32_t from) override;
+  void fetchSnapshot(std::size_t host, std::uint32_t from,
+                     Milliseconds timeout) override;
   void callRegistry(std::size_t host, const fleet::RegistryCall &call) override;
   void discardPackets(std::size_t host) override;
   void discardMessages(std::size_t host) override;
@@ -285,6 +286,9 @@
                  std::size_t callerZone) const;
   void checkReset(std::size_t host, std::size_t flow,
                   const routing::RefusedPacket &refused);
+  /// Checks that no host takes a living server for dead, which would keep its
+  /// open flows from it.
+  void checkVerdicts();
   void checkDirection(std::size_t host, std::size_t flow,
                       std::optional<std::size_t> server);
   std::string describe(std::size_t server, std::size_t flow) const;
