Leave an address to the server that started last, also if its entry lapsed

Cause: another entry at the address of a lapsed server took the address from it, whichever of the two started later. A registry restored from a copy may show the former server again, while the later one lives and its entry has expired; all flows of the living one would be reset (address_taken).

AddressBelongsToTheLaterStartAcrossEras covered ready servers only; FormerServerDoesNotTakeItsAddressBack has a lapsed one.

--- a/Source/Routing/ServerDirectory.cpp
+++ b/Source/Routing/ServerDirectory.cpp
@@ -153,9 +153,12 @@
   server.Zone = Zones.idOf(known.Zone);
   addToIndexes(id);
   const auto [it, added] = ByAddress.try_emplace(known.Address.key(), id);
+  if (added)
+    return;
   // Of two lapsed servers with one address it is not known which came later.
-  server.IsAddressReused =
-      !added && Servers[it->second].Registration.State != ServerState::Lapsed;
+  const auto &other = Servers[it->second].Registration;
+  server.IsAddressReused = other.State != ServerState::Lapsed &&
+                           other.StartTimeMs >= known.StartTimeMs;
 }
 
 void ServerDirectory::rememberLapsed(const ServerRegistration &registration,
@@ -196,14 +199,17 @@
   if (added || it->second == id)
     return;
   auto &other = Servers[it->second];
-  // Entries may arrive in any order. Of different eras, the server that started
-  // last has the address.
+  // Entries may arrive in any order. Where one has lapsed, or their eras
+  // differ, the server that started last has the address: a restored registry
+  // may show the former one, and the other one may live though its entry has
+  // expired.
   const auto &mine = server.Registration;
   const auto &theirs = other.Registration;
-  const bool isNewer =
-      theirs.State == ServerState::Lapsed ||
-      (mine.Era == theirs.Era ? mine.Revision > theirs.Revision
-                              : mine.StartTimeMs > theirs.StartTimeMs);
+  const bool isLapsed = theirs.State == ServerState::Lapsed;
+  const bool isNewer = (isLapsed || mine.Era != theirs.Era) &&
+                               mine.StartTimeMs != theirs.StartTimeMs
+                           ? mine.StartTimeMs > theirs.StartTimeMs
+                           : isLapsed || mine.Revision > theirs.Revision;
   (isNewer ? other : server).IsAddressReused = true;
   (isNewer ? server : other).IsAddressReused = false;
   if (isNewer)
--- a/Source/UnitTests/Routing/ServerDirectoryTest.cpp
+++ b/Source/UnitTests/Routing/ServerDirectoryTest.cpp
@@ -213,4 +213,29 @@
   }
 }
 
+// A registry restored from a copy shows a server again that had left its
+// address to another one, whose entry has expired. The living one keeps the
+// address, whichever this host learns of first.
+BOOST_AUTO_TEST_CASE(FormerServerDoesNotTakeItsAddressBack) {
+  for (const bool isRemembered : {true, false}) {
+    common::ManualClock clock;
+    ServerDirectory directory(60s);
+    auto former = registration("s-1", 1, 20);
+    former.Era = 2;
+    auto living = registration("s-2", 2, 30);
+    living.Address = former.Address;
+    living.StartTimeMs = former.StartTimeMs + 5000;
+    living.Era = 1;
+    if (isRemembered) {
+      directory.apply(former, clock.now());
+      directory.rememberLapsed(living, clock.now());
+    } else {
+      directory.apply(living, clock.now());
+      directory.apply(routing::removalOf("s-2", 1, 31), clock.now());
+      directory.apply(former, clock.now());
+    }
+    BOOST_TEST(!directory.findByName("s-2")->IsAddressReused);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
