Keep unknown tags listed until peers are asked for them

Found in review: a tag that was listed shortly after a question was dropped from the list before the next one, and a question without tags used up the interval. UnknownTagsWaitForTheNextQuestion checks it.

--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -133,9 +133,9 @@
 
 void PeerExchange::askForServers(const std::vector<std::uint32_t> &tags) {
   const auto now = Clock.now();
-  NextTagQuestion = now + MinTagInterval;
   if (tags.empty())
     return;
+  NextTagQuestion = now + MinTagInterval;
   GossipMessage message;
   message.Sender = Peers.self();
   message.UnknownTags = tags;
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -300,9 +300,10 @@
   // entry may have expired while the registry was away.
   if (packet.Echo != ServerTag::None && (UnknownTags.size() < MaxUnknownTags ||
                                          UnknownTags.contains(packet.Echo))) {
-    const auto [it, added] = UnknownTags.try_emplace(packet.Echo, now);
-    if (added || now - it->second >= TagRetryInterval) {
-      it->second = now;
+    auto &tag = UnknownTags[packet.Echo];
+    tag.LastSeen = now;
+    if (!tag.IsListed && now - tag.TakenAt >= TagRetryInterval) {
+      tag.IsListed = true;
       NewUnknownTags.push_back(packet.Echo);
     }
   }
@@ -318,10 +319,12 @@
   std::vector<std::uint32_t> tags;
   std::erase_if(NewUnknownTags, [&](std::uint32_t tag) {
     const auto it = UnknownTags.find(tag);
-    if (it == UnknownTags.end() || now - it->second >= TagRetryInterval)
+    if (it == UnknownTags.end())
       return true;
     if (tags.size() == limit)
       return false;
+    it->second.TakenAt = now;
+    it->second.IsListed = false;
     tags.push_back(tag);
     return true;
   });
@@ -341,7 +344,7 @@
 
 void PacketRouter::onTick(TimePoint now) {
   absl::erase_if(UnknownTags, [&](const auto &it) {
-    return now - it.second > UnknownTagMemory;
+    return now - it.second.LastSeen > UnknownTagMemory;
   });
   Flows.expire(now, Routes.configuration().IdleTimeout);
   absl::erase_if(PendingSyns, [&](const auto &it) {
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -50,7 +50,7 @@
   /// none is registered, for example during a registry outage.
   void setUsesLapsed(bool use) { UsesLapsed = use; }
   /// Unknown tags of packets since the last call, at most \p limit: hosts that
-  /// ran earlier may know the servers. Each is returned again after
+  /// ran earlier may know the servers. Each is returned again for packets after
   /// TagRetryInterval.
   std::vector<std::uint32_t> takeUnknownTags(std::size_t limit,
                                              common::TimePoint now);
@@ -113,8 +113,12 @@
   /// Less than the 200 ms after which callers retransmit, so that each copy of
   /// a packet asks again.
   static constexpr std::chrono::milliseconds TagRetryInterval{150};
-  /// Unknown tags and when each was last listed in NewUnknownTags.
-  absl::flat_hash_map<std::uint32_t, common::TimePoint> UnknownTags;
+  struct UnknownTag {
+    common::TimePoint LastSeen;
+    common::TimePoint TakenAt; ///< By takeUnknownTags().
+    bool IsListed = false;     ///< In NewUnknownTags.
+  };
+  absl::flat_hash_map<std::uint32_t, UnknownTag> UnknownTags;
   std::vector<std::uint32_t> NewUnknownTags;
   bool UsesLapsed = false;
 };
--- a/Source/UnitTests/Routing/PacketRouterTest.cpp
+++ b/Source/UnitTests/Routing/PacketRouterTest.cpp
@@ -442,6 +442,19 @@
       std::holds_alternative<ForwardPacket>(it.data(1, tag, 1000, 5000, 100)));
 }
 
+// Questions to peers are paced, so a tag may wait for the next one. It must not
+// be dropped from the list unasked.
+BOOST_AUTO_TEST_CASE(UnknownTagsWaitForTheNextQuestion) {
+  RoutingFixture it;
+  it.add(1);
+  for (std::uint32_t tag = 1000; tag < 1040; ++tag)
+    it.data(1, tag, 1000, 5000, 100);
+  BOOST_TEST(it.Router.takeUnknownTags(32, it.Clock.now()).size() == 32U);
+  it.Clock.advance(200ms);
+  BOOST_TEST(it.Router.takeUnknownTags(32, it.Clock.now()).size() == 8U);
+  BOOST_TEST(!it.Router.hasUnknownTags());
+}
+
 // Callers control addresses, tags and retransmission counts, so the tables that
 // these fill must be bounded.
 BOOST_AUTO_TEST_CASE(MemoryIsBoundedUnderHostileCallers) {
