Base a verdict on requests alone, and each verdict on evidence of its own

Callers would see: an open flow reset by the zone's verdict while its server served.

Cause: one request next to SYNs was enough for the zone, and the silence counted from the first SYN. SYNs look unanswered for other reasons than the server's: a planned roll moves flows, so that the acknowledgement reaches another host.

- SilenceRule counts requests only, their callers and their times.
Suspicions, which end no flow, count SYNs as before.
- Evidence older than a verdict stands no longer carries the next one: a dead server whose entry stays was found dead once, and then never again while packets went unanswered (review).
EvidenceStartsAnewAfterAVerdict checks it.
- An owner that did not run for more than 100 ms gives the zone the time to refute an announced suspicion anew (review).
StalledOwnerGrantsTimeToRefute checks it; two tests that polled once after 150 ms now poll each 75 ms.
- The hold of a verdict has one source.

--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -54,6 +54,13 @@
                : std::chrono::seconds(state::CauseStore::Retention);
 }
 
+/// Verdicts stand as long for the hosts that decide as for those that are told.
+fleet::VerdictLimits verdictLimits(const routing::HealthLimits &limits) {
+  fleet::VerdictLimits verdicts;
+  verdicts.Hold = limits.SuspicionHold;
+  return verdicts;
+}
+
 std::uint64_t randomSeed() { return std::random_device{}(); }
 
 } // namespace
@@ -77,7 +84,9 @@
       Reader(View, fleet::RegistryReadTiming::forBound(Settings.ChangeBound)),
       Peers({Settings.Peers.Address, Settings.Zone, randomSeed()},
             randomSeed()),
-      Detector(Peers, Directory, Health, Recorder),
+      Detector(Peers, Directory, Health, Recorder,
+               verdictLimits(routing::HealthLimits::forHeartbeat(
+                   Settings.ServerHeartbeat, Settings.ChangeBound))),
       InitialView(fleet::InitialViewTiming::forBound(Settings.ChangeBound)),
       Placement(Directory, Health, Directory.zoneNames().idOf(Settings.Zone),
                 randomSeed()),
--- a/Source/Fleet/FailureAggregator.cpp
+++ b/Source/Fleet/FailureAggregator.cpp
@@ -63,28 +63,49 @@
        .IsFirst = true});
 }
 
+void FailureAggregator::restartRefutation(TimePoint now) {
+  for (auto &[identity, it] : Cases)
+    if (it.Verdict == VerdictKind::Suspected)
+      it.DecidedAt = now;
+}
+
 SilenceEvidence FailureAggregator::total(const Case &it) {
   SilenceEvidence sum;
   sum.Since = TimePoint::max();
+  for (const auto &report : it.Reports) {
+    sum.RequestCount += report.Evidence.RequestCount;
+    sum.SynCount += report.Evidence.SynCount;
+  }
   for (const auto &report : it.Reports) {
     const auto &evidence = report.Evidence;
+    if (sum.RequestCount > 0 && evidence.RequestCount == 0)
+      continue;
     sum.HasSeveralCallers |= evidence.HasSeveralCallers ||
                              (sum.Caller != 0 && evidence.Caller != sum.Caller);
     sum.Caller = evidence.Caller;
-    sum.RequestCount += evidence.RequestCount;
-    sum.SynCount += evidence.SynCount;
     sum.Since = std::min(sum.Since, evidence.Since);
   }
   return sum;
 }
 
+bool FailureAggregator::isSuspected(const Case &it,
+                                    const SilenceEvidence &evidence) const {
+  if (evidence.RequestCount + evidence.SynCount < Limits.SuspectedCount)
+    return false;
+  // Here SYNs count as much as requests: a suspicion ends no flow.
+  return evidence.HasSeveralCallers ||
+         std::ranges::any_of(it.Reports, [&](const Report &report) {
+           return report.Evidence.Caller != evidence.Caller;
+         });
+}
+
 bool FailureAggregator::isDead(const Case &it, const SilenceEvidence &evidence,
                                const AnswerQuality &quality,
                                std::size_t zoneHostCount, TimePoint now) const {
   if (zoneHostCount >= Limits.MinHostsForReporters &&
       it.Reports.size() < Limits.DeadReporters)
     return false;
-  return Limits.Silence.isDead(evidence, quality, it.Reports.size(), now) &&
+  return Limits.Silence.isDead(evidence, quality, now) &&
          now - it.DecidedAt >= Limits.RefutationTime;
 }
 
@@ -113,8 +134,7 @@
       return now - report.ReceivedAt > Limits.EvidenceWindow;
     });
     const auto evidence = total(it);
-    if (!evidence.HasSeveralCallers ||
-        evidence.RequestCount + evidence.SynCount < Limits.SuspectedCount)
+    if (!isSuspected(it, evidence))
       continue;
     const VerdictBasis basis{evidence, quality, it.Reports.size()};
     if (!it.Verdict)
--- a/Source/Fleet/FailureAggregator.h
+++ b/Source/Fleet/FailureAggregator.h
@@ -81,6 +81,9 @@
   std::vector<Decision> takeDecisions(const routing::AnswerQuality &quality,
                                       std::size_t zoneHostCount,
                                       common::TimePoint now);
+  /// Grants announced suspicions their time to be refuted anew, after a pause
+  /// in which refutations may have waited unread.
+  void restartRefutation(common::TimePoint now);
   /// Discards all evidence, for example after a pause of the process.
   void clear() { Cases.clear(); }
 
@@ -105,6 +108,9 @@
   };
   /// The sum of the reports.
   static routing::SilenceEvidence total(const Case &it);
+  /// \p evidence: total of \p it.
+  bool isSuspected(const Case &it,
+                   const routing::SilenceEvidence &evidence) const;
   bool isDead(const Case &it, const routing::SilenceEvidence &evidence,
               const routing::AnswerQuality &quality, std::size_t zoneHostCount,
               common::TimePoint now) const;
--- a/Source/Fleet/SharedFailureDetector.cpp
+++ b/Source/Fleet/SharedFailureDetector.cpp
@@ -19,6 +19,9 @@
 constexpr milliseconds ZoneHostsLifetime{500};
 /// After a longer pause the ages of the collected evidence are wrong.
 constexpr milliseconds MaxRunGap{300};
+/// After a longer pause the answers to an announced suspicion may still wait in
+/// the socket, so that the time to refute it begins anew.
+constexpr milliseconds MaxPollGap{100};
 
 milliseconds ageOf(TimePoint time, TimePoint now) {
   return std::chrono::duration_cast<milliseconds>(now - time);
@@ -74,6 +77,8 @@
     Aggregator.clear();
     Unreported.clear();
     Health.takeRetransmissions();
+  } else if (now - LastRunAt > MaxPollGap) {
+    Aggregator.restartRefutation(now);
   }
   LastRunAt = now;
 }
--- a/Source/Routing/ServerHealthTracker.cpp
+++ b/Source/Routing/ServerHealthTracker.cpp
@@ -144,8 +144,7 @@
 bool ServerHealthTracker::isSilent(ServerId id, NameTable::Id zone,
                                    TimePoint now) const {
   const auto unanswered = evidence(id, zone, now);
-  return unanswered && Rule.isDead(*unanswered, answerQuality(),
-                                   /*reporterCount=*/1, now);
+  return unanswered && Rule.isDead(*unanswered, answerQuality(), now);
 }
 
 void ServerHealthTracker::addRetransmission(ServerId id,
@@ -170,18 +169,26 @@
   if (std::max(server.LastAnswer, server.PeerAnswerAt) > sentAt ||
       now - sentAt < Limits.MinRetransmissionDelay)
     return false;
-  if (now - server.LastRetransmissionAt > Limits.RetransmissionWindow) {
+  // Evidence from which a verdict has ended cannot carry the next one.
+  if (now - server.LastRetransmissionAt > Limits.RetransmissionWindow ||
+      now - server.FirstUnansweredAt >= Limits.SuspicionHold)
     clearEvidence(server);
-  }
-  server.RetransmittedRequests += why == SuspicionReason::DataUnanswered;
+  const bool isRequest = why == SuspicionReason::DataUnanswered;
   addRetransmission(id, server);
   server.LastRetransmissionAt = now;
-  if (server.RetransmissionCount++ == 0) {
+  // SYNs say little about the server, so requests take the place of them.
+  const bool isFirst = isRequest ? server.RetransmittedRequests == 0
+                                 : server.RetransmissionCount == 0;
+  ++server.RetransmissionCount;
+  server.RetransmittedRequests += isRequest;
+  if (isFirst) {
     server.FirstUnansweredAt = sentAt;
     server.FirstRetransmittingCaller = caller;
+    server.HasSeveralCallers = false;
+  } else if (isRequest || server.RetransmittedRequests == 0) {
+    server.FirstUnansweredAt = std::min(server.FirstUnansweredAt, sentAt);
+    server.HasSeveralCallers |= caller != server.FirstRetransmittingCaller;
   }
-  server.FirstUnansweredAt = std::min(server.FirstUnansweredAt, sentAt);
-  server.HasSeveralCallers |= caller != server.FirstRetransmittingCaller;
   const bool raised = !isSuspect(id, now);
   if (raised) {
     server.Why = why;
--- a/Source/Routing/ServerHealthTracker.h
+++ b/Source/Routing/ServerHealthTracker.h
@@ -41,11 +41,12 @@
   std::uint32_t RetransmittedRequests = 0;
   /// Number of these that were retransmitted twice.
   std::uint32_t TwiceRetransmittedRequests = 0;
-  /// Whether more than one caller retransmitted. A single caller that lost its
-  /// own connectivity also retransmits packets that were answered.
+  /// Whether more than one caller retransmitted requests; without any, SYNs. A
+  /// single caller that lost its own connectivity also retransmits packets that
+  /// were answered.
   bool HasSeveralCallers = false;
   std::uint32_t FirstRetransmittingCaller = 0; ///< IPv4 address.
-  /// When the first unanswered packet was sent.
+  /// When the first unanswered request was sent; without any, the first SYN.
   common::TimePoint FirstUnansweredAt;
   /// When the last retransmission arrived.
   common::TimePoint LastRetransmissionAt;
--- a/Source/Routing/SilenceRule.cpp
+++ b/Source/Routing/SilenceRule.cpp
@@ -6,18 +6,14 @@
 
 bool SilenceRule::isDead(const SilenceEvidence &evidence,
                          const AnswerQuality &quality,
-                         std::size_t reporterCount,
                          common::TimePoint now) const {
   const auto silence = std::max(MinSilence, LatencyFactor * quality.Slowest);
+  const auto needed =
+      quality.HasManyRetransmissions ? RequestsUnderLoss : Requests;
   // A single caller that lost its own connectivity also retransmits packets
   // that were answered.
-  if (!evidence.HasSeveralCallers || now - evidence.Since < silence)
-    return false;
-  if (quality.HasManyRetransmissions)
-    return evidence.RequestCount >= RequestsUnderLoss;
-  return evidence.RequestCount >= Requests ||
-         (evidence.RequestCount > 0 && reporterCount >= MinReporters &&
-          evidence.RequestCount + evidence.SynCount >= RequestsAndSyns);
+  return evidence.RequestCount >= needed && evidence.HasSeveralCallers &&
+         now - evidence.Since >= silence;
 }
 
 } // namespace auburnroute::routing
--- a/Source/Routing/SilenceRule.h
+++ b/Source/Routing/SilenceRule.h
@@ -3,12 +3,13 @@
 #include "Common/Clock.h"
 
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 
 namespace auburnroute::routing {
 
 /// Unanswered packets of one backend server, as one or several hosts saw them.
+/// With any requests among them, the times and callers are those of the
+/// requests.
 struct SilenceEvidence {
   /// When the first unanswered packet was sent.
   common::TimePoint Since;
@@ -28,27 +29,24 @@
 
 /// Decides from which silence on a backend server is dead. Every reset of an
 /// open flow that rests on silence follows this rule.
+///
+/// Only requests on open flows count. A server without a free place for a flow
+/// ignores SYNs, a caller that gave up does not acknowledge the answer to one,
+/// and the acknowledgement may reach another host when the routers move flows.
 struct SilenceRule {
-  /// Unanswered requests on open flows.
+  /// Unanswered requests.
   std::uint32_t Requests = 2;
   /// The number of requests where many are retransmitted: then several in a row
   /// are lost now and then.
   std::uint32_t RequestsUnderLoss = 3;
-  /// One unanswered request and SYNs of at least MinReporters hosts are enough
-  /// if they are this many together. SYNs alone do not show a death: a server
-  /// without a free place for a flow ignores them, and a caller that gave up
-  /// does not acknowledge the answer.
-  std::uint32_t RequestsAndSyns = 3;
-  std::size_t MinReporters = 2;
   /// Shortest silence. Callers retransmit after 200 ms, so at least one
   /// retransmission went unanswered, too.
   std::chrono::milliseconds MinSilence{400};
   /// A dead server is silent for this many times the slowest recent answer.
   int LatencyFactor = 2;
 
-  /// \p reporterCount: number of hosts whose packets \p evidence counts.
   bool isDead(const SilenceEvidence &evidence, const AnswerQuality &quality,
-              std::size_t reporterCount, common::TimePoint now) const;
+              common::TimePoint now) const;
 };
 
 } // namespace auburnroute::routing
--- a/Source/UnitTests/Fleet/FailureAggregatorTest.cpp
+++ b/Source/UnitTests/Fleet/FailureAggregatorTest.cpp
@@ -94,7 +94,13 @@
   for (std::uint32_t n = 1; n <= 10; ++n)
     report(n, n, 500ms, /*isSyn=*/true);
   BOOST_TEST(!isDead(300ms));
+  report(11, 11, 500ms);
+  BOOST_TEST(!isDead(300ms));
+  // The silence counts from the first request, not from the SYNs.
+  report(12, 12, 300ms);
   report(11, 11, 300ms);
+  BOOST_TEST(!isDead(50ms));
+  Clock.advance(50ms);
   BOOST_TEST((decisions() == std::vector{VerdictKind::Dead}));
 }
 
--- a/Source/UnitTests/Fleet/SharedFailureDetectorTest.cpp
+++ b/Source/UnitTests/Fleet/SharedFailureDetectorTest.cpp
@@ -303,8 +303,10 @@
   report.Sender = peer;
   report.Suspects.push_back({1, 300ms, 3, 1, 100, true});
   host.Detector.onMessage(report, clock.now());
-  clock.advance(150ms);
-  host.Detector.poll(clock.now());
+  for (int n = 0; n < 2; ++n) {
+    clock.advance(75ms);
+    host.Detector.poll(clock.now());
+  }
   const auto &events = host.Observer.Events;
   BOOST_REQUIRE(events.size() == 2U);
   BOOST_TEST((events[0].Kind == VerdictKind::Suspected));
@@ -353,8 +355,10 @@
   message.Suspects.push_back({1, 300ms, 3, 1, 100, true});
   message.Verdicts.push_back({1, 0, VerdictKind::Dead, 300ms});
   host.Detector.onMessage(message, clock.now());
-  clock.advance(150ms);
-  host.Detector.poll(clock.now());
+  for (int n = 0; n < 2; ++n) {
+    clock.advance(75ms);
+    host.Detector.poll(clock.now());
+  }
   BOOST_TEST(host.Observer.Verdicts.size() == 1U);
   const auto &events = host.Observer.Events;
   BOOST_REQUIRE(events.size() == 3U);
@@ -449,6 +453,32 @@
   BOOST_TEST(host.Detector.caseCount() == 1U);
 }
 
+// An answer to an announced suspicion may wait in the socket of an owner that
+// did not run for a while. It must have the time to be read before the verdict.
+BOOST_AUTO_TEST_CASE(StalledOwnerGrantsTimeToRefute) {
+  common::ManualClock clock;
+  clock.advance(10s);
+  DetectorHost host(DetectorZone::FirstAddress, 8, clock.now());
+  const fleet::PeerInfo peer{DetectorZone::FirstAddress + 1, "a", 1, 1};
+  host.Peers.applyDirectUpdate(peer, clock.now());
+  host.Detector.poll(clock.now());
+  fleet::GossipMessage message;
+  message.Sender = peer;
+  message.Suspects.push_back({1, 500ms, 3, 0, 100, true});
+  host.Detector.onMessage(message, clock.now());
+  clock.advance(190ms);
+  host.Detector.poll(clock.now());
+  BOOST_TEST(host.Detector.takeDead().empty());
+  message.Suspects.clear();
+  message.Answers.push_back({1, 150ms});
+  host.Detector.onMessage(message, clock.now());
+  for (int n = 0; n < 6; ++n) {
+    clock.advance(50ms);
+    host.Detector.poll(clock.now());
+    BOOST_TEST(host.Detector.takeDead().empty());
+  }
+}
+
 // The detector is the only source of verdicts, so a host without peers in its
 // zone must find a dead server by itself, and no other one.
 BOOST_AUTO_TEST_CASE(LoneHostFindsASilentServer) {
--- a/Source/UnitTests/Routing/ServerHealthTrackerTest.cpp
+++ b/Source/UnitTests/Routing/ServerHealthTrackerTest.cpp
@@ -153,4 +153,22 @@
   BOOST_TEST(!Health.isDead(1, Clock.now()));
 }
 
+// A dead server whose entry stays must be found dead again after each verdict
+// has ended, though its packets have gone unanswered all the while.
+BOOST_AUTO_TEST_CASE(EvidenceStartsAnewAfterAVerdict) {
+  int verdicts = 0;
+  bool wasDead = false;
+  for (int n = 0; n < 100; ++n) {
+    retransmit();
+    Health.onAnswer(2, Zone, Clock.now() - 50ms, Clock.now());
+    if (const auto evidence = Health.evidence(1, Zone, Clock.now());
+        evidence && Clock.now() - evidence->Since >= 400ms)
+      Health.onDeadVerdict(1, evidence->Since, Clock.now());
+    verdicts += Health.isDead(1, Clock.now()) && !wasDead;
+    wasDead = Health.isDead(1, Clock.now());
+  }
+  // 20 s, with verdicts of 4 s.
+  BOOST_TEST(verdicts >= 4);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
