Remove a counter and an accessor that nothing uses any more

Packets of unknown tags are never reset, so the counter of such resets stays 0, and no decision asks any more whether a restored registry is filled again.

--- a/Source/Edge/EdgeMetrics.cpp
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -42,8 +42,6 @@
     return "flows_reset_total";
   case EdgeCounter::ResetsRouteRemoved:
     return "open_flows_reset_route_removed_total";
-  case EdgeCounter::ResetsUnknownServer:
-    return "open_flows_reset_unknown_server_total";
   case EdgeCounter::ResetsAddressTaken:
     return "open_flows_reset_address_taken_total";
   case EdgeCounter::ResetsLapsedAndSilent:
--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -19,7 +19,6 @@
   FlowsReset,
   // Resets of open flows, by reason; also counted in FlowsReset.
   ResetsRouteRemoved,
-  ResetsUnknownServer,
   ResetsAddressTaken,
   ResetsLapsedAndSilent,
   ResetsVerdict,
--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -68,8 +68,6 @@
   switch (packet.Why) {
   case RefusalReason::RouteRemoved:
     return EdgeCounter::ResetsRouteRemoved;
-  case RefusalReason::UnknownServer:
-    return EdgeCounter::ResetsUnknownServer;
   case RefusalReason::ServerGone:
     break;
   default:
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -166,9 +166,6 @@
   /// Era that revision() belongs to, see RegistryPage.
   std::uint64_t era() const { return Era; }
   std::chrono::milliseconds eraAge(common::TimePoint now) const;
-  /// Whether the registry holds all living servers, as far as known: false for
-  /// some seconds after it was restored.
-  bool isReconciled() const { return IsReconciled; }
   /// Version of the active configuration; 0 if there is none.
   std::uint64_t configurationVersion() const { return Routes.version(); }
   /// The last time at which the view was known to be complete.
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -97,7 +97,7 @@
   /// Whether to forward a packet of flow \p id though its server is taken for
   /// dead.
   bool mayProbe(const ServerEnd &end, const Route &route, const FlowId &id);
-  /// Whether the server has certainly ended, so that its flows can be reset.
+  /// Whether the server is taken to have ended, so that its flows are reset.
   ServerEnd endOf(const KnownServer &server, common::TimePoint now);
 
   const RouteTable &Routes;
--- a/Source/Routing/ServerEnd.h
+++ b/Source/Routing/ServerEnd.h
@@ -16,7 +16,7 @@
 
 std::string_view toString(EndReason reason);
 
-/// The decision that a backend server has ended, with the unanswered packets
+/// Whether a backend server is taken to have ended, and the unanswered packets
 /// that this host knew of.
 struct ServerEnd {
   EndReason Reason = EndReason::None;
--- a/Source/UnitTests/Edge/EventRecorderTest.cpp
+++ b/Source/UnitTests/Edge/EventRecorderTest.cpp
@@ -136,7 +136,6 @@
   const auto &metrics = Recorder.metrics();
   BOOST_TEST(metrics.value(EdgeCounter::FlowsReset) == 5U);
   BOOST_TEST(metrics.value(EdgeCounter::ResetsRouteRemoved) == 1U);
-  BOOST_TEST(metrics.value(EdgeCounter::ResetsUnknownServer) == 0U);
   BOOST_TEST(metrics.value(EdgeCounter::ResetsAddressTaken) == 1U);
   BOOST_TEST(metrics.value(EdgeCounter::ResetsLapsedAndSilent) == 1U);
   BOOST_TEST(metrics.value(EdgeCounter::ResetsVerdict) == 1U);
