Look for a peer's unknown servers before copying their registrations

Each server in each message of a peer was copied to be remembered as lapsed, though its address is known nearly always. Behaviour is unchanged: rememberLapsed() does nothing for such servers.

--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -89,6 +89,10 @@
   // view is reconciled.
   if ((server.Era >= Era || !IsReconciled) && !isForgotten(server))
     applyServer(server, now);
+  const auto *known = Directory.findByName(server.Name);
+  if (!server.hasAddress() ||
+      (known != nullptr && known->Registration.hasAddress()))
+    return;
   // A server without an entry may still serve its open flows. Older entries of
   // it than the view must not count later.
   auto gone = server;
