--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -148,14 +148,10 @@
   GossipMessage message;
   message.Sender = Peers.self();
   message.Changes.Era = View.era();
-  for (const auto tag : tags)
-    for (auto &it : View.serversWithTag(tag))
-      if (message.NamedServers.size() < GossipCodec::MaxChanges)
-        message.NamedServers.push_back(std::move(it));
-  if (message.NamedServers.empty())
-    return;
-  View.setLapsedTimes(message.NamedServers, Clock.now());
-  send(message, {to});
+  message.NamedServers =
+      View.serversWithTags(tags, GossipCodec::MaxChanges, Clock.now());
+  if (!message.NamedServers.empty())
+    send(message, {to});
 }
 
 void PeerExchange::announceStop() {
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -334,10 +334,14 @@
 }
 
 std::vector<ServerRegistration>
-FleetView::serversWithTag(std::uint32_t tag) const {
+FleetView::serversWithTags(const std::vector<std::uint32_t> &tags,
+                           std::size_t limit, TimePoint now) const {
   std::vector<ServerRegistration> servers;
-  for (const auto id : Directory.serversWithTag(tag))
-    servers.push_back(Directory.at(id).Registration);
+  for (const auto tag : tags)
+    for (const auto id : Directory.serversWithTag(tag))
+      if (servers.size() < limit)
+        servers.push_back(Directory.at(id).Registration);
+  setLapsedTimes(servers, now);
   return servers;
 }
 
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -145,9 +145,11 @@
   /// be unknown here, or if \p after belongs to another era than the view.
   ViewSnapshot snapshotSince(std::uint64_t after, std::uint64_t version,
                              std::uint64_t era = 0) const;
-  /// The servers that \p tag may identify, for a peer that does not know them.
+  /// The servers that \p tags may identify, at most \p limit, for a peer that
+  /// does not know them.
   std::vector<routing::ServerRegistration>
-  serversWithTag(std::uint32_t tag) const;
+  serversWithTags(const std::vector<std::uint32_t> &tags, std::size_t limit,
+                  common::TimePoint now) const;
   /// Applies a server that a peer knows by its tag.
   void applyNamedServer(const routing::ServerRegistration &server,
                         common::TimePoint now) {
