Show that one unreadable entry makes all hosts exceed their memory

review/1: an entry of 1 MiB of nested arrays takes more than 80 MiB to parse. All hosts with that limit are killed again and again (Fault).

--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -1,104 +1,96 @@
-"""One entry host is cut off from the backend servers for a moment, again and again.
-
-A reset of an open flow breaks the rule if it comes from a host that was never
-disturbed, and the flow's server lives and was reached by the other hosts all
-the time.
-"""
+"""Another writer's entry can't be read; the platform kills processes that exceed their memory."""
 import asyncio
 import os
-import random
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
-from standins.world import World, now  # noqa: E402
+from standins.world import World  # noqa: E402
 
-ZONES = ["med-c", "med-c", "med-a", "med-a", "med-b", "med-b"]
-SERVERS = ["med-c"] * 5 + ["med-a"] * 5 + ["med-b"] * 5
+ZONES = ["sando", "sando", "couva", "couva", "pointe", "pointe"]
 ROUTE = ("198.18.0.1", 8443)
-LIMIT_S = 3.0  # time limit of queue-feed
-STABLE_S = 4.0  # bounds.stable_window_ms
-FLOW_LIFETIME_S = 60.0  # bounds.flow_lifetime_s; older flows don't count
-FLOW_AGE_S = 40.0  # after which a caller closes its flow and opens another
-CUT_S = 0.9  # the pages' node_cut lasts 5.5 s and more
-ROUNDS = 29
-# Feeds through the first host, and the mean pause between two requests of one; the same for the host that is cut off.
-CALM_FEEDS, CALM_PAUSE_S = 10, 4.0
-CUT_FEEDS, CUT_PAUSE_S = 12, 1.0
-OTHER_FEEDS = 3  # through each host of the other zones
+MEMORY_BYTES = 80 * 1024 * 1024  # limits.memory_mb
+RESTART_DELAY_S = 0.5
+VALUE = b"[" * 1048576  # platform.value_bytes
+WATCHED_S = 30.0
+MAX_ENDS = 3  # "processes end by themselves three times in the day"
+MIN_MACHINES = 2  # "on a tenth of the machines in use (two at least)"
+
 
+def peak_bytes(pid):
+    try:
+        with open(f"/proc/{pid}/status") as file:
+            return next(int(it.split()[1]) * 1024 for it in file if it.startswith("VmHWM:"))
+    except (OSError, StopIteration):
+        return 0  # it has just ended
 
-class Feed:
-    """A caller that keeps a flow open and sends a request now and then."""
 
-    def __init__(self, world, caller, host, pause_s, number):
-        self.world, self.caller, self.host, self.pause_s, self.number = world, caller, host, pause_s, number
-        self.count = 0
+async def platform(world, host, ends):
+    """Kills the process if it exceeds its memory, and starts it again after a short delay."""
+    while True:
+        await asyncio.sleep(0.01)
+        peak = peak_bytes(host.process.pid) if host.process.returncode is None else 0
+        if host.process.returncode is None and peak <= MEMORY_BYTES:
+            continue
+        if host.process.returncode is None:
+            world.record.write(f"{host.name}: exceeds its memory with {peak} bytes")
+            host.kill()
+        else:
+            world.record.write(f"{host.name}: ended with status {host.process.returncode}")
+        await host.process.wait()
+        ends[host.name] = ends.get(host.name, 0) + 1
+        await asyncio.sleep(RESTART_DELAY_S)
+        await host.start()
 
-    async def run(self, broken):
-        while True:
-            flow = self.caller.new_flow(self.host, ROUTE)
-            if await flow.open() != "opened":
-                await asyncio.sleep(0.05)
-                continue
-            while True:
-                await asyncio.sleep(random.uniform(0.5, 1.5) * self.pause_s)
-                if flow.take_reset():
-                    outcome = flow.reset_by()
-                elif now() - flow.opened_at > FLOW_AGE_S:
-                    flow.close()
-                    break
-                else:
-                    self.count += 1
-                    outcome = await flow.request(f"f{self.number}-{self.count}", LIMIT_S)
-                if outcome == "answered":
-                    continue
-                if (flow.reset and flow.reset.keyed == 0 and self.host.ip not in self.world.disturbed
-                        and now() - flow.opened_at < FLOW_LIFETIME_S):
-                    broken.append(flow)
-                    self.world.record.write(f"BROKEN: {flow} was reset by {self.host.name}, which is calm; its server "
-                                            f"{flow.server.name} lives and is calm")
-                break
+
+async def served_share(world, callers, name):
+    tasks = []
+    for n in range(10):
+        for i, host in enumerate(world.hosts):
+            tasks.append(asyncio.ensure_future(
+                callers[(n + i) % len(callers)].request(host, ROUTE, f"{name}-{n}-{i}")))
+        await asyncio.sleep(0.2)
+    outcomes = [it[0] for it in await asyncio.gather(*tasks)]
+    share = outcomes.count("answered") / len(outcomes)
+    world.record.write(f"{name}: {len(outcomes)} requests, share served {share:.3f}")
+    return share
 
 
 async def main():
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    world = World(FOLDER, heartbeat_ms=1200)  # as in lomoclaro-edge
-    world.disturbed = set()
+    world = World(FOLDER)
     tasks = []
     try:
         await world.store.start()
-        world.services = ["catalogo"]
-        world.routes = [world.route("r-feed", ROUTE, "catalogo")]
+        world.services = ["counter"]
+        world.routes = [world.route("r-stock", ROUTE, "counter")]
         world.publish()
-        for zone in SERVERS:
-            await world.add_server("catalogo", zone)
+        for zone in ZONES:
+            await world.add_server("counter", zone)
         world.add_hosts(ZONES)
         for it in world.hosts:
             await it.start(bootstrap=True)
+        ends = {}
+        tasks = [asyncio.ensure_future(platform(world, it, ends)) for it in world.hosts]
+        callers = [await world.add_caller() for _ in range(8)]
         if not await world.wait_ready(world.hosts):
             print("the hosts didn't become ready")
             return 2
-        broken = []
-        feeds = [(world.hosts[0], CALM_PAUSE_S)] * CALM_FEEDS + [(world.hosts[1], CUT_PAUSE_S)] * CUT_FEEDS
-        feeds += [(it, CUT_PAUSE_S) for it in world.hosts[2:] for _ in range(OTHER_FEEDS)]
-        for i, (host, pause_s) in enumerate(feeds):
-            feed = Feed(world, await world.add_caller(), host, pause_s, i)
-            tasks.append(asyncio.ensure_future(feed.run(broken)))
-        await asyncio.sleep(STABLE_S + 6)
-        cut = world.hosts[1]
-        for number in range(ROUNDS):
-            if trouble:
-                world.disturbed.add(cut.ip)
-                world.cut_hosts.add(cut.ip)
-                world.record.write(f"{cut.name}: cut off from the servers")
-            await asyncio.sleep(CUT_S)
-            if trouble:
-                world.cut_hosts.discard(cut.ip)
-                world.record.write(f"{cut.name}: reaches the servers again")
-            await asyncio.sleep(random.uniform(2, 3))
-        print(f"open flows that a calm host reset: {len(broken)}")
-        return 1 if broken else 0
+        await asyncio.sleep(5)
+        before = await served_share(world, callers, "before")
+        if trouble:
+            world.store.put("servers/i-90000000", VALUE)
+        await asyncio.sleep(WATCHED_S)
+        after = await served_share(world, callers, "after")
+        peaks = [peak_bytes(it.process.pid) // 1024 for it in world.hosts if it.process.returncode is None]
+        world.record.write(f"ends of processes: {ends}; peak memory of those that run, KiB: {peaks}")
+        machines = sum(n >= MAX_ENDS for n in ends.values())
+        print(f"hosts whose process ended {MAX_ENDS} times or more: {machines}; ends: {sum(ends.values())}; "
+              f"served before {before:.3f}, after {after:.3f}")
+        if machines >= MIN_MACHINES:
+            world.record.write(f"BROKEN: on {machines} hosts the process ended {MAX_ENDS} times or more")
+            return 1
+        return 0
     finally:
         for it in tasks:
             it.cancel()
