Reject or limit numbers that are too large for their type

Cause: StoreCodec read numbers with a conversion that keeps the low bits. An entry with 4,294,967,298 slots counted as one with 2, "born" of 2^63 and more became negative, and a time limit of 4,294,967,297 ms in the configuration became 1 ms. An integer of more than 64 bits, which the parser gives as a floating-point number, made a time limit disappear.

Change: numbers out of range make an entry unreadable. Time limits and weights are limited to the largest value instead, which is nearest to what was asked for; it is the same limit as in messages between hosts. Ports out of range were rejected before; the test now shows it.

--- a/Source/UnitTests/platform/StoreCodecTest.cpp
+++ b/Source/UnitTests/platform/StoreCodecTest.cpp
@@ -135,6 +135,74 @@
   BOOST_TEST(bytes.Unreadable == 4U);
 }
 
+// Guards against a number beyond the range of its type that is taken for the
+// number that remains of its low bits.
+BOOST_AUTO_TEST_CASE(EntriesWithTooLargeNumbersAreRejected) {
+  const std::vector<std::pair<std::string, std::string>> replacements = {
+      {R"("slots":2)", R"("slots":4294967296)"},
+      {R"("slots":2)", R"("slots":4294967298)"},
+      {R"("slots":2)", R"("slots":18446744073709551618)"},
+      {R"("slots":2)", R"("slots":1e300)"},
+      {R"("sequence":4)", R"("sequence":18446744073709551620)"},
+      {R"("born":1769245012022)", R"("born":9223372036854775808)"},
+      {R"("born":1769245012022)", R"("born":18446744073709551615)"},
+      {R"("born":1769245012022)", R"("born":9007199254740993)"},
+      {R"(10.128.0.9:8080)", R"(10.128.0.9:65536)"},
+      {R"(10.128.0.9:8080)", R"(10.128.0.9:4294975376)"},
+  };
+  for (const auto &[from, to] : replacements) {
+    auto value = Server;
+    value.replace(value.find(from), from.size(), to);
+    const auto page = decode(list({item("servers/i-01", value, 5)}));
+    BOOST_TEST(page.Servers.empty(), value);
+    BOOST_TEST(page.Unreadable == 1U, value);
+  }
+}
+
+// Guards against a time limit that is too large for its type and becomes a
+// short one, or none.
+BOOST_AUTO_TEST_CASE(TooLargeDurationsAreLimited) {
+  for (const auto *text :
+       {"2147483648", "4294967296", "4294967297", "18446744073709551615",
+        "18446744073709551616", "1e300"}) {
+    auto value = Configuration;
+    for (const std::string name : {R"("timeout_ms":500)", R"("aim_ms":100)",
+                                   R"("idle_timeout_ms":12000)"}) {
+      const auto digits = name.find(':') + 1;
+      value.replace(value.find(name) + digits, name.size() - digits, text);
+    }
+    const auto page = decode(list({item("op/config", value, 9)}));
+    BOOST_REQUIRE(page.Configuration.has_value());
+    const auto &it = *page.Configuration;
+    BOOST_REQUIRE(it.Routes.size() == 2U);
+    BOOST_TEST(it.Routes[0].Timeout.count() == 2147483647, text);
+    BOOST_TEST(it.Routes[0].Objective.count() == 2147483647, text);
+    BOOST_TEST(it.IdleTimeout.count() == 2147483647, text);
+    auto entry = Server;
+    const std::string from = R"("cold_left_ms":150)";
+    entry.replace(entry.find(from), from.size(),
+                  absl::StrCat(R"("cold_left_ms":)", text));
+    const auto servers = decode(list({item("servers/i-01", entry, 5)})).Servers;
+    BOOST_REQUIRE(servers.size() == 1U);
+    BOOST_TEST(servers.front().WarmUpLeft.count() == 2147483647, text);
+  }
+}
+
+// Guards against a weight of which only the low bits count, so that its service
+// gets hardly any flows.
+BOOST_AUTO_TEST_CASE(TooLargeWeightsAreLimited) {
+  for (const auto *text : {"4294967296", "4294967297", "1e300"}) {
+    auto value = Configuration;
+    const std::string from = R"("weight":90)";
+    value.replace(value.find(from), from.size(),
+                  absl::StrCat(R"("weight":)", text));
+    const auto page = decode(list({item("op/config", value, 9)}));
+    BOOST_REQUIRE(page.Configuration.has_value());
+    BOOST_REQUIRE(page.Configuration->Routes.size() == 2U);
+    BOOST_TEST(page.Configuration->Routes[0].Services[0].Weight == 4294967295U);
+  }
+}
+
 // Guards against a malformed route that makes the other routes disappear.
 BOOST_AUTO_TEST_CASE(MalformedRoutesAreSkippedAndCounted) {
   auto value = Configuration;
--- a/Source/platform/StoreCodec.cpp
+++ b/Source/platform/StoreCodec.cpp
@@ -1,5 +1,6 @@
 #include "platform/StoreCodec.h"
 
+#include "Common/EpochTime.h"
 #include "Common/Text.h"
 #include "platform/JsonFilter.h"
 
@@ -7,6 +8,10 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
+#include <limits>
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 namespace auburnroute::platform {
@@ -24,7 +29,7 @@
 constexpr std::string_view EraHeader = "store-era";
 
 /// The member \p name as a string or non-negative integer; nullopt if it is
-/// absent or of another type.
+/// absent, of another type or out of the range of \p T.
 template <typename T>
 std::optional<T> member(const json &object, const char *name) {
   const auto it = object.find(name);
@@ -33,19 +38,39 @@
   if constexpr (std::is_same_v<T, std::string>) {
     if (it->is_string())
       return it->get<std::string>();
-  } else if (it->is_number_integer() &&
-             (it->is_number_unsigned() || it->get<std::int64_t>() >= 0)) {
-    return it->get<T>();
+  } else if (it->is_number_unsigned()) {
+    const auto value = it->get<std::uint64_t>();
+    if (std::in_range<T>(value))
+      return static_cast<T>(value);
   }
   return std::nullopt;
 }
 
-/// Like member(), but returns \p defaultValue if the member is absent; nullopt
-/// only if it is of another type.
-template <typename T>
-std::optional<T> optionalMember(const json &object, const char *name,
-                                T defaultValue) {
-  return object.contains(name) ? member<T>(object, name) : defaultValue;
+/// The member \p name as a non-negative integer, limited to \p max; nullopt if
+/// it is absent or of another type.
+std::optional<std::uint64_t> limitedMember(const json &object, const char *name,
+                                           std::uint64_t max) {
+  const auto it = object.find(name);
+  if (it == object.end())
+    return std::nullopt;
+  if (it->is_number_unsigned())
+    return std::min(it->get<std::uint64_t>(), max);
+  // The parser reads integers of more than 64 bits as floating-point numbers.
+  constexpr double pastUint64 = 18446744073709551616.0;
+  if (it->is_number_float() && it->get<double>() >= pastUint64)
+    return max;
+  return std::nullopt;
+}
+
+/// The member \p name as a duration in milliseconds. Messages between hosts
+/// hold at most maxDuration, so that all hosts limit a longer one to it.
+std::optional<milliseconds> durationMember(const json &object,
+                                           const char *name) {
+  constexpr std::uint64_t maxDuration =
+      std::numeric_limits<std::int32_t>::max();
+  if (const auto value = limitedMember(object, name, maxDuration))
+    return milliseconds(*value);
+  return std::nullopt;
 }
 
 std::optional<routing::ServerRegistration>
@@ -77,10 +102,14 @@
   const auto sequence = member<std::uint64_t>(*object, "sequence");
   // Each backend server increments "sequence" when it writes its entry, so an
   // entry without it was written by something else.
-  const auto coldLeft =
-      optionalMember<std::uint32_t>(*object, "cold_left_ms", 0);
-  const auto born = optionalMember<std::int64_t>(*object, "born", 0);
-  if (!slots || *slots == 0 || !sequence || !coldLeft || !born)
+  const auto coldLeft = object->contains("cold_left_ms")
+                            ? durationMember(*object, "cold_left_ms")
+                            : milliseconds(0);
+  const auto born = object->contains("born")
+                        ? member<std::int64_t>(*object, "born")
+                        : std::int64_t{0};
+  if (!slots || *slots == 0 || !sequence || !coldLeft || !born ||
+      !common::isValidEpochTime(*born))
     return std::nullopt;
   routing::ServerRegistration server;
   server.Name = id;
@@ -91,7 +120,7 @@
   server.Slots = *slots;
   server.State = *state == "ready" ? routing::ServerState::Ready
                                    : routing::ServerState::Draining;
-  server.WarmUpLeft = milliseconds(*coldLeft);
+  server.WarmUpLeft = *coldLeft;
   server.StartTimeMs = *born;
   server.Sequence = *sequence;
   return server;
@@ -127,9 +156,8 @@
       parseRequestKind(member<std::string>(object, "type").value_or(""))
           .value_or(routing::RequestKind::NonIdempotent);
   route.Timeout =
-      milliseconds(member<std::uint32_t>(object, "timeout_ms").value_or(0));
-  route.Objective =
-      milliseconds(member<std::uint32_t>(object, "aim_ms").value_or(0));
+      durationMember(object, "timeout_ms").value_or(milliseconds(0));
+  route.Objective = durationMember(object, "aim_ms").value_or(milliseconds(0));
   if (const auto service = member<std::string>(object, "service"))
     route.Services.push_back({*service, 1});
   else if (const auto it = object.find("backends");
@@ -138,10 +166,11 @@
       if (!share.is_object())
         return std::nullopt;
       const auto name = member<std::string>(share, "service");
-      const auto weight = member<std::uint32_t>(share, "weight");
+      const auto weight = limitedMember(
+          share, "weight", std::numeric_limits<std::uint32_t>::max());
       if (!name || !weight)
         return std::nullopt;
-      route.Services.push_back({*name, *weight});
+      route.Services.push_back({*name, static_cast<std::uint32_t>(*weight)});
     }
   if (route.Services.empty())
     return std::nullopt;
@@ -185,8 +214,8 @@
   configuration.Version = *version;
   if (const auto limits = object->find("limits");
       limits != object->end() && limits->is_object())
-    if (const auto idle = member<std::uint32_t>(*limits, "idle_timeout_ms"))
-      configuration.IdleTimeout = milliseconds(*idle);
+    if (const auto idle = durationMember(*limits, "idle_timeout_ms"))
+      configuration.IdleTimeout = *idle;
   unreadable += skipped;
   return configuration;
 }
