Percent-encode the key after which a page of a list begins

Cause: the key went into the query as it is. "&" ended the parameter, the registry was asked for what comes after "servers/R", and the same page came back for ever: 2,251 calls in 17 s. Any key with "&", "#", "%", "+" or a space did the same, and a line break would have begun a header field.

Ruled out: the size of the value, which only places the entry at the end of a page.

Change: the key is percent-encoded. A page that ends with the key after which it began, or that has no readable key but says that there are more, fails the list, which begins again after the usual pause and is counted and logged as a failed call. Until now the latter ended the list as if it were complete. The registry of the soak decodes the query.

Tests: KeysAreEncodedInRequests, PageWithoutAKeyIsNotTheLastOne and ListWithoutProgressFails failed before, with 5, 1 and 2 failed checks.

--- a/Source/Edge/RegistryClient.cpp
+++ b/Source/Edge/RegistryClient.cpp
@@ -67,7 +67,8 @@
   page->Era = era;
   reportReachability(true, "answered");
   const auto outdated = Reader.view().outdated();
-  Reader.onPage(*page, Clock.now());
+  if (Reader.onPage(*page, Clock.now()) == RegistryFailure::Malformed)
+    reportFailure("a page of the list has no key after which the next begins");
   const auto entries = page->Servers.size() + page->Removed.size() +
                        (page->Configuration ? 1 : 0);
   if (call.Kind == fleet::RegistryCallKind::List || entries != 0)
@@ -92,10 +93,16 @@
 
 void RegistryClient::onFailure(RegistryFailure failure,
                                std::string_view reason) {
-  Metrics.add(EdgeCounter::RegistryFailures);
   Reader.onFailure(failure, Clock.now());
-  if (failure != RegistryFailure::Compacted)
-    reportReachability(false, reason);
+  if (failure == RegistryFailure::Compacted)
+    Metrics.add(EdgeCounter::RegistryFailures);
+  else
+    reportFailure(reason);
+}
+
+void RegistryClient::reportFailure(std::string_view reason) {
+  Metrics.add(EdgeCounter::RegistryFailures);
+  reportReachability(false, reason);
 }
 
 void RegistryClient::reportReachability(bool reachable,
--- a/Source/Edge/RegistryClient.h
+++ b/Source/Edge/RegistryClient.h
@@ -28,6 +28,8 @@
   void onResult(const fleet::RegistryCall &call,
                 const absl::StatusOr<common::HttpResponse> &result);
   void onFailure(fleet::RegistryFailure failure, std::string_view reason);
+  /// Counts a failed call and logs its reason if the one before succeeded.
+  void reportFailure(std::string_view reason);
   /// Takes the page out of a response to \p call with status 200.
   void onBody(const fleet::RegistryCall &call, std::uint64_t era,
               std::string_view body);
--- a/Source/Fleet/RegistryReader.cpp
+++ b/Source/Fleet/RegistryReader.cpp
@@ -68,11 +68,17 @@
          (LostRevision != 0 && position <= std::pair(LostEra, LostRevision));
 }
 
-void RegistryReader::onPage(const RegistryPage &page, TimePoint now) {
+std::optional<RegistryFailure> RegistryReader::onPage(const RegistryPage &page,
+                                                      TimePoint now) {
   onEra(page.Era);
   if (page.Era < std::max(SeenEra, View.era())) {
     onFailure(RegistryFailure::Outdated, now);
-    return;
+    return RegistryFailure::Outdated;
+  }
+  if (!makesProgress(page)) {
+    NextStep = Step::List;
+    onFailure(RegistryFailure::Malformed, now);
+    return RegistryFailure::Malformed;
   }
   IsCallPending = false;
   Failures = 0;
@@ -81,7 +87,7 @@
   if (NextStep == Step::Watch && page.Era != CallEra) {
     // Revisions were given out again, so the changes after the asked one are
     // not all that is new.
-    return;
+    return std::nullopt;
   }
   if (NextStep == Step::Watch) {
     // Without a change the registry answers at the end of the wait, so the view
@@ -92,14 +98,14 @@
     View.applyChanges(
         page, waited ? CallStartedAt + Timing.WatchWait : CallStartedAt, now);
     NextCallAt = now + Timing.WatchPause;
-    return;
+    return std::nullopt;
   }
   if (NextStep == Step::List) {
     FirstPage = {page.Revision, CallStartedAt, page.Era};
   } else if (page.Era != FirstPage.Era) {
     // The registry was restored while its list was read.
     NextStep = Step::List;
-    return;
+    return std::nullopt;
   }
   for (const auto &it : page.Servers)
     ListedNames.insert(it.Name);
@@ -108,6 +114,12 @@
   NextStep = Step::NextPage;
   if (!page.HasMore)
     finishList(now);
+  return std::nullopt;
+}
+
+bool RegistryReader::makesProgress(const RegistryPage &page) const {
+  return NextStep == Step::Watch || !page.HasMore ||
+         (!page.LastKey.empty() && page.LastKey != After);
 }
 
 void RegistryReader::finishList(TimePoint now) {
--- a/Source/Fleet/RegistryReader.h
+++ b/Source/Fleet/RegistryReader.h
@@ -62,7 +62,10 @@
   /// Called first for each answer, whatever its status: \p era is the era that
   /// it states.
   void onEra(std::uint64_t era) { SeenEra = std::max(SeenEra, era); }
-  void onPage(const RegistryPage &page, common::TimePoint now);
+  /// Applies the answer to the pending call. Returns why it counts as a failure
+  /// of the call, if it does.
+  std::optional<RegistryFailure> onPage(const RegistryPage &page,
+                                        common::TimePoint now);
   void onFailure(RegistryFailure failure, common::TimePoint now);
   /// Sets whether this host reads the registry. A pending call is not
   /// cancelled.
@@ -81,6 +84,9 @@
 private:
   enum class Step : std::uint8_t { List, NextPage, Watch };
   void finishList(common::TimePoint now);
+  /// Whether the list can go on after \p page. A page that ends with the key
+  /// after which it began would be read for ever.
+  bool makesProgress(const RegistryPage &page) const;
   /// Whether a watch cannot go on from the view: the registry is in a later
   /// era, or its history no longer has the view's revision.
   bool isListNeeded() const;
--- a/Source/UnitTests/Fleet/RegistryReaderTest.cpp
+++ b/Source/UnitTests/Fleet/RegistryReaderTest.cpp
@@ -67,6 +67,29 @@
   BOOST_TEST(it.View.View.revision() == 10U);
 }
 
+// Guards against a list that reads the same page for ever, without a pause, if
+// the registry does not go on after its last key.
+BOOST_AUTO_TEST_CASE(ListWithoutProgressFails) {
+  for (const std::string key : {"servers/s1", ""}) {
+    Fixture it;
+    it.call();
+    auto page = samplePage(10, {sampleServer(1, 3)}, 1);
+    page.HasMore = true;
+    page.LastKey = "servers/s1";
+    BOOST_TEST(!it.Reader.onPage(page, it.Clock.now()).has_value());
+    it.call();
+    page.LastKey = key;
+    BOOST_TEST(
+        (it.Reader.onPage(page, it.Clock.now()) == RegistryFailure::Malformed));
+    BOOST_TEST(!it.View.View.isComplete());
+    BOOST_TEST(!it.Reader.nextCall(it.Clock.now()).has_value());
+    it.Clock.advance(it.Reader.timing().InitialBackoff);
+    const auto next = it.call();
+    BOOST_TEST((next.Kind == RegistryCallKind::List));
+    BOOST_TEST(next.After.empty());
+  }
+}
+
 // After a compaction the reader must read a new list instead of watching a
 // history that no longer exists.
 BOOST_AUTO_TEST_CASE(CompactionLeadsToANewList) {
--- a/Source/UnitTests/Process/edge_fleet.py
+++ b/Source/UnitTests/Process/edge_fleet.py
@@ -20,6 +20,7 @@
 import tempfile
 import time
 import traceback
+import urllib.parse
 
 PACKET_HEADER = struct.Struct(">IBIIHIHIIH")
 SYN, ACK, FIN, RST = 8, 128, 64, 4
@@ -134,7 +135,7 @@
                 self.calls += 1
                 target = request.split(" ")[1]
                 path, _, query = target.partition("?")
-                parameters = dict(it.partition("=")[::2] for it in query.split("&"))
+                parameters = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
                 status, body = await self.answer(path, parameters)
                 if self.mode == "silent" or opened < self.silenced_before:
                     await asyncio.sleep(30)
--- a/Source/UnitTests/platform/StoreCodecTest.cpp
+++ b/Source/UnitTests/platform/StoreCodecTest.cpp
@@ -203,6 +203,36 @@
   }
 }
 
+// Guards against a list that begins again at a key whose special characters end
+// the parameter, so that it never ends; and against a second request inside.
+BOOST_AUTO_TEST_CASE(KeysAreEncodedInRequests) {
+  RegistryCall call;
+  call.Kind = RegistryCallKind::List;
+  BOOST_TEST(StoreCodec::requestTarget(call) == "/kv-range?prefix=");
+  const std::vector<std::pair<std::string, std::string>> targets = {
+      {"servers/i-7f3a91c2", "servers/i-7f3a91c2"},
+      {"servers/R&D-label-press", "servers/R%26D-label-press"},
+      {"a b+c%d#e=f?g", "a%20b%2bc%25d%23e%3df%3fg"},
+      {"x HTTP/1.1\r\nA: b", "x%20HTTP/1.1%0d%0aA%3a%20b"},
+      {"\xc3\xa4", "%c3%a4"},
+      {std::string(1, '\0'), "%00"},
+  };
+  for (const auto &[key, encoded] : targets) {
+    call.After = key;
+    BOOST_TEST(StoreCodec::requestTarget(call) ==
+               "/kv-range?prefix=&after=" + encoded);
+  }
+}
+
+// Guards against a list that ends early and makes the servers of the next pages
+// lapse, because no key of a page is readable.
+BOOST_AUTO_TEST_CASE(PageWithoutAKeyIsNotTheLastOne) {
+  const auto page = decode(
+      R"({"items":[{"key":5,"revision":5}],"has_more":true,"at_rev":530})");
+  BOOST_TEST(page.HasMore);
+  BOOST_TEST(page.LastKey.empty());
+}
+
 // Guards against a malformed route that makes the other routes disappear.
 BOOST_AUTO_TEST_CASE(MalformedRoutesAreSkippedAndCounted) {
   auto value = Configuration;
--- a/Source/platform/StoreCodec.cpp
+++ b/Source/platform/StoreCodec.cpp
@@ -4,6 +4,7 @@
 #include "Common/Text.h"
 #include "platform/JsonFilter.h"
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/escaping.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -220,6 +221,20 @@
   return configuration;
 }
 
+/// \p text as a value in the query of a URL (RFC 3986).
+std::string percentEncoded(std::string_view text) {
+  std::string encoded;
+  for (const char ch : text) {
+    const auto byte = static_cast<unsigned char>(ch);
+    if (absl::ascii_isalnum(byte) ||
+        std::string_view("-._~/").find(ch) != std::string_view::npos)
+      encoded.push_back(ch);
+    else
+      absl::StrAppend(&encoded, "%", absl::Hex(byte, absl::kZeroPad2));
+  }
+  return encoded;
+}
+
 /// Decodes one item or event and adds it to \p page.
 void decodeItem(const json &item, RegistryPage &page) {
   if (!item.is_object()) {
@@ -274,8 +289,8 @@
   if (call.Kind == RegistryCallKind::Watch)
     return absl::StrCat("/kv-watch?prefix=&after=", call.Revision,
                         "&wait_ms=", call.Wait.count());
-  return absl::StrCat(
-      "/kv-range?prefix=", call.After.empty() ? "" : "&after=", call.After);
+  return absl::StrCat("/kv-range?prefix=", call.After.empty() ? "" : "&after=",
+                      percentEncoded(call.After));
 }
 
 std::optional<std::uint64_t> StoreCodec::identityOf(std::string_view name) {
@@ -333,8 +348,8 @@
     return absl::InvalidArgumentError(
         absl::StrCat("the response body has no array \"", listName, "\""));
   const auto more = object->find("has_more");
-  page.HasMore = more != object->end() && more->is_boolean() &&
-                 more->get<bool>() && !page.LastKey.empty();
+  page.HasMore =
+      more != object->end() && more->is_boolean() && more->get<bool>();
   return page;
 }
 
