Read a list when the changes of a watch exceed the size limit of an answer

Cause: a watch answer has no size limit on the pages. One of more than 4 MiB was refused and counted as an unreachable registry, and the same watch was asked for again until the registry dropped its history. All hosts that took over failed in the same way.

Ruled out: a larger limit only moves the fault, as entries of other writers may be many; lists have pages of 500 items or 1 MB, which fit.

A second cause on the same path: the timeout of a call, 0.9 s for a list, held until the last byte. A value of 1 MiB takes 1.1 s on a link of 10 Mbit/s, so that no host with such a link could have read a page with it.

Change: a watch whose answer is too large is handled like one of a compacted history: the host lists the registry. The registry counts as reachable. The timeout of a request holds until the header has arrived; after it, the body may take longer while bytes arrive (500 ms between two, 16 s in all).

Tests: TooLargeWatchLeadsToAList and BodyMayArriveAfterTheTimeout failed before. TooLargePageIsAFailedCall and BodyThatCeasesToArriveIsAnError check what must not change.

--- a/Source/Edge/RegistryClient.cpp
+++ b/Source/Edge/RegistryClient.cpp
@@ -35,7 +35,9 @@
 void RegistryClient::onResult(const fleet::RegistryCall &call,
                               const absl::StatusOr<HttpResponse> &result) {
   if (!result.ok()) {
-    onFailure(RegistryFailure::Unreachable,
+    onFailure(absl::IsResourceExhausted(result.status())
+                  ? RegistryFailure::TooLarge
+                  : RegistryFailure::Unreachable,
               common::fromAbsl(result.status().message()));
   } else if (const auto era = StoreCodec::eraOf(*result); !era.ok()) {
     onFailure(RegistryFailure::Malformed,
@@ -94,10 +96,18 @@
 void RegistryClient::onFailure(RegistryFailure failure,
                                std::string_view reason) {
   Reader.onFailure(failure, Clock.now());
-  if (failure == RegistryFailure::Compacted)
+  switch (failure) {
+  case RegistryFailure::Compacted:
     Metrics.add(EdgeCounter::RegistryFailures);
-  else
+    return;
+  case RegistryFailure::TooLarge:
+    Metrics.add(EdgeCounter::RegistryFailures);
+    if (Log.tryAdmit(LogEvent::Registry))
+      logReachability(true, reason);
+    return;
+  default:
     reportFailure(reason);
+  }
 }
 
 void RegistryClient::reportFailure(std::string_view reason) {
@@ -112,6 +122,10 @@
   ReportedReachable = reachable;
   if (!reachable)
     History.recordForHost(state::Cause::PlatformUnreachable);
+  logReachability(reachable, reason);
+}
+
+void RegistryClient::logReachability(bool reachable, std::string_view reason) {
   Log.write(LogEvent::Registry,
             absl::StrCat("\"reachable\":", reachable ? "true" : "false",
                          ",\"reason\":\"",
--- a/Source/Edge/RegistryClient.h
+++ b/Source/Edge/RegistryClient.h
@@ -41,6 +41,8 @@
   /// Logs \p reachable if it differs from the value reported last.
   void reportReachability(bool reachable, std::string_view reason);
 
+  void logReachability(bool reachable, std::string_view reason);
+
   reactor::AsyncHttpClient Http;
   fleet::RegistryReader &Reader;
   const common::Clock &Clock;
--- a/Source/Fleet/RegistryCall.h
+++ b/Source/Fleet/RegistryCall.h
@@ -57,6 +57,7 @@
   Compacted,   ///< The registry has compacted its history beyond the requested
                ///< revision.
   Malformed,   ///< The answer could not be parsed.
+  TooLarge,    ///< The answer exceeds the size limit of a body.
   Outdated,    ///< The answer is of an era before the known one.
 };
 
--- a/Source/Fleet/RegistryReader.cpp
+++ b/Source/Fleet/RegistryReader.cpp
@@ -133,7 +133,10 @@
 
 void RegistryReader::onFailure(RegistryFailure failure, TimePoint now) {
   IsCallPending = false;
-  if (failure == RegistryFailure::Compacted) {
+  // An answer to the same watch would only grow, while a list has pages.
+  const bool isWatchTooLarge =
+      failure == RegistryFailure::TooLarge && NextStep == Step::Watch;
+  if (failure == RegistryFailure::Compacted || isWatchTooLarge) {
     NextStep = Step::List;
     LostEra = CallEra;
     LostRevision = CallRevision;
--- a/Source/Fleet/RegistryReader.h
+++ b/Source/Fleet/RegistryReader.h
@@ -48,7 +48,8 @@
 };
 
 /// Keeps a FleetView current by reading the registry: first a list of all
-/// entries, then watches from its revision, and a new list after a compaction.
+/// entries, then watches from its revision, and a new list after a compaction
+/// or if the changes are too large for one answer.
 /// Only decides which call comes next; the caller performs it.
 class RegistryReader {
 public:
@@ -88,7 +89,7 @@
   /// after which it began would be read for ever.
   bool makesProgress(const RegistryPage &page) const;
   /// Whether a watch cannot go on from the view: the registry is in a later
-  /// era, or its history no longer has the view's revision.
+  /// era, or it cannot give the changes after the view's revision.
   bool isListNeeded() const;
 
   FleetView &View;
@@ -98,7 +99,8 @@
   std::uint64_t SeenEra = 0;
   std::uint64_t CallEra = 0; ///< Era of the view when the call was made.
   std::uint64_t CallRevision = 0;
-  /// The registry's history does not have this revision.
+  /// Changes after this revision cannot be read: the registry's history does
+  /// not have it, or they exceed the size limit of an answer.
   std::uint64_t LostEra = 0;
   std::uint64_t LostRevision = 0;
   bool IsActive = true;
--- a/Source/Reactor/AsyncHttpClient.cpp
+++ b/Source/Reactor/AsyncHttpClient.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <optional>
 
 namespace auburnroute::reactor {
@@ -17,9 +18,15 @@
 
 namespace {
 
-// A list of 500 entries of 1 KB in base64, the largest response expected, takes
-// some 670 KB; the rest is reserve.
+/// A page of a list has at most 500 items or 1 MB, and may pass it by one value
+/// of 1 MiB. In base64, with 500 keys of 200 bytes in escapes, that is 3.5 MB.
 constexpr std::uint64_t MaxBodyBytes = std::uint64_t{4} * 1024 * 1024;
+/// Longest time without a byte of a body. A link of 10 Mbit/s, the slowest one,
+/// takes 1.1 s for a value of 1 MiB in base64, so the timeout of a request does
+/// not hold for its body while it arrives.
+constexpr std::chrono::milliseconds MaxBodyPause{500};
+/// Longest time for a body, which is that of MaxBodyBytes at 2 Mbit/s.
+constexpr std::chrono::seconds MaxBodyTime{16};
 
 } // namespace
 
@@ -49,7 +56,8 @@
     Request.set(http::field::host, common::toString(Server));
     Parser.emplace();
     Parser->body_limit(MaxBodyBytes);
-    Stream.expires_after(timeout);
+    Deadline = Clock::now() + timeout;
+    Stream.expires_at(Deadline);
     if (IsConnected) {
       send();
       return;
@@ -73,6 +81,8 @@
   }
 
 private:
+  using Clock = std::chrono::steady_clock;
+
   void send() {
     http::async_write(Stream, Request,
                       [self = shared_from_this()](auto ec, std::size_t) {
@@ -98,17 +108,22 @@
                                 ec = http::error::need_more;
                               if (ec)
                                 return self->fail("receive", ec);
+                              self->BodyDeadline = Clock::now() + MaxBodyTime;
                               self->receiveBody();
                             });
   }
 
   void receiveBody() {
-    http::async_read(Stream, Buffer, *Parser,
-                     [self = shared_from_this()](auto ec, std::size_t) {
-                       if (ec)
-                         return self->fail("receive", ec);
-                       self->handleResponse();
-                     });
+    if (Parser->is_done())
+      return handleResponse();
+    Stream.expires_at(std::clamp(Clock::now() + MaxBodyPause, Deadline,
+                                 std::max(Deadline, BodyDeadline)));
+    http::async_read_some(Stream, Buffer, *Parser,
+                          [self = shared_from_this()](auto ec, std::size_t) {
+                            if (ec)
+                              return self->fail("receive", ec);
+                            self->receiveBody();
+                          });
   }
 
   void handleResponse() {
@@ -150,6 +165,8 @@
   beast::flat_buffer Buffer;
   std::optional<http::response_parser<http::string_body>> Parser;
   Handler OnResult;
+  Clock::time_point Deadline;
+  Clock::time_point BodyDeadline;
   bool IsConnected = false;
   bool IsBroken = false;
 };
--- a/Source/Reactor/AsyncHttpClient.h
+++ b/Source/Reactor/AsyncHttpClient.h
@@ -26,9 +26,9 @@
 
   /// Sends GET \p target. \p handler is called once, unless the request is
   /// cancelled, and never from within this function. A pending request is
-  /// cancelled first. Errors passed to the handler: Unavailable if no complete
-  /// response arrives within \p timeout; ResourceExhausted if the body exceeds
-  /// 4 MiB.
+  /// cancelled first. Errors passed to the handler: Unavailable if no response
+  /// arrives within \p timeout, or its body then ceases to arrive for 500 ms or
+  /// takes longer than 16 s; ResourceExhausted if the body exceeds 4 MiB.
   void get(const std::string &target, std::chrono::milliseconds timeout,
            Handler handler);
   /// Cancels the pending request; its handler is not called.
--- a/Source/UnitTests/Fleet/RegistryReaderTest.cpp
+++ b/Source/UnitTests/Fleet/RegistryReaderTest.cpp
@@ -67,6 +67,32 @@
   BOOST_TEST(it.View.View.revision() == 10U);
 }
 
+// Guards against a watch that is repeated until its changes leave the history,
+// because they exceed the size limit of an answer.
+BOOST_AUTO_TEST_CASE(TooLargeWatchLeadsToAList) {
+  Fixture it;
+  it.list();
+  it.call();
+  it.Reader.onFailure(RegistryFailure::TooLarge, it.Clock.now());
+  BOOST_TEST((it.call().Kind == RegistryCallKind::List));
+  BOOST_TEST(!it.Reader.isRegistryUnavailable());
+  it.Reader.onPage(samplePage(20, {sampleServer(1, 3)}, 1), it.Clock.now());
+  BOOST_TEST(it.View.View.revision() == 20U);
+  it.Clock.advance(it.Reader.timing().WatchPause);
+  const auto next = it.call();
+  BOOST_TEST((next.Kind == RegistryCallKind::Watch));
+  BOOST_TEST(next.Revision == 20U);
+}
+
+// Guards against a page that is too large being asked for without a pause.
+BOOST_AUTO_TEST_CASE(TooLargePageIsAFailedCall) {
+  Fixture it;
+  it.call();
+  it.Reader.onFailure(RegistryFailure::TooLarge, it.Clock.now());
+  BOOST_TEST(!it.Reader.nextCall(it.Clock.now()).has_value());
+  BOOST_TEST(it.Reader.failures() == 1U);
+}
+
 // Guards against a list that reads the same page for ever, without a pause, if
 // the registry does not go on after its last key.
 BOOST_AUTO_TEST_CASE(ListWithoutProgressFails) {
--- a/Source/UnitTests/Reactor/AsyncHttpTest.cpp
+++ b/Source/UnitTests/Reactor/AsyncHttpTest.cpp
@@ -86,6 +86,43 @@
   std::array<char, 4096> Input{};
 };
 
+/// Accepts one connection and answers with \p pieces, with a pause before each.
+class SlowServer {
+public:
+  SlowServer(boost::asio::io_context &loop, common::Endpoint address,
+             std::vector<std::string> pieces, std::chrono::milliseconds pause)
+      : Acceptor(loop,
+                 {boost::asio::ip::address_v4(address.Address), address.Port}),
+        Timer(loop), Pieces(std::move(pieces)), Pause(pause) {
+    Acceptor.async_accept([this](auto ec, tcp::socket peer) {
+      if (ec)
+        return;
+      Peer.emplace(std::move(peer));
+      sendNext();
+    });
+  }
+
+private:
+  void sendNext() {
+    if (Next == Pieces.size())
+      return;
+    Timer.expires_after(Pause);
+    Timer.async_wait([this](auto ec) {
+      if (ec)
+        return;
+      boost::asio::write(*Peer, boost::asio::buffer(Pieces[Next++]), ec);
+      sendNext();
+    });
+  }
+
+  tcp::acceptor Acceptor;
+  boost::asio::steady_timer Timer;
+  std::vector<std::string> Pieces;
+  std::chrono::milliseconds Pause;
+  std::size_t Next = 0;
+  std::optional<tcp::socket> Peer;
+};
+
 std::string answerWith(const std::string &body) {
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
          "\r\n\r\n" + body;
@@ -150,6 +187,35 @@
              status.message());
 }
 
+// Guards against a large answer that can never be read over a slow link,
+// because the timeout of the request is over before its last byte.
+BOOST_AUTO_TEST_CASE(BodyMayArriveAfterTheTimeout) {
+  boost::asio::io_context loop;
+  const auto address = freeEndpoint(loop);
+  SlowServer server(loop, address,
+                    {"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n",
+                     "0123456789", "0123456789", "0123456789", "0123456789"},
+                    100ms);
+  AsyncHttpClient client(loop, address);
+  const auto response = call(loop, client, "/x", 250ms);
+  BOOST_REQUIRE(response.ok());
+  BOOST_TEST(response->Body.size() == 40U);
+}
+
+// Guards against a request that waits for the rest of a body that was lost.
+BOOST_AUTO_TEST_CASE(BodyThatCeasesToArriveIsAnError) {
+  boost::asio::io_context loop;
+  const auto address = freeEndpoint(loop);
+  SlowServer server(
+      loop, address,
+      {"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n", "0123456789"}, 10ms);
+  AsyncHttpClient client(loop, address);
+  const auto start = std::chrono::steady_clock::now();
+  const auto status = call(loop, client, "/x", 100ms).status();
+  BOOST_TEST((status.code() == absl::StatusCode::kUnavailable));
+  BOOST_TEST((std::chrono::steady_clock::now() - start < 3s));
+}
+
 // Guards against malformed requests that end the server or block other clients.
 BOOST_AUTO_TEST_CASE(MalformedRequestsDoNotAffectOtherClients) {
   boost::asio::io_context loop;
