Leave entries that no server can have out of messages between hosts

Cause: StoreCodec made the removal of a server out of any entry under servers/ that it could not read. Hosts kept it, told it to their peers for 5 s and in views for 65 s, and GossipCodec rejects a message or view as a whole if one server in it has an invalid name.

Change: an entry whose key is not the name of a server (letters, digits, "-", "_" and ".", with an identity) is counted as unreadable and not kept. A receiver leaves out servers with an invalid name, which no server can have, and counts them in gossip_servers_skipped_total: hosts of an earlier version may still send them. Any other invalid server still rejects the message, since the changes would not be complete without it.

Tests: EntriesThatNameNoServerAreNotRemovals and ServersWithInvalidNamesAreSkipped failed before.

--- a/Source/Edge/EdgeMetrics.cpp
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -94,6 +94,8 @@
     return "gossip_messages_received_total";
   case EdgeCounter::GossipMalformed:
     return "gossip_messages_malformed_total";
+  case EdgeCounter::GossipServersSkipped:
+    return "gossip_servers_skipped_total";
   case EdgeCounter::SnapshotsFetched:
     return "snapshots_fetched_total";
   case EdgeCounter::SnapshotsFailed:
--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -46,6 +46,7 @@
   EvidenceBytesSent,
   GossipReceived,
   GossipMalformed,
+  GossipServersSkipped,
   SnapshotsFetched,
   SnapshotsFailed,
   TagsAsked,
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -269,6 +269,7 @@
         Metrics.add(EdgeCounter::GossipMalformed);
         continue;
       }
+      Metrics.add(EdgeCounter::GossipServersSkipped, message->SkippedServers);
       addWaitingTime(*message, waited);
       onMessage(*message, it.Sender.Address);
     }
@@ -383,6 +384,8 @@
           ? snapshot->Age +
                 std::chrono::duration_cast<milliseconds>(now - fetch.StartedAt)
           : milliseconds(0);
+  if (snapshot)
+    Metrics.add(EdgeCounter::GossipServersSkipped, snapshot->SkippedServers);
   std::string_view outcome = "taken";
   if (!snapshot) {
     const bool isLate = !result.ok() && now - fetch.StartedAt >= fetch.Timeout;
--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -238,8 +238,13 @@
   message.Changes.Era = in.era();
   message.Changes.From = in.changes_from();
   // An invalid server rejects the whole message: without it, the changes would
-  // not be complete up to Changes.To.
+  // not be complete up to Changes.To. They are without an entry under a name
+  // that no server has.
   for (const auto &it : in.changes()) {
+    if (!routing::isValidName(it.name())) {
+      ++message.SkippedServers;
+      continue;
+    }
     auto server = read(it, in.era());
     if (!server)
       return std::nullopt;
@@ -303,6 +308,10 @@
   else
     return std::nullopt;
   for (const auto &it : in.servers()) {
+    if (!routing::isValidName(it.name())) {
+      ++snapshot.SkippedServers;
+      continue;
+    }
     auto server = read(it, in.era());
     if (!server)
       return std::nullopt;
--- a/Source/Fleet/GossipMessage.h
+++ b/Source/Fleet/GossipMessage.h
@@ -5,6 +5,7 @@
 #include "State/CauseStore.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <vector>
@@ -69,12 +70,17 @@
   std::vector<routing::ServerRegistration> NamedServers;
   /// Set by a host whose view is incomplete or outdated.
   bool WantsAnswer = false;
+  /// Number of servers that were left out of a decoded message, since no server
+  /// can have their names.
+  std::size_t SkippedServers = 0;
 };
 
 /// A snapshot and its age when it was sent.
 struct AgedSnapshot {
   ViewSnapshot View;
   std::chrono::milliseconds Age{0};
+  /// See GossipMessage::SkippedServers.
+  std::size_t SkippedServers = 0;
 };
 
 } // namespace auburnroute::fleet
--- a/Source/UnitTests/Fleet/GossipCodecTest.cpp
+++ b/Source/UnitTests/Fleet/GossipCodecTest.cpp
@@ -135,6 +135,37 @@
              GossipCodec::MaxDatagramBytes);
 }
 
+// Guards against a message or view that is dropped for an entry of another
+// writer, whose name no server can have, so that hosts stop following changes.
+BOOST_AUTO_TEST_CASE(ServersWithInvalidNamesAreSkipped) {
+  GossipMessage message;
+  message.Sender = {0x0a010101, "a", 1769245012022, 1000};
+  message.Changes.To = 12;
+  message.Changes.Servers = {routing::removalOf("i-7f3a910001/notes", 0, 11),
+                             unittests::sampleServer(1, 12),
+                             routing::removalOf(std::string(201, 'x'), 0, 10)};
+  const auto decoded = GossipCodec::decode(GossipCodec::encode(message));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->Changes.To == 12U);
+  BOOST_REQUIRE(decoded->Changes.Servers.size() == 1U);
+  BOOST_TEST(decoded->Changes.Servers.front().Name == "s1");
+  BOOST_TEST(decoded->SkippedServers == 2U);
+
+  fleet::AgedSnapshot snapshot;
+  snapshot.View.Revision = 12;
+  snapshot.View.Configuration = unittests::sampleConfiguration(7);
+  snapshot.View.Servers = message.Changes.Servers;
+  const auto view = GossipCodec::decodeSnapshot(GossipCodec::encode(snapshot));
+  BOOST_REQUIRE(view.has_value());
+  BOOST_REQUIRE(view->View.Servers.size() == 1U);
+  BOOST_TEST(view->View.Servers.front().Name == "s1");
+  BOOST_TEST(view->SkippedServers == 2U);
+
+  // Without a server that is invalid otherwise, the changes are not complete.
+  message.Changes.Servers[1].Address.Port = 0;
+  BOOST_TEST(!GossipCodec::decode(GossipCodec::encode(message)).has_value());
+}
+
 // No input may crash the decoder, or yield a server without an address or
 // service.
 BOOST_AUTO_TEST_CASE(CorruptedMessagesAreRejectedOrValid) {
--- a/Source/UnitTests/platform/StoreCodecTest.cpp
+++ b/Source/UnitTests/platform/StoreCodecTest.cpp
@@ -257,6 +257,23 @@
   BOOST_TEST(page.Servers.size() == 1U);
 }
 
+// Guards against an entry that hosts tell each other of and whose name makes
+// their messages invalid.
+BOOST_AUTO_TEST_CASE(EntriesThatNameNoServerAreNotRemovals) {
+  for (const std::string name :
+       {"i-7f3a910001/notes", "R&D-label-press", "notes", "", "i-0"}) {
+    const auto page =
+        decode(list({item("servers/" + name, Server, 411),
+                     absl::StrCat(R"({"key":"servers/)", name,
+                                  R"(","revision":413,"tombstone":true})")},
+                    "events"),
+               RegistryCallKind::Watch);
+    BOOST_TEST(page.Servers.empty(), name);
+    BOOST_TEST(page.Removed.empty(), name);
+    BOOST_TEST(page.Unreadable == 1U, name);
+  }
+}
+
 // Guards against a crash, or a server without identity or port, from a
 // truncated or corrupted response body.
 BOOST_AUTO_TEST_CASE(CorruptedBodiesYieldErrorsOrValidServers) {
--- a/Source/platform/StoreCodec.cpp
+++ b/Source/platform/StoreCodec.cpp
@@ -74,6 +74,12 @@
   return std::nullopt;
 }
 
+/// Whether a backend server may have the key \p name.
+bool isServerName(std::string_view name) {
+  return routing::isValidName(name) && StoreCodec::identityOf(name).has_value();
+}
+
+/// \p id: a name for which isServerName() holds.
 std::optional<routing::ServerRegistration>
 decodeServer(std::string_view id, std::string_view value) {
   // The entry of a backend server has some 200 bytes, and its names at most 200
@@ -93,8 +99,7 @@
   const auto state = member<std::string>(*object, "state");
   const auto identity = StoreCodec::identityOf(id);
   if (!service || !routing::isValidName(*service) || !address || !zone ||
-      !routing::isValidName(*zone) || !state || !identity ||
-      !routing::isValidName(id))
+      !routing::isValidName(*zone) || !state || !identity)
     return std::nullopt;
   const auto endpoint = common::parseEndpoint(*address);
   if (!endpoint.ok() || (*state != "ready" && *state != "draining"))
@@ -253,8 +258,14 @@
     return;
   const auto name = isServer ? key->substr(ServerPrefix.size()) : *key;
   const auto tombstone = item.find("tombstone");
-  if (tombstone != item.end() && tombstone->is_boolean() &&
-      tombstone->get<bool>()) {
+  const bool isRemoved = tombstone != item.end() && tombstone->is_boolean() &&
+                         tombstone->get<bool>();
+  // Hosts cannot tell each other of such a name, and no server has it.
+  if (isServer && !isServerName(name)) {
+    page.Unreadable += isRemoved ? 0 : 1;
+    return;
+  }
+  if (isRemoved) {
     if (isServer)
       page.Removed.push_back({name, *revision});
     return;
