Bound the names of servers in one message between hosts

Cause: the number of servers in a datagram was limited to 8, not their bytes. A key may have 200 bytes and a service and zone as many, so that 8 entries of another writer make up to 5,811 bytes. The receiver has buffers of 2,048 bytes, cuts the datagram off there and drops it as malformed: hosts stop following changes until the entries leave the history after 5 s, and again each time they are written. With names of 30 bytes the largest message had 1,707 bytes, above the 1,400 that fit an Ethernet frame.

Change: the servers of a message have at most 320 bytes of names, or it has one server. Hosts with an invalid zone name in a message are left out.

--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -18,6 +18,10 @@
 /// include.
 constexpr milliseconds TransitTime{50};
 
+std::size_t nameBytes(const ServerRegistration &server) {
+  return server.Name.size() + server.Service.size() + server.Zone.size();
+}
+
 } // namespace
 
 bool FleetView::applyServer(const ServerRegistration &server, TimePoint now) {
@@ -293,22 +297,29 @@
   changes.ConfigurationVersion = Routes.version();
   changes.Era = Era;
   std::set<std::string_view> seen;
+  std::size_t bytes = 0;
   for (auto it = History.rbegin(); it != History.rend(); ++it) {
     if (it->Revision <= since || !seen.insert(it->Name).second)
       continue;
+    std::vector<const ServerRegistration *> next;
+    if (const auto *known = Directory.findByName(it->Name))
+      next.push_back(&known->Registration);
     const auto held = Withheld.find(it->Name);
-    const std::size_t n = held == Withheld.end() ? 1 : 2;
-    if (changes.Servers.size() + n > maxServers) {
+    if (held != Withheld.end())
+      next.push_back(&held->second);
+    for (const auto *server : next)
+      bytes += nameBytes(*server);
+    const bool isFirst = changes.Servers.empty();
+    if (changes.Servers.size() + next.size() > maxServers ||
+        (!isFirst && bytes > MaxNameBytes)) {
       // Only a receiver that already has the changes left out may apply the
       // rest, so From is raised to the highest revision left out; History is
       // not sorted by revision.
       changes.From = std::max(changes.From, it->Revision);
       continue;
     }
-    if (const auto *known = Directory.findByName(it->Name))
-      changes.Servers.push_back(known->Registration);
-    if (held != Withheld.end())
-      changes.Servers.push_back(held->second);
+    for (const auto *server : next)
+      changes.Servers.push_back(*server);
   }
   return changes;
 }
@@ -337,10 +348,14 @@
 FleetView::serversWithTags(const std::vector<std::uint32_t> &tags,
                            std::size_t limit, TimePoint now) const {
   std::vector<ServerRegistration> servers;
+  std::size_t bytes = 0;
   for (const auto tag : tags)
-    for (const auto id : Directory.serversWithTag(tag))
-      if (servers.size() < limit)
-        servers.push_back(Directory.at(id).Registration);
+    for (const auto id : Directory.serversWithTag(tag)) {
+      const auto &server = Directory.at(id).Registration;
+      bytes += nameBytes(server);
+      if (servers.empty() || (servers.size() < limit && bytes <= MaxNameBytes))
+        servers.push_back(server);
+    }
   setLapsedTimes(servers, now);
   return servers;
 }
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -96,6 +96,10 @@
   /// How long changes are kept for peers that lag. Peers that lag further fetch
   /// a snapshot.
   static constexpr std::chrono::seconds HistoryRetention{5};
+  /// Limit of the names of servers, services and zones in one message. Together
+  /// with the other fields of a message they fit a datagram. A single server
+  /// may exceed it with its three names of at most 200 bytes.
+  static constexpr std::size_t MaxNameBytes = 320;
 
   /// \p rewriteTime: time within which living servers have written their
   /// entries again after a restore of the registry, and the entries of others
@@ -137,7 +141,7 @@
                      common::TimePoint now);
 
   /// The retained changes after revision \p since, at most \p maxServers
-  /// servers.
+  /// servers with names of MaxNameBytes in all.
   ViewChanges recentChanges(std::size_t maxServers,
                             std::uint64_t since = 0) const;
   /// What a host lacks whose view is complete up to \p after and has
@@ -145,8 +149,8 @@
   /// be unknown here, or if \p after belongs to another era than the view.
   ViewSnapshot snapshotSince(std::uint64_t after, std::uint64_t version,
                              std::uint64_t era = 0) const;
-  /// The servers that \p tags may identify, at most \p limit, for a peer that
-  /// does not know them.
+  /// The servers that \p tags may identify, at most \p limit with names of
+  /// MaxNameBytes in all, for a peer that does not know them.
   std::vector<routing::ServerRegistration>
   serversWithTags(const std::vector<std::uint32_t> &tags, std::size_t limit,
                   common::TimePoint now) const;
--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -233,7 +233,8 @@
   GossipMessage message;
   message.Sender = read(in.sender());
   for (const auto &it : in.hosts())
-    message.Hosts.push_back(read(it));
+    if (routing::isValidName(it.zone()))
+      message.Hosts.push_back(read(it));
   message.Changes.To = in.revision();
   message.Changes.Era = in.era();
   message.Changes.From = in.changes_from();
--- a/Source/UnitTests/Fleet/GossipCodecTest.cpp
+++ b/Source/UnitTests/Fleet/GossipCodecTest.cpp
@@ -166,6 +166,47 @@
   BOOST_TEST(!GossipCodec::decode(GossipCodec::encode(message)).has_value());
 }
 
+// Guards against changes that never reach other hosts, because the names of
+// their servers make the message longer than a datagram.
+BOOST_AUTO_TEST_CASE(LongNamesDoNotExceedADatagram) {
+  for (const std::size_t length : {30U, 60U, 120U, 200U}) {
+    unittests::ViewFixture host;
+    common::ManualClock clock;
+    std::vector<routing::ServerRegistration> servers;
+    std::vector<std::uint32_t> tags;
+    for (std::uint64_t n = 1; n <= GossipCodec::MaxChanges; ++n) {
+      auto server = unittests::sampleServer(n, 1769245012022 + n);
+      server.Name = std::string(length - 1, 'x') + std::to_string(n);
+      server.Service = server.Zone = std::string(length, 'y');
+      server.StartTimeMs = server.Sequence = 1769245012022;
+      tags.push_back(routing::ServerTag::of(n).front());
+      servers.push_back(server);
+    }
+    const std::uint64_t last = servers.back().Revision;
+    host.View.applyChanges(unittests::samplePage(1, {}, 1), clock.now(),
+                           clock.now());
+    host.View.applyChanges(unittests::samplePage(last, servers), clock.now(),
+                           clock.now());
+    auto message = largestMessage();
+    message.Changes = host.View.recentChanges(GossipCodec::MaxChanges);
+    BOOST_TEST(!message.Changes.Servers.empty());
+    BOOST_TEST(GossipCodec::encode(message).size() <=
+               GossipCodec::MaxDatagramBytes);
+    // A receiver must know that it lacks those that were left out.
+    unittests::ViewFixture peer;
+    peer.View.applyChanges(unittests::samplePage(1, {}, 1), clock.now(),
+                           clock.now());
+    BOOST_TEST(peer.View.applyPeerChanges(message.Changes, 0ms, clock.now()) ==
+               (message.Changes.Servers.size() == servers.size()));
+    message.Changes = {};
+    message.NamedServers =
+        host.View.serversWithTags(tags, GossipCodec::MaxChanges, clock.now());
+    BOOST_TEST(!message.NamedServers.empty());
+    BOOST_TEST(GossipCodec::encode(message).size() <=
+               GossipCodec::MaxDatagramBytes);
+  }
+}
+
 // No input may crash the decoder, or yield a server without an address or
 // service.
 BOOST_AUTO_TEST_CASE(CorruptedMessagesAreRejectedOrValid) {
