Bound what a view keeps of other writers' entries, and log what is not used

Cause: a view kept each entry that it could read, whatever its service, and a record of each that it could not read, for 65 s after a list. 200,000 entries of another writer took 166 MB if they could be read and 109 MB if not; a host has 80 MB. The tables of service and zone names never shrink, so that an entry which is written again with new names grew them for ever.

Change: - The servers of a view take at most 2 MiB as a message holds them, those of services without a route half of it. Further ones are refused; known ones still change. If a later configuration adds routes, the registry is listed again. - Service names without a route and zone names are limited to 8,192. - An unreadable entry is only remembered if its server is known. Text of other writers is limited and quoted.

--- a/Source/Edge/EdgeMetrics.cpp
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -80,6 +80,8 @@
     return "registry_era_changes_total";
   case EdgeCounter::EntriesUnreadable:
     return "entries_unreadable_total";
+  case EdgeCounter::EntriesRefused:
+    return "entries_refused_total";
   case EdgeCounter::EntriesOutdated:
     return "entries_outdated_total";
   case EdgeCounter::GossipSent:
--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -39,6 +39,7 @@
   RegistryLists,
   EraChanges,
   EntriesUnreadable,
+  EntriesRefused,
   EntriesOutdated,
   GossipSent,
   GossipBytesSent,
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -139,16 +139,15 @@
         updateReadiness();
         resetFlowsOfDeadServers();
       });
-  Registry = std::make_unique<RegistryClient>(Loop, Settings.Registry, Reader,
-                                              Clock, History, Log,
-                                              Recorder.metrics(), [this] {
-                                                updateReadiness();
-                                                if (Reader.failures() > 0)
-                                                  Exchange->onRegistryFailure();
-                                                Exchange->poll();
-                                                updateRegistryRole(Clock.now());
-                                                Registry->poll();
-                                              });
+  Registry = std::make_unique<RegistryClient>(
+      Loop, Settings.Registry, Reader, Clock, History, Log, Recorder, [this] {
+        updateReadiness();
+        if (Reader.failures() > 0)
+          Exchange->onRegistryFailure();
+        Exchange->poll();
+        updateRegistryRole(Clock.now());
+        Registry->poll();
+      });
   return serveHttp();
 }
 
@@ -223,6 +222,7 @@
     History.expire();
     Log.flush();
     Recorder.metrics().set(EdgeCounter::EntriesUnreadable, View.unreadable());
+    Recorder.metrics().set(EdgeCounter::EntriesRefused, View.refused());
     Recorder.metrics().set(EdgeCounter::EntriesOutdated, View.outdated());
     Recorder.metrics().set(EdgeCounter::LogLinesDropped, Log.dropped());
   }
--- a/Source/Edge/EventLog.cpp
+++ b/Source/Edge/EventLog.cpp
@@ -3,6 +3,7 @@
 #include "Common/EpochTime.h"
 #include "Common/Text.h"
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 
 #include <spdlog/details/null_mutex.h>
@@ -77,6 +78,8 @@
     return "registry_read";
   case LogEvent::RegistryEra:
     return "registry_era";
+  case LogEvent::EntryRejected:
+    return "entry_rejected";
   case LogEvent::Peer:
     return "peer";
   case LogEvent::ViewFetch:
@@ -105,6 +108,18 @@
   return "invalid";
 }
 
+std::string EventLog::quoted(std::string_view text, std::size_t maxBytes) {
+  std::string out = "\"";
+  for (const char ch : text.substr(0, maxBytes)) {
+    if (ch == '"' || ch == '\\')
+      out.push_back('\\');
+    out.push_back(absl::ascii_isprint(static_cast<unsigned char>(ch)) ? ch
+                                                                      : '?');
+  }
+  out.push_back('"');
+  return out;
+}
+
 EventLog::EventLog(const common::Clock &clock)
     : Clock(clock), Output(std::make_shared<Sink>()),
       Logger(std::make_shared<spdlog::logger>("auburnroute", Output)) {}
--- a/Source/Edge/EventLog.h
+++ b/Source/Edge/EventLog.h
@@ -27,6 +27,7 @@
   Registry,
   RegistryRead,
   RegistryEra,
+  EntryRejected,
   Peer,
   ViewFetch,
   Placed,
@@ -58,6 +59,11 @@
   /// Size limit of the buffered lines, in bytes.
   static constexpr std::size_t MaxPendingBytes = std::size_t{64} * 1024;
 
+  /// \p text as a JSON string. It is limited to \p maxBytes, and all but
+  /// printable ASCII characters are replaced by '?', since other processes may
+  /// have written it.
+  static std::string quoted(std::string_view text, std::size_t maxBytes = 64);
+
   explicit EventLog(const common::Clock &clock);
   ~EventLog();
 
--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -322,6 +322,15 @@
                            ",\"revision\":", change.Revision));
 }
 
+void EventRecorder::recordRejectedEntry(const fleet::RejectedEntry &entry) {
+  if (Log.tryAdmit(LogEvent::EntryRejected))
+    Log.write(LogEvent::EntryRejected,
+              absl::StrCat("\"key\":", EventLog::quoted(entry.Key),
+                           ",\"reason\":\"", toAbsl(fleet::toString(entry.Why)),
+                           "\",\"bytes\":", entry.Bytes,
+                           ",\"entry_revision\":", entry.Revision));
+}
+
 void EventRecorder::recordReconciliation(
     const fleet::EraReconciliation &result) {
   if (Log.tryAdmit(LogEvent::RegistryEra))
--- a/Source/Edge/EventRecorder.h
+++ b/Source/Edge/EventRecorder.h
@@ -40,6 +40,7 @@
                   std::uint32_t sender) override;
   void recordConfiguration(std::uint64_t version);
   void recordEra(const fleet::EraChange &change);
+  void recordRejectedEntry(const fleet::RejectedEntry &entry);
   void recordReconciliation(const fleet::EraReconciliation &result);
   /// Backend servers of the first view are not logged individually; the "ready"
   /// line has their number.
--- a/Source/Edge/RegistryClient.cpp
+++ b/Source/Edge/RegistryClient.cpp
@@ -3,7 +3,6 @@
 #include "Common/Text.h"
 #include "platform/StoreCodec.h"
 
-#include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 
 namespace auburnroute::edge {
@@ -12,15 +11,23 @@
 using fleet::RegistryFailure;
 using platform::StoreCodec;
 
+namespace {
+
+/// Limit of the reason in a log line.
+constexpr std::size_t MaxReasonBytes = 200;
+
+} // namespace
+
 RegistryClient::RegistryClient(boost::asio::io_context &loop,
                                common::Endpoint registry,
                                fleet::RegistryReader &reader,
                                const common::Clock &clock,
                                fleet::CauseHistory &history, EventLog &log,
-                               EdgeMetrics &metrics,
+                               EventRecorder &recorder,
                                std::function<void()> onAnswer)
     : Http(loop, registry), Reader(reader), Clock(clock), History(history),
-      Log(log), Metrics(metrics), OnAnswer(std::move(onAnswer)) {}
+      Log(log), Recorder(recorder), Metrics(recorder.metrics()),
+      OnAnswer(std::move(onAnswer)) {}
 
 void RegistryClient::poll() {
   const auto call = Reader.nextCall(Clock.now());
@@ -68,6 +75,8 @@
   }
   page->Era = era;
   reportReachability(true, "answered");
+  for (const auto &it : page->Rejected)
+    Recorder.recordRejectedEntry(it);
   const auto outdated = Reader.view().outdated();
   if (Reader.onPage(*page, Clock.now()) == RegistryFailure::Malformed)
     reportFailure("a page of the list has no key after which the next begins");
@@ -126,10 +135,10 @@
 }
 
 void RegistryClient::logReachability(bool reachable, std::string_view reason) {
-  Log.write(LogEvent::Registry,
-            absl::StrCat("\"reachable\":", reachable ? "true" : "false",
-                         ",\"reason\":\"",
-                         absl::CHexEscape(common::toAbsl(reason)), "\""));
+  Log.write(
+      LogEvent::Registry,
+      absl::StrCat("\"reachable\":", reachable ? "true" : "false",
+                   ",\"reason\":", EventLog::quoted(reason, MaxReasonBytes)));
 }
 
 } // namespace auburnroute::edge
--- a/Source/Edge/RegistryClient.h
+++ b/Source/Edge/RegistryClient.h
@@ -19,7 +19,7 @@
   RegistryClient(boost::asio::io_context &loop, common::Endpoint registry,
                  fleet::RegistryReader &reader, const common::Clock &clock,
                  fleet::CauseHistory &history, EventLog &log,
-                 EdgeMetrics &metrics, std::function<void()> onAnswer);
+                 EventRecorder &recorder, std::function<void()> onAnswer);
 
   /// Sends the next call if one is due.
   void poll();
@@ -48,6 +48,7 @@
   const common::Clock &Clock;
   fleet::CauseHistory &History;
   EventLog &Log;
+  EventRecorder &Recorder;
   EdgeMetrics &Metrics;
   std::function<void()> OnAnswer;
   std::optional<bool> ReportedReachable; ///< Unset before the first report.
--- a/Source/Edge/ViewListener.h
+++ b/Source/Edge/ViewListener.h
@@ -19,6 +19,11 @@
   void onConfiguration(std::uint64_t version) override;
   void onServer(const routing::ServerRegistration &server,
                 routing::DirectoryChange change) override;
+  void onServerRefused(const routing::ServerRegistration &server) override {
+    Recorder.recordRejectedEntry({.Key = server.Name,
+                                  .Revision = server.Revision,
+                                  .Why = fleet::EntryRejection::NoRoom});
+  }
   void onEra(const fleet::EraChange &change) override {
     Recorder.recordEra(change);
   }
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -8,6 +8,7 @@
 
 using common::TimePoint;
 using routing::DirectoryChange;
+using routing::nameBytes;
 using routing::ServerRegistration;
 using routing::ServerState;
 using std::chrono::milliseconds;
@@ -18,13 +19,31 @@
 /// include.
 constexpr milliseconds TransitTime{50};
 
-std::size_t nameBytes(const ServerRegistration &server) {
-  return server.Name.size() + server.Service.size() + server.Zone.size();
-}
-
 } // namespace
 
+bool FleetView::hasRoomFor(const ServerRegistration &server) const {
+  const bool isRouted = Routes.isRouted(server.Service);
+  const auto &services = Directory.serviceNames();
+  const auto &zones = Directory.zoneNames();
+  const bool hasTooManyNames =
+      (!isRouted && services.size() >= MaxNames &&
+       !services.contains(server.Service)) ||
+      (zones.size() >= MaxNames && !zones.contains(server.Zone));
+  if (server.hasAddress() && hasTooManyNames)
+    return false;
+  const auto limit = isRouted ? MaxBytes : MaxBytes / 2;
+  const auto bytes =
+      Directory.size() * NumberBytes + Directory.nameBytes() + NumberBytes;
+  return bytes + nameBytes(server) <= limit ||
+         Directory.findByName(server.Name) != nullptr;
+}
+
 bool FleetView::applyServer(const ServerRegistration &server, TimePoint now) {
+  if (!hasRoomFor(server)) {
+    ++Refused;
+    Observer.onServerRefused(server);
+    return true;
+  }
   const auto *known = Directory.findByName(server.Name);
   // Copied, as the directory changes it.
   const auto before = known == nullptr ? server : known->Registration;
@@ -107,7 +126,8 @@
     gone.Era = Era;
     gone.Revision = Revision;
   }
-  Directory.rememberLapsed(gone, now);
+  if (hasRoomFor(gone))
+    Directory.rememberLapsed(gone, now);
 }
 
 bool FleetView::applyConfiguration(
@@ -115,6 +135,8 @@
   if (!Routes.apply(configuration))
     return configuration.Version == Routes.version();
   ++ChangeCount;
+  // Servers of a service that it adds a route to may have been refused.
+  IsListDue = IsListDue || Refused > 0;
   Observer.onConfiguration(configuration.Version);
   return true;
 }
@@ -125,7 +147,10 @@
     Outdated += applyServer(server, now) ? 0 : 1;
   }
   for (const auto &it : page.Removed) {
-    applyServer(routing::removalOf(it.Name, page.Era, it.Revision), now);
+    // No host has applied an entry that was never readable, so nothing needs to
+    // be remembered or passed on.
+    if (!it.IsUnreadable || contains(it.Name))
+      applyServer(routing::removalOf(it.Name, page.Era, it.Revision), now);
   }
   if (page.Configuration)
     Outdated += applyConfiguration(*page.Configuration) ? 0 : 1;
@@ -219,6 +244,7 @@
 
 void FleetView::finishList(const std::set<std::string> &listed,
                            const ListStart &start, TimePoint now) {
+  IsListDue = false;
   if (start.Era < Era)
     return;
   if (start.Era > Era)
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -75,6 +75,8 @@
   virtual void onConfiguration(std::uint64_t version) = 0;
   virtual void onServer(const routing::ServerRegistration &server,
                         routing::DirectoryChange change) = 0;
+  /// The view has no room for \p server.
+  virtual void onServerRefused(const routing::ServerRegistration &server) = 0;
   virtual void onEra(const EraChange &change) = 0;
   virtual void onEraReconciled(const EraReconciliation &result) = 0;
 };
@@ -101,6 +103,17 @@
   /// may exceed it with its three names of at most 200 bytes.
   static constexpr std::size_t MaxNameBytes = 320;
 
+  /// Limit of the view in bytes, as a message holds it. A snapshot must fit an
+  /// answer of 4 MiB together with the configuration, which has at most 1 MiB,
+  /// and with withheld entries. Servers of services without a route take at
+  /// most half of it, so that entries of other writers do not displace others.
+  static constexpr std::size_t MaxBytes = std::size_t{2} * 1024 * 1024;
+  /// Size of a server in a message without its names.
+  static constexpr std::size_t NumberBytes = 60;
+  /// Limit of the names of services without a route, and of those of zones,
+  /// over the life of the process.
+  static constexpr std::size_t MaxNames = 8192;
+
   /// \p rewriteTime: time within which living servers have written their
   /// entries again after a restore of the registry, and the entries of others
   /// have expired.
@@ -167,6 +180,13 @@
   /// and the view is current.
   void reconcileEra(common::TimePoint now);
 
+  /// Whether the server \p name is known in any state.
+  bool contains(const std::string &name) const {
+    return Directory.findByName(name) != nullptr || Withheld.contains(name);
+  }
+  /// Whether servers were refused that a later configuration may need, so that
+  /// the registry must be listed.
+  bool isListDue() const { return IsListDue; }
   /// The view is complete up to this revision; 0 if it is empty.
   std::uint64_t revision() const { return Revision; }
   /// Era that revision() belongs to, see RegistryPage.
@@ -187,6 +207,8 @@
   /// Number of registry entries that were not applied because this host knew a
   /// later state.
   std::uint64_t outdated() const { return Outdated; }
+  /// Number of servers that were not applied because the view had no room.
+  std::uint64_t refused() const { return Refused; }
   /// Discards changes older than HistoryRetention, and lapsed servers after
   /// the retention time of the directory.
   void discardExpired(common::TimePoint now);
@@ -197,6 +219,8 @@
     common::TimePoint At;
     std::string Name;
   };
+  /// Whether \p server may be added within the limits of the view, or is known.
+  bool hasRoomFor(const routing::ServerRegistration &server) const;
   /// Returns false if a later state of the server is known.
   bool applyServer(const routing::ServerRegistration &server,
                    common::TimePoint now);
@@ -238,6 +262,8 @@
   std::uint64_t ChangeCount = 0;
   std::uint64_t Unreadable = 0;
   std::uint64_t Outdated = 0;
+  std::uint64_t Refused = 0;
+  bool IsListDue = false;
   std::deque<Change> History;
   /// History contains all changes after this revision.
   std::uint64_t HistoryStart = 0;
--- a/Source/Fleet/RegistryCall.h
+++ b/Source/Fleet/RegistryCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Fleet/EntryRejection.h"
 #include "Routing/BackendServer.h"
 #include "Routing/RouteTable.h"
 
@@ -28,10 +29,12 @@
   std::chrono::milliseconds Timeout{0};
 };
 
-/// A removed registry entry.
+/// A registry entry that was removed or became unreadable.
 struct RegistryRemoval {
   std::string Name;
   std::uint64_t Revision = 0;
+  /// The entry still exists but does not name a usable server.
+  bool IsUnreadable = false;
 };
 
 /// The answer to a RegistryCall.
@@ -48,6 +51,9 @@
   bool HasMore = false;
   /// Number of entries that were skipped because they could not be parsed.
   std::uint32_t Unreadable = 0;
+  /// The first of them, at most MaxRejected, for the log.
+  std::vector<RejectedEntry> Rejected;
+  static constexpr std::size_t MaxRejected = 8;
 };
 
 /// Why a call failed.
--- a/Source/Fleet/RegistryReader.cpp
+++ b/Source/Fleet/RegistryReader.cpp
@@ -64,7 +64,7 @@
 
 bool RegistryReader::isListNeeded() const {
   const std::pair position(View.era(), View.revision());
-  return View.era() < SeenEra ||
+  return View.isListDue() || View.era() < SeenEra ||
          (LostRevision != 0 && position <= std::pair(LostEra, LostRevision));
 }
 
@@ -107,9 +107,11 @@
     NextStep = Step::List;
     return std::nullopt;
   }
-  for (const auto &it : page.Servers)
-    ListedNames.insert(it.Name);
   View.applyEntries(page, now);
+  // The list is compared with the servers of the view.
+  for (const auto &it : page.Servers)
+    if (View.contains(it.Name))
+      ListedNames.insert(it.Name);
   After = page.LastKey;
   NextStep = Step::NextPage;
   if (!page.HasMore)
--- a/Source/Routing/BackendServer.h
+++ b/Source/Routing/BackendServer.h
@@ -4,6 +4,7 @@
 #include "Common/Endpoint.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <tuple>
@@ -56,6 +57,11 @@
   bool hasAddress() const { return Identity != 0; }
 };
 
+/// Sum of the lengths of the names in \p server.
+inline std::size_t nameBytes(const ServerRegistration &server) {
+  return server.Name.size() + server.Service.size() + server.Zone.size();
+}
+
 /// The removal of the entry \p name, as a registration.
 inline ServerRegistration removalOf(std::string name, std::uint64_t era,
                                     std::uint64_t revision) {
--- a/Source/Routing/NameTable.h
+++ b/Source/Routing/NameTable.h
@@ -28,6 +28,7 @@
     Ids.emplace(std::string(name), id);
     return id;
   }
+  bool contains(std::string_view name) const { return Ids.contains(name); }
   const std::string &nameOf(Id id) const { return Texts.at(id); }
   std::size_t size() const { return Texts.size(); }
 
--- a/Source/Routing/RouteTable.cpp
+++ b/Source/Routing/RouteTable.cpp
@@ -25,6 +25,10 @@
     for (const auto &[address, index] : ByAddress)
       RemovedAddresses.insert(address);
   Configuration = std::move(configuration);
+  RoutedServices.clear();
+  for (const auto &route : Configuration.Routes)
+    for (const auto &share : route.Services)
+      RoutedServices.insert(share.Service);
   ByAddress.clear();
   ByAddress.reserve(Configuration.Routes.size());
   for (std::uint32_t i = 0; i < Configuration.Routes.size(); ++i) {
--- a/Source/Routing/RouteTable.h
+++ b/Source/Routing/RouteTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Endpoint.h"
+#include "Common/Text.h"
 #include "Routing/NameTable.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -9,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburnroute::routing {
@@ -54,6 +56,10 @@
   bool wasRemoved(common::Endpoint address) const {
     return RemovedAddresses.contains(address.key());
   }
+  /// Whether a route of the active configuration sends flows to \p service.
+  bool isRouted(std::string_view service) const {
+    return RoutedServices.contains(common::toAbsl(service));
+  }
   std::uint64_t version() const { return Configuration.Version; }
   const RoutingConfiguration &configuration() const { return Configuration; }
 
@@ -64,6 +70,7 @@
 
   RoutingConfiguration Configuration;
   absl::flat_hash_map<std::uint64_t, std::uint32_t> ByAddress;
+  absl::flat_hash_set<std::string> RoutedServices;
   absl::flat_hash_set<std::uint64_t> RemovedAddresses;
 };
 
--- a/Source/Routing/ServerDirectory.cpp
+++ b/Source/Routing/ServerDirectory.cpp
@@ -52,6 +52,7 @@
   server.IsOccupied = true;
   server.FirstSeen = now;
   server.Registration.Name = registration.Name;
+  NameBytes += routing::nameBytes(server.Registration);
   ByName.emplace(registration.Name, id);
   store(server, registration, now);
   return DirectoryChange::Added;
@@ -67,6 +68,7 @@
     releaseAddress(id);
   if (registration.StartTimeMs != before.StartTimeMs)
     server.RunSeenAt = now;
+  NameBytes += routing::nameBytes(registration) - routing::nameBytes(before);
   server.Registration = registration;
   server.Service = Services.idOf(registration.Service);
   server.Zone = Zones.idOf(registration.Zone);
@@ -135,6 +137,7 @@
   server.Registration.Sequence = registration.Sequence;
   server.Registration.Era = registration.Era;
   server.Registration.Revision = registration.Revision;
+  NameBytes += routing::nameBytes(server.Registration);
   ByName.emplace(registration.Name, id);
   return server;
 }
@@ -143,10 +146,12 @@
                                   const ServerRegistration &registration) {
   const auto id = idOf(server);
   auto &known = server.Registration;
+  NameBytes -= routing::nameBytes(known);
   known.Identity = registration.Identity;
   known.Service = registration.Service;
   known.Address = registration.Address;
   known.Zone = registration.Zone;
+  NameBytes += routing::nameBytes(known);
   known.Slots = registration.Slots;
   known.HasLapsedUnannounced = registration.HasLapsedUnannounced;
   server.Service = Services.idOf(known.Service);
@@ -184,6 +189,7 @@
     if (server.Registration.Era == era)
       highest = std::max(highest, server.Registration.Revision);
     removeFromIndexes(id);
+    NameBytes -= routing::nameBytes(server.Registration);
     ByName.erase(server.Registration.Name);
     releaseAddress(id);
     server = KnownServer{};
--- a/Source/Routing/ServerDirectory.h
+++ b/Source/Routing/ServerDirectory.h
@@ -102,6 +102,10 @@
   /// All slots, including unused ones.
   const std::vector<KnownServer> &all() const { return Servers; }
   std::size_t readyCount() const;
+  /// Number of servers in any state.
+  std::size_t size() const { return ByName.size(); }
+  /// Sum of the lengths of the names of all servers, their services and zones.
+  std::size_t nameBytes() const { return NameBytes; }
 
   NameTable &serviceNames() { return Services; }
   const NameTable &serviceNames() const { return Services; }
@@ -137,6 +141,7 @@
                         common::TimePoint now);
 
   std::chrono::seconds Retention;
+  std::size_t NameBytes = 0;
   NameTable Services;
   NameTable Zones;
   std::vector<KnownServer> Servers;
--- a/Source/UnitTests/Edge/DocumentationTest.cpp
+++ b/Source/UnitTests/Edge/DocumentationTest.cpp
@@ -63,6 +63,11 @@
        {VerdictEndReason::Answer, VerdictEndReason::PeerAnswer,
         VerdictEndReason::Time, VerdictEndReason::ServerChanged})
     check(toString(it));
+  using fleet::EntryRejection;
+  for (const auto it :
+       {EntryRejection::Key, EntryRejection::Encoding, EntryRejection::TooLong,
+        EntryRejection::Syntax, EntryRejection::Field, EntryRejection::NoRoom})
+    check(toString(it));
   using fleet::VerdictKind;
   for (const auto it :
        {VerdictKind::Suspected, VerdictKind::Dead, VerdictKind::Answering})
@@ -117,6 +122,7 @@
     recorder.recordConfiguration(1);
     recorder.recordEra({});
     recorder.recordReconciliation({});
+    recorder.recordRejectedEntry({});
     log.flush();
     text = output.read();
   }
@@ -129,7 +135,7 @@
     for (const auto &[name, value] : fields.items())
       BOOST_TEST(hasCodeSpan(page, name), name);
   }
-  BOOST_TEST(count == 12);
+  BOOST_TEST(count == 13);
 }
 
 BOOST_AUTO_TEST_CASE(EachMetricIsDocumented) {
--- a/Source/UnitTests/Edge/EventLogTest.cpp
+++ b/Source/UnitTests/Edge/EventLogTest.cpp
@@ -89,4 +89,13 @@
     BOOST_TEST(text.find(part) != std::string::npos, part);
 }
 
+// Guards against a log line that a key of another writer makes unreadable or
+// very long.
+BOOST_AUTO_TEST_CASE(TextOfOthersIsQuotedAndLimited) {
+  BOOST_TEST(edge::EventLog::quoted("servers/i-01") == "\"servers/i-01\"");
+  BOOST_TEST(edge::EventLog::quoted("a\"b\\c") == "\"a\\\"b\\\\c\"");
+  BOOST_TEST(edge::EventLog::quoted("\n\x1b\xc3\xa4\x7f") == "\"?????\"");
+  BOOST_TEST(edge::EventLog::quoted(std::string(1000, 'x'), 64).size() == 66U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Fleet/FleetFixture.h
+++ b/Source/UnitTests/Fleet/FleetFixture.h
@@ -18,6 +18,9 @@
                 routing::DirectoryChange) override {
     ++ServerChanges;
   }
+  void onServerRefused(const routing::ServerRegistration &) override {
+    ++Refused;
+  }
   void onEra(const fleet::EraChange &change) override {
     Eras.push_back(change.To);
   }
@@ -27,6 +30,7 @@
 
   std::vector<std::uint64_t> Versions;
   std::uint64_t ServerChanges = 0;
+  std::uint64_t Refused = 0;
   std::vector<std::uint64_t> Eras;
   std::vector<fleet::EraReconciliation> Reconciliations;
 };
--- a/Source/UnitTests/Fleet/OpenFlowHost.h
+++ b/Source/UnitTests/Fleet/OpenFlowHost.h
@@ -107,6 +107,7 @@
   void onConfiguration(std::uint64_t) override {}
   void onServer(const routing::ServerRegistration &server,
                 routing::DirectoryChange change) override;
+  void onServerRefused(const routing::ServerRegistration &) override {}
   void onEra(const fleet::EraChange &) override {}
   void onEraReconciled(const fleet::EraReconciliation &) override {}
   void onVerdict(const fleet::VerdictEvent &verdict) override;
--- a/Source/UnitTests/platform/StoreCodecTest.cpp
+++ b/Source/UnitTests/platform/StoreCodecTest.cpp
@@ -133,6 +133,24 @@
                    "7", R"({"key":5})"}));
   BOOST_TEST(bytes.Servers.empty());
   BOOST_TEST(bytes.Unreadable == 4U);
+  BOOST_TEST(bytes.Removed.size() == 2U);
+  using Why = fleet::EntryRejection;
+  BOOST_REQUIRE(bytes.Rejected.size() == 4U);
+  BOOST_TEST(bytes.Rejected[0].Key == "servers/i-01");
+  BOOST_TEST(bytes.Rejected[0].Revision == 5U);
+  BOOST_TEST(bytes.Rejected[0].Bytes == 3U);
+  BOOST_TEST((bytes.Rejected[0].Why == Why::Syntax));
+  BOOST_TEST((bytes.Rejected[1].Why == Why::Encoding));
+  BOOST_TEST((bytes.Rejected[2].Why == Why::Key));
+  const auto longEntry =
+      decode(list({item("servers/i-01", Server + std::string(70000, ' '), 5),
+                   item("servers/i-02", R"({"service":1})", 6),
+                   item("op/config", "x", 7), item("servers/a/b", Server, 8)}));
+  BOOST_REQUIRE(longEntry.Rejected.size() == 4U);
+  BOOST_TEST((longEntry.Rejected[0].Why == Why::TooLong));
+  BOOST_TEST((longEntry.Rejected[1].Why == Why::Field));
+  BOOST_TEST((longEntry.Rejected[2].Why == Why::Syntax));
+  BOOST_TEST((longEntry.Rejected[3].Why == Why::Key));
 }
 
 // Guards against a number beyond the range of its type that is taken for the
--- a/Source/platform/StoreCodec.cpp
+++ b/Source/platform/StoreCodec.cpp
@@ -17,9 +17,11 @@
 
 namespace auburnroute::platform {
 
+using fleet::EntryRejection;
 using fleet::RegistryCall;
 using fleet::RegistryCallKind;
 using fleet::RegistryPage;
+using fleet::RejectedEntry;
 using nlohmann::json;
 using std::chrono::milliseconds;
 
@@ -28,6 +30,10 @@
 constexpr std::string_view ServerPrefix = "servers/";
 constexpr std::string_view ConfigurationKey = "op/config";
 constexpr std::string_view EraHeader = "store-era";
+/// Longest value of a backend server. It has some 200 bytes, and its names at
+/// most 200 each. A parse of 1 MiB, the limit of the registry, takes 0.2 s on a
+/// host with 0.04 of a core.
+constexpr std::size_t MaxServerBytes = 65536;
 
 /// The member \p name as a string or non-negative integer; nullopt if it is
 /// absent, of another type or out of the range of \p T.
@@ -79,20 +85,17 @@
   return routing::isValidName(name) && StoreCodec::identityOf(name).has_value();
 }
 
-/// \p id: a name for which isServerName() holds.
+/// \p id: a name for which isServerName() holds. Sets \p why if the entry is
+/// not used.
 std::optional<routing::ServerRegistration>
-decodeServer(std::string_view id, std::string_view value) {
-  // The entry of a backend server has some 200 bytes, and its names at most 200
-  // each. A longer value is not worth the CPU time of a parse, which takes
-  // 0.2 s for 1 MiB on a host with 0.04 of a core.
-  constexpr std::size_t maxBytes = 65536;
+decodeServer(std::string_view id, std::string_view value, EntryRejection &why) {
   static const JsonFilter filter{"service", "address",  "zone",         "state",
                                  "slots",   "sequence", "cold_left_ms", "born"};
-  if (value.size() > maxBytes)
-    return std::nullopt;
+  why = EntryRejection::Syntax;
   const auto object = filter.read(value);
   if (!object)
     return std::nullopt;
+  why = EntryRejection::Field;
   const auto service = member<std::string>(*object, "service");
   const auto address = member<std::string>(*object, "address");
   const auto zone = member<std::string>(*object, "zone");
@@ -183,9 +186,9 @@
   return route;
 }
 
-/// Adds to \p unreadable the number of routes that were skipped.
+/// Sets \p skippedRoutes to the number of routes that are not used.
 std::optional<routing::RoutingConfiguration>
-decodeConfiguration(std::string_view value, std::uint32_t &unreadable) {
+decodeConfiguration(std::string_view value, std::uint32_t &skippedRoutes) {
   static const JsonFilter filter{"version",
                                  "routes",
                                  "routes[]",
@@ -203,12 +206,11 @@
                                  "limits",
                                  "limits.idle_timeout_ms"};
   routing::RoutingConfiguration configuration;
-  std::uint32_t skipped = 0;
   const auto object = filter.read(value, "routes[]", [&](const json &it) {
     if (auto route = decodeRoute(it))
       configuration.Routes.push_back(*std::move(route));
     else
-      ++skipped;
+      ++skippedRoutes;
   });
   if (!object)
     return std::nullopt;
@@ -222,7 +224,6 @@
       limits != object->end() && limits->is_object())
     if (const auto idle = durationMember(*limits, "idle_timeout_ms"))
       configuration.IdleTimeout = *idle;
-  unreadable += skipped;
   return configuration;
 }
 
@@ -240,16 +241,43 @@
   return encoded;
 }
 
+/// Counts \p n parts of an entry that are not used.
+void reject(RegistryPage &page, RejectedEntry entry, std::uint32_t n = 1) {
+  page.Unreadable += n;
+  if (page.Rejected.size() < RegistryPage::MaxRejected)
+    page.Rejected.push_back(std::move(entry));
+}
+
+/// The value of \p item, decoded. Sets \p rejected if it cannot be used.
+std::optional<std::string> decodeValue(const json &item, bool isServer,
+                                       RejectedEntry &rejected) {
+  const auto it = item.find("value");
+  if (it == item.end() || !it->is_string()) {
+    rejected.Why = EntryRejection::Encoding;
+    return std::nullopt;
+  }
+  const auto &text = it->get_ref<const std::string &>();
+  rejected.Bytes = text.size() / 4 * 3;
+  if (isServer && rejected.Bytes > MaxServerBytes) {
+    rejected.Why = EntryRejection::TooLong;
+    return std::nullopt;
+  }
+  std::string value;
+  if (!absl::Base64Unescape(text, &value)) {
+    rejected.Why = EntryRejection::Encoding;
+    return std::nullopt;
+  }
+  return value;
+}
+
 /// Decodes one item or event and adds it to \p page.
 void decodeItem(const json &item, RegistryPage &page) {
-  if (!item.is_object()) {
-    ++page.Unreadable;
-    return;
-  }
-  const auto key = member<std::string>(item, "key");
-  const auto revision = member<std::uint64_t>(item, "revision");
-  if (!key || !revision) {
-    ++page.Unreadable;
+  const auto key = item.is_object() ? member<std::string>(item, "key")
+                                    : std::optional<std::string>();
+  const auto revision =
+      key ? member<std::uint64_t>(item, "revision") : std::nullopt;
+  if (!revision) {
+    reject(page, {.Key = key.value_or("")});
     return;
   }
   page.LastKey = *key;
@@ -260,9 +288,11 @@
   const auto tombstone = item.find("tombstone");
   const bool isRemoved = tombstone != item.end() && tombstone->is_boolean() &&
                          tombstone->get<bool>();
+  RejectedEntry rejected{.Key = *key, .Revision = *revision};
   // Hosts cannot tell each other of such a name, and no server has it.
   if (isServer && !isServerName(name)) {
-    page.Unreadable += isRemoved ? 0 : 1;
+    if (!isRemoved)
+      reject(page, std::move(rejected));
     return;
   }
   if (isRemoved) {
@@ -270,27 +300,31 @@
       page.Removed.push_back({name, *revision});
     return;
   }
-  std::string value;
-  const auto encodedValue = member<std::string>(item, "value");
-  if (!encodedValue || !absl::Base64Unescape(*encodedValue, &value)) {
-    ++page.Unreadable;
-    return;
-  }
+  const auto value = decodeValue(item, isServer, rejected);
   if (!isServer) {
-    if (auto it = decodeConfiguration(value, page.Unreadable))
-      page.Configuration = std::move(it);
-    else
-      ++page.Unreadable;
+    std::uint32_t skippedRoutes = 0;
+    auto configuration =
+        value ? decodeConfiguration(*value, skippedRoutes) : std::nullopt;
+    if (value)
+      rejected.Why =
+          configuration ? EntryRejection::Field : EntryRejection::Syntax;
+    if (!configuration)
+      reject(page, std::move(rejected));
+    else if (skippedRoutes != 0)
+      reject(page, std::move(rejected), skippedRoutes);
+    if (configuration)
+      page.Configuration = std::move(configuration);
     return;
   }
-  if (auto server = decodeServer(name, value)) {
+  if (auto server =
+          value ? decodeServer(name, *value, rejected.Why) : std::nullopt) {
     server->Revision = *revision;
     page.Servers.push_back(*std::move(server));
-  } else {
-    ++page.Unreadable;
-    // The last valid entry is obsolete, so the backend server is removed.
-    page.Removed.push_back({name, *revision});
+    return;
   }
+  reject(page, std::move(rejected));
+  // The last valid entry is obsolete, so the backend server is removed.
+  page.Removed.push_back({name, *revision, /*IsUnreadable=*/true});
 }
 
 } // namespace
