Let auburnctl go on after an odd answer or log line

Cause: a member of another type in a host's status, or in a log line, raised an exception that ended the command; a malformed list of causes or burn report of one host ended it on purpose. What the other hosts answered was lost. An explanation with bytes that are not UTF-8 could not be written as JSON.

Change: odd members are passed over. A host with a malformed report is listed with those that failed to answer, and the others are reported.

--- a/Source/Tool/BurnCommand.cpp
+++ b/Source/Tool/BurnCommand.cpp
@@ -11,7 +11,6 @@
 #include <algorithm>
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <optional>
 
 namespace auburnroute::tool {
 
@@ -27,17 +26,17 @@
   std::size_t Hosts = 0;
 };
 
-std::optional<CombinedBurn>
-sumReports(const std::vector<HostResponse> &responses, Output &output) {
+/// Sums the reports of \p responses; those that are not valid become failed
+/// ones.
+CombinedBurn sumReports(std::vector<HostResponse> &responses) {
   CombinedBurn sum;
-  for (const auto &it : responses) {
+  for (auto &it : responses) {
     if (!it.Body.ok())
       continue;
     const auto burn = state::decodeBurnReport(*it.Body);
     if (!burn.ok()) {
-      output.Err << "auburnctl: " << it.Host << ": " << burn.status().message()
-                 << "\n";
-      return std::nullopt;
+      it.Body = burn.status();
+      continue;
     }
     state::addBurnReport(sum.Services, *burn);
     sum.LongestUptime = std::max(sum.LongestUptime, burn->Uptime);
@@ -131,22 +130,20 @@
     output.Err << "auburnctl: " << client.status().message() << "\n";
     return ExitFailure;
   }
-  const auto responses = client->getFromAll("/burn");
-  const auto burn = sumReports(responses, output);
-  if (!burn)
-    return ExitFailure;
-  if (!arguments.HtmlFile.empty() && !writePage(*burn, arguments.HtmlFile)) {
+  auto responses = client->getFromAll("/burn");
+  const auto burn = sumReports(responses);
+  if (!arguments.HtmlFile.empty() && !writePage(burn, arguments.HtmlFile)) {
     output.Err << "auburnctl: " << arguments.HtmlFile
                << ": cannot be written\n";
     return ExitFailure;
   }
   if (arguments.WritesJson) {
-    auto root = toJson(*burn);
+    auto root = toJson(burn);
     root["not_answered"] = failedHosts(responses);
     output.Out << root.dump(2) << "\n";
     return ExitSuccess;
   }
-  writeText(*burn, output.Out);
+  writeText(burn, output.Out);
   reportFailedHosts(responses, output.Out);
   return ExitSuccess;
 }
--- a/Source/Tool/CauseCommand.cpp
+++ b/Source/Tool/CauseCommand.cpp
@@ -100,17 +100,16 @@
     output.Err << "auburnctl: " << client.status().message() << "\n";
     return ExitFailure;
   }
-  const auto responses = client->getFromAll(
+  auto responses = client->getFromAll(
       absl::StrCat("/cause?since=", absl::ToInt64Seconds(*since)));
   std::vector<state::CauseEntry> entries;
-  for (const auto &it : responses) {
+  for (auto &it : responses) {
     if (!it.Body.ok())
       continue;
     const auto decoded = state::decodeCauses(*it.Body);
     if (!decoded.ok()) {
-      output.Err << "auburnctl: " << it.Host << ": "
-                 << decoded.status().message() << "\n";
-      return ExitFailure;
+      it.Body = decoded.status();
+      continue;
     }
     entries.insert(entries.end(), decoded->begin(), decoded->end());
   }
--- a/Source/Tool/ExplainCommand.cpp
+++ b/Source/Tool/ExplainCommand.cpp
@@ -19,7 +19,9 @@
     }
   const auto explanation = FlowExplanation::of(arguments.Flow, archive);
   if (arguments.WritesJson)
-    output.Out << explanation.json().dump() << "\n";
+    output.Out << explanation.json().dump(
+                      -1, ' ', false, nlohmann::json::error_handler_t::replace)
+               << "\n";
   else
     output.Out << explanation.text();
   return explanation.isFound() ? ExitSuccess : ExitFailure;
--- a/Source/Tool/FlowExplanation.cpp
+++ b/Source/Tool/FlowExplanation.cpp
@@ -50,9 +50,8 @@
                         line.number("revision"), ", was ",
                         line.number("view_age_ms"), " ms old");
   if (line.Event == "refused")
-    return absl::StrCat(line.Fields.value("reset", false)
-                            ? "answered with a TCP reset"
-                            : "packet dropped",
+    return absl::StrCat(line.flag("reset") ? "answered with a TCP reset"
+                                           : "packet dropped",
                         ", cause ", line.text("cause"),
                         reason.empty() ? "" : absl::StrCat(" (", reason, ")"));
   if (line.Event == "suspected")
@@ -97,7 +96,7 @@
                               line.number("lapsed"),
                               " servers were not registered again");
   if (line.Event == "registry")
-    return line.Fields.value("reachable", false)
+    return line.flag("reachable")
                ? "the registry responds"
                : absl::StrCat("the registry does not respond: ",
                               line.text("reason"));
@@ -184,7 +183,7 @@
   for (const auto &line : archive.lines())
     if (line.text("flow") == Flow && OpenFlowRefusal::isExplained(line)) {
       auto &it = refusals[{line.Host, line.text("cause"), line.text("reason"),
-                           line.Fields.value("reset", false)}];
+                           line.flag("reset")}];
       if (it.Count++ == 0)
         it.First = &line;
     }
--- a/Source/Tool/HostClient.cpp
+++ b/Source/Tool/HostClient.cpp
@@ -27,6 +27,12 @@
   return std::move(response->Body);
 }
 
+/// The member \p name of \p object if it is a string, otherwise empty.
+std::string textOf(const nlohmann::json &object, const char *name) {
+  const auto it = object.find(name);
+  return it != object.end() && it->is_string() ? it->get<std::string>() : "";
+}
+
 } // namespace
 
 absl::StatusOr<HostClient> HostClient::discover(const Arguments &arguments) {
@@ -50,10 +56,9 @@
     if (!root.is_object() || !root.contains("hosts"))
       continue;
     for (const auto &host : root.at("hosts")) {
-      const auto peerEndpoint =
-          common::parseEndpoint(host.value("operator", std::string()));
-      if (peerEndpoint.ok() && host.value("state", "") != "dead")
-        namesByEndpoint[*peerEndpoint] = host.value("name", "");
+      const auto peerEndpoint = common::parseEndpoint(textOf(host, "operator"));
+      if (peerEndpoint.ok() && textOf(host, "state") != "dead")
+        namesByEndpoint[*peerEndpoint] = textOf(host, "name");
     }
   }
   if (!hasResponse)
--- a/Source/Tool/LogArchive.cpp
+++ b/Source/Tool/LogArchive.cpp
@@ -12,10 +12,16 @@
   return it != Fields.end() && it->is_string() ? it->get<std::string>() : "";
 }
 
+bool LogLine::flag(const char *name) const {
+  const auto it = Fields.find(name);
+  return it != Fields.end() && it->is_boolean() && it->get<bool>();
+}
+
 std::int64_t LogLine::number(const char *name, std::int64_t fallback) const {
   const auto it = Fields.find(name);
-  return it != Fields.end() && it->is_number() ? it->get<std::int64_t>()
-                                               : fallback;
+  // A floating-point number may be out of range.
+  return it != Fields.end() && it->is_number_integer() ? it->get<std::int64_t>()
+                                                       : fallback;
 }
 
 absl::Status LogArchive::addFile(const std::string &name) {
--- a/Source/Tool/LogArchive.h
+++ b/Source/Tool/LogArchive.h
@@ -20,6 +20,8 @@
 
   /// Value of a string field; empty if absent.
   std::string text(const char *name) const;
+  /// Whether a field is true; false if absent.
+  bool flag(const char *name) const;
   /// Value of a number field; \p fallback if absent.
   std::int64_t number(const char *name, std::int64_t fallback = 0) const;
 };
--- a/Source/Tool/OpenFlowRefusal.cpp
+++ b/Source/Tool/OpenFlowRefusal.cpp
@@ -17,11 +17,6 @@
 
 namespace {
 
-bool isTrue(const LogLine &line, const char *name) {
-  const auto it = line.Fields.find(name);
-  return it != line.Fields.end() && it->is_boolean() && it->get<bool>();
-}
-
 std::string countOf(std::int64_t n, const char *thing) {
   return absl::StrCat(n, " ", thing, n == 1 ? "" : "s");
 }
@@ -36,8 +31,8 @@
 
 OpenFlowRefusal::OpenFlowRefusal(const LogLine &line, std::size_t count,
                                  LogArchive &archive)
-    : Line(line), Count(count), Archive(archive),
-      IsReset(isTrue(line, "reset")), Server(line.text("server")) {
+    : Line(line), Count(count), Archive(archive), IsReset(line.flag("reset")),
+      Server(line.text("server")) {
   for (const auto &it : Archive.lines())
     if (it.Event == "start")
       if (const auto packets = it.text("packets"); !packets.empty())
@@ -146,12 +141,12 @@
       hostAt(decider), " decided ", before(decision->TimeMs), " from ",
       countOf(decision->number("requests"), "request"), " and ",
       countOf(decision->number("syns"), "SYN"), " of ",
-      isTrue(*decision, "several_callers") ? "several callers" : "one caller",
+      decision->flag("several_callers") ? "several callers" : "one caller",
       " without an answer, reported by ",
       countOf(decision->number("reporters"), "host"),
       "; the slowest of its recent answers had taken ",
       decision->number("slowest_answer_ms"), " ms, and ",
-      isTrue(*decision, "many_retransmissions") ? "many" : "few",
+      decision->flag("many_retransmissions") ? "many" : "few",
       " of its answered requests had been retransmitted"));
 }
 
--- a/Source/Tool/StatusCommand.cpp
+++ b/Source/Tool/StatusCommand.cpp
@@ -74,13 +74,18 @@
                  << ": the status is not a JSON object\n";
       continue;
     }
-    const auto name = status.value("host", it.Host);
-    if (arguments.WritesJson)
-      all["hosts"].push_back(status);
-    else if (status.contains("settings"))
-      writeText(name, status, output.Out);
-    else
-      writeEdgeText(name, status, output.Out);
+    // A status with members of other types must not hide those of other hosts.
+    try {
+      const auto name = status.value("host", it.Host);
+      if (arguments.WritesJson)
+        all["hosts"].push_back(status);
+      else if (status.contains("settings"))
+        writeText(name, status, output.Out);
+      else
+        writeEdgeText(name, status, output.Out);
+    } catch (const Json::exception &ex) {
+      output.Err << "auburnctl: " << it.Host << ": " << ex.what() << "\n";
+    }
   }
   if (arguments.WritesJson)
     output.Out << all.dump(2) << "\n";
--- a/Source/UnitTests/Tool/ExplainTest.cpp
+++ b/Source/UnitTests/Tool/ExplainTest.cpp
@@ -362,4 +362,28 @@
   BOOST_TEST(contains(out.str(), "no errors, filled with sample values"));
 }
 
+// Guards against a log line with fields of other types, or bytes that are no
+// text, that ends the command without an explanation.
+BOOST_AUTO_TEST_CASE(OddLinesDoNotHideOthers) {
+  LogArchive archive;
+  archive.addText("\xff\xfe "
+                  R"({"time_ms":1000000,"event":"refused","flow":")" +
+                      Flow +
+                      R"(","cause":"no_route","reset":"yes","server":[]}
+{"time_ms":1e300,"event":"refused","flow":7}
+{"time_ms":1000001,"event":"registry","reachable":5,"reason":{}}
+{"time_ms":1000002,"event":"verdict","server":"s-1","age_ms":1e300}
+)" + std::string(2000, '[') +
+                      "\n" + lateLog(),
+                  "x");
+  const auto explanation = FlowExplanation::of(Flow, archive);
+  BOOST_TEST(explanation.isFound());
+  BOOST_TEST(explanation.text().find("responded after 190 ms") !=
+             std::string::npos);
+  BOOST_TEST(
+      !explanation.json()
+           .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
+           .empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
