Bound what reports take from requests and other hosts

Causes, each found by reading the paths of bytes of other writers: - A report with a name that is not valid UTF-8 raised an exception that nobody catches, which ends the process.

Change: invalid bytes are replaced. Time ranges are limited to the hour that is kept. Causes whose times are not in the minute of their key, or more than an hour ahead, are ignored.

Tests: ReportsCanBeWrittenForAnyName, LongRangesGiveAllCauses and CausesOfOtherMinutesAreNotKept failed before.

--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -10,6 +10,7 @@
 
 #include <csignal>
 #include <random>
+#include <utility>
 
 namespace auburnroute::edge {
 
@@ -46,12 +47,14 @@
 /// since the view may lag behind.
 constexpr std::chrono::seconds RetentionMargin{5};
 
-/// The time range of the parameter "since" in seconds; without it, all causes
-/// that are kept.
+/// The time range of the parameter "since" in seconds; without it or if it is
+/// longer, that of all causes that are kept.
 std::chrono::seconds causeRangeOf(std::string_view query) {
+  const std::chrono::seconds longest = state::CauseStore::Retention;
   const auto since = reactor::numberInQuery(query, "since");
-  return since ? std::chrono::seconds(*since)
-               : std::chrono::seconds(state::CauseStore::Retention);
+  return since && std::cmp_less(*since, longest.count())
+             ? std::chrono::seconds(*since)
+             : longest;
 }
 
 /// Verdicts stand as long for the hosts that decide as for those that are told.
--- a/Source/Fleet/CauseHistory.cpp
+++ b/Source/Fleet/CauseHistory.cpp
@@ -80,7 +80,10 @@
 void CauseHistory::expire() { Causes.expire(wallTime()); }
 
 std::string CauseHistory::causes(std::chrono::seconds since) const {
-  return state::encodeCauses(Host, Causes.since(wallTime() - since));
+  // Longer ranges could overflow the time.
+  const auto range =
+      std::min<std::chrono::seconds>(since, state::CauseStore::Retention);
+  return state::encodeCauses(Host, Causes.since(wallTime() - range));
 }
 
 std::string CauseHistory::burn() const {
--- a/Source/State/BurnReportCodec.cpp
+++ b/Source/State/BurnReportCodec.cpp
@@ -72,7 +72,8 @@
             {"services", Json::object()}};
   for (const auto &[name, service] : burn.Services)
     root["services"][name] = toJson(service);
-  return root.dump(1) + "\n";
+  // A name of another writer may have invalid UTF-8, for which dump() throws.
+  return root.dump(1, ' ', false, Json::error_handler_t::replace) + "\n";
 }
 
 absl::StatusOr<HostBurnReport> decodeBurnReport(std::string_view text) {
--- a/Source/State/CauseCodec.cpp
+++ b/Source/State/CauseCodec.cpp
@@ -36,7 +36,8 @@
          {"count", it.Count},
          {"first_ms", common::toEpochMilliseconds(it.First)},
          {"last_ms", common::toEpochMilliseconds(it.Last)}});
-  return root.dump(1) + "\n";
+  // A name of another writer may have invalid UTF-8, for which dump() throws.
+  return root.dump(1, ' ', false, Json::error_handler_t::replace) + "\n";
 }
 
 absl::StatusOr<std::vector<CauseEntry>> decodeCauses(std::string_view text) {
--- a/Source/State/CauseStore.cpp
+++ b/Source/State/CauseStore.cpp
@@ -35,6 +35,11 @@
   // behind that of the peer.
   if (entry.Last < now - Retention || entry.Count == 0)
     return;
+  // Entries with other times would not expire in time and displace others.
+  if (entry.Last > now + Retention ||
+      minuteOf(entry.First) != entry.Key.Minute ||
+      minuteOf(entry.Last) != entry.Key.Minute)
+    return;
   auto &value = Entries[entry.Key];
   if (value.Count == 0) {
     value.First = entry.First;
--- a/Source/State/CauseStore.h
+++ b/Source/State/CauseStore.h
@@ -54,7 +54,8 @@
   void record(common::WallTime now, Cause why, const std::string &service,
               std::uint64_t revision, const std::string &subject,
               std::uint64_t n = 1);
-  /// Merges a copy from a peer. Entries past the retention are ignored.
+  /// Merges a copy from a peer. Entries past the retention, more than it in the
+  /// future, or of another minute than that of their key are ignored.
   void merge(common::WallTime now, const CauseEntry &entry);
   /// Takes at most \p limit entries of this host that changed since they were
   /// last taken, in round-robin order of their keys.
--- a/Source/UnitTests/Fleet/CauseHistoryTest.cpp
+++ b/Source/UnitTests/Fleet/CauseHistoryTest.cpp
@@ -107,4 +107,51 @@
   BOOST_TEST((handedOver.front().Key.Cause == Cause::NoRoute));
 }
 
+// Guards against a time range so long that the subtraction overflows and no
+// cause is found.
+BOOST_AUTO_TEST_CASE(LongRangesGiveAllCauses) {
+  common::ManualClock clock;
+  CauseHistory history("a-1", "192.0.2.1", clock);
+  history.recordForHost(Cause::HostPaused);
+  clock.advance(10min);
+  for (const auto range :
+       {std::chrono::seconds(3600), std::chrono::seconds(10'000'000'000),
+        std::chrono::seconds(18'446'744'074), std::chrono::seconds::max()}) {
+    const auto entries = state::decodeCauses(history.causes(range));
+    BOOST_REQUIRE(entries.ok());
+    BOOST_TEST(entries->size() == 1U, range.count());
+  }
+  BOOST_TEST(state::decodeCauses(history.causes(1min)).value().empty());
+}
+
+// Guards against causes of a peer with minutes in the far future, which would
+// never expire and displace all others.
+BOOST_AUTO_TEST_CASE(CausesOfOtherMinutesAreNotKept) {
+  common::ManualClock clock;
+  CauseHistory history("a-1", "192.0.2.1", clock);
+  history.recordForHost(Cause::HostPaused);
+  std::vector<state::CauseEntry> entries;
+  const auto now = clock.wallTime();
+  for (std::uint64_t n = 0; n < 2 * CauseHistory::MaxEntries; ++n) {
+    state::CauseEntry entry;
+    entry.Key = {"b-1", 1, state::minuteOf(now), Cause::NoRoute, "orders",
+                 n,     ""};
+    entry.Count = 1;
+    entry.First = entry.Last = now;
+    if (n % 2 == 0)
+      entry.Key.Minute += n + 1;
+    else
+      entry.First = entry.Last = now + std::chrono::hours(n + 2);
+    if (n % 2 != 0)
+      entry.Key.Minute = state::minuteOf(entry.Last);
+    entries.push_back(entry);
+  }
+  history.merge(entries);
+  BOOST_TEST(entriesOf(history).size() == 1U);
+  auto valid = entries.front();
+  valid.Key.Minute = state::minuteOf(valid.First);
+  history.merge({valid});
+  BOOST_TEST(entriesOf(history).size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/State/ReportCodecTest.cpp
+++ b/Source/UnitTests/State/ReportCodecTest.cpp
@@ -41,4 +41,20 @@
   BOOST_TEST(!state::decodeBurnReport("[]").ok());
 }
 
+// Guards against a name with invalid UTF-8, as the configuration of a peer may
+// have it, that ends the process when a report is written.
+BOOST_AUTO_TEST_CASE(ReportsCanBeWrittenForAnyName) {
+  const std::string name = "orders\xff\xfe";
+  common::ManualClock clock;
+  state::CauseStore store(name, 42);
+  store.record(clock.wallTime(), state::Cause::NoRoute, name, 7, name);
+  const auto causes = state::decodeCauses(
+      state::encodeCauses(name, store.since(clock.wallTime() - 1min)));
+  BOOST_REQUIRE(causes.ok());
+  BOOST_TEST(causes->size() == 1U);
+  state::HostBurnReport burn{name, 3min, {}};
+  burn.Services[name] = {};
+  BOOST_TEST(state::decodeBurnReport(state::encodeBurnReport(burn)).ok());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
