Play entries of another writer in the soak

The simulated registry pages by bytes, too. Each run now reports hosts that end by themselves or use more than 80 MB, the memory of the smallest hosts.

--- a/Source/UnitTests/Process/edge_fleet.py
+++ b/Source/UnitTests/Process/edge_fleet.py
@@ -22,6 +22,8 @@
 import traceback
 import urllib.parse
 
+from odd_entries import OddEntryWriter
+
 PACKET_HEADER = struct.Struct(">IBIIHIHIIH")
 SYN, ACK, FIN, RST = 8, 128, 64, 4
 READY_PORT, CONTROL_PORT, PEER_PORT, PACKET_PORT = 8167, 8166, 7720, 8172
@@ -29,6 +31,7 @@
 SETTLE_SECONDS = 4.0  # without a fault, after which the bounds hold
 REQUEST_TIMEOUT_SECONDS = 3.0  # after which a caller gives up a request
 STRAY_SECONDS, STRAY_PACKETS = 2.0, 3  # packets to other servers, none to the own, that break an open flow
+MAX_MEMORY_KIB = 80 * 1024  # memory of the smallest hosts
 KEYED_CHECKSUM = 0x5EED  # any value other than 0, which marks a reset by a host
 
 now = time.monotonic
@@ -79,6 +82,8 @@
 class Registry:
     """Simulates the metadata store: items, watches and failure modes."""
 
+    PAGE_ITEMS, PAGE_BYTES = 10, 1_000_000  # the platform's pages have 500 items; fewer make lists of several pages
+
     def __init__(self):
         self.items, self.events, self.revision = {}, [], 1
         self.mode = "up"
@@ -112,7 +117,8 @@
     def put(self, key, value):
         self.revision += 1
         created = self.items[key]["created"] if key in self.items else self.revision
-        self.items[key] = {"key": key, "value": base64.b64encode(value.encode()).decode(),
+        data = value if isinstance(value, bytes) else value.encode()
+        self.items[key] = {"key": key, "value": base64.b64encode(data).decode(),
                            "revision": self.revision, "created": created, "lease": 0}
         self.notify(self.items[key])
 
@@ -157,7 +163,13 @@
             return (503 if self.mode == "down" else 429), {}
         if path == "/kv-range":
             items = [it for key, it in sorted(self.items.items()) if key > parameters.get("after", "")]
-            return 200, {"items": items[:10], "has_more": len(items) > 10, "at_rev": self.revision}
+            page, size = [], 0
+            for it in items[:self.PAGE_ITEMS]:
+                size += len(it["value"])
+                if page and size > self.PAGE_BYTES:
+                    break
+                page.append(it)
+            return 200, {"items": page, "has_more": len(items) > len(page), "at_rev": self.revision}
         after = int(parameters["after"])
         if after > self.revision:
             return 410, {}
@@ -347,8 +359,22 @@
     def mark_disturbed(self):
         self.disturbed_at = now()
 
+    def check_process(self):
+        """Reports a process that ended by itself or exceeded its memory."""
+        if self.process.returncode not in (None, 0, -signal.SIGKILL):
+            self.fleet.report_failure(f"{self.name}: ended by itself with status {self.process.returncode}")
+        try:
+            with open(f"/proc/{self.process.pid}/status") as file:
+                peak = next((int(it.split()[1]) for it in file if it.startswith("VmHWM:")), 0)
+        except OSError:
+            return  # it has just ended
+        self.fleet.counts["max_memory_kib"] = max(self.fleet.counts["max_memory_kib"], peak)
+        if peak > MAX_MEMORY_KIB:
+            self.fleet.report_failure(f"{self.name}: used {peak} KiB of memory, limit {MAX_MEMORY_KIB} KiB")
+
     async def kill(self, down_seconds=0.3):
         self.mark_disturbed()
+        self.check_process()
         self.process.kill()
         await self.process.wait()
         await asyncio.sleep(down_seconds)
@@ -357,6 +383,7 @@
 
     async def stop(self):
         self.stopping = True
+        self.check_process()
         began = now()
         self.process.terminate()
         code = await self.process.wait()
@@ -500,6 +527,7 @@
     def __init__(self, bin_dir, seed, folder, net, odd_bin_dir=None):
         self.bin_dir, self.folder, self.net = bin_dir, folder, net
         self.odd_bin_dir = odd_bin_dir or bin_dir
+        self.seed = seed
         self.random, self.fault_random = random.Random(seed), random.Random(f"overlapping faults {seed}")
         self.registry = Registry()
         self.hosts, self.servers, self.callers = [], [], []
@@ -507,7 +535,7 @@
         self.run_counts, self.failures = {}, []
         self.watched = []  # shares of the live servers of which a reset would be reported, every 50 ms
         self.counts = {"sent": 0, "answered": 0, "unanswered": 0, "refused": 0, "feeds": 0, "opened": 0, "resets": 0,
-                       "max_lag_ms": 0}
+                       "max_lag_ms": 0, "max_memory_kib": 0, "odd_entries": 0}
         self.version, self.idle_route_dropped_at = 0, None
         self.number = 0
         self.planned_only = True
@@ -1013,7 +1041,14 @@
         finally:
             self.is_over = True
 
-    async def run(self, seconds, planned_only, course, hosts_per_zone):
+    async def write_odd_entries(self):
+        while not self.events_over.is_set():
+            await asyncio.sleep(self.odd_entries.random.uniform(0.05, 1))
+            self.counts["odd_entries"] += self.odd_entries.write_some()
+            if self.odd_entries.random.random() < 0.2:
+                self.odd_entries.remove_some()
+
+    async def run(self, seconds, planned_only, course, hosts_per_zone, has_odd_entries):
         self.planned_only = planned_only
         # Cut and lossy links excuse resets, so half of the runs have none.
         self.has_link_faults = self.fault_random.random() < 0.5
@@ -1026,6 +1061,9 @@
                 for it in (self.send_requests(caller), self.keep_feed(caller), self.keep_feed(caller))]
         load.append(asyncio.ensure_future(self.measure_lag()))
         end = now() + seconds
+        if has_odd_entries:
+            self.odd_entries = OddEntryWriter(self.registry, self.seed)
+            self.tasks.append(asyncio.ensure_future(self.write_odd_entries()))
         if course:
             await asyncio.sleep(seconds)
             self.begin("registry", course(self))
@@ -1065,8 +1103,13 @@
 
     async def check_views(self):
         """Checks that all hosts have the registry's configuration, servers and era."""
-        entries = [json.loads(base64.b64decode(it["value"])) for key, it in self.registry.items.items()
-                   if key.startswith("servers/")]
+        own = {f"servers/{it.name}" for it in self.servers}
+        entries = [json.loads(base64.b64decode(it["value"])) for key, it in self.registry.items.items() if key in own]
+        if self.counts["odd_entries"]:
+            self.odd_entries.remove_all()
+            await asyncio.sleep(CHANGE_BOUND_SECONDS)
+        for host in self.hosts:
+            host.check_process()
         expected = {"auburnedge_configuration_version": self.version, "auburnedge_registry_era": self.registry.era,
                     "auburnedge_view_revision": self.registry.revision,
                     "auburnedge_ready_servers": sum(it["state"] == "ready" for it in entries)}
@@ -1123,6 +1166,7 @@
     courses = parser.add_mutually_exclusive_group()
     for name, course, help_text in COURSES:
         courses.add_argument(name, dest="course", action="store_const", const=course, help=help_text)
+    parser.add_argument("--odd-entries", action="store_true", help="another writer leaves odd entries in the registry")
     parser.add_argument("--hosts", type=int, default=2, help="hosts per zone, of which there are two")
     parser.add_argument("--net", type=int, default=0, choices=range(25), help="loopback network, to run several at once")
     parser.add_argument("--odd-bin-dir", help="programs of the hosts with odd numbers, for a fleet of two versions")
@@ -1133,7 +1177,8 @@
     random.seed(options.seed)
     fleet = Fleet(options.bin_dir, options.seed, folder, options.net, options.odd_bin_dir)
     try:
-        asyncio.run(fleet.run_to_the_end(options.seconds, options.calm, options.course, options.hosts))
+        asyncio.run(fleet.run_to_the_end(options.seconds, options.calm, options.course, options.hosts,
+                                         options.odd_entries))
     finally:
         for host in fleet.hosts:
             if host.process is not None and host.process.returncode is None:
