Read the answers of the registry that hold keys which are no text

Cause: a JSON parser rejects a whole text for one byte that is not UTF-8, a control character or the escape of a single surrogate. Values are base64, but a key is written as the registry has it. With one such key no list and no watch could be read, and hosts would stop following all entries.

Change: an answer that cannot be read is tried once more with such parts of its strings replaced. The entry itself is rejected, as no server has such a name.

Test: KeysThatAreNoTextDoNotHideOtherEntries failed before.

--- a/Source/UnitTests/platform/StoreCodecTest.cpp
+++ b/Source/UnitTests/platform/StoreCodecTest.cpp
@@ -292,6 +292,25 @@
   }
 }
 
+// Guards against an answer that cannot be read as a whole, so that hosts stop
+// following changes, because of a key with bytes that are no text.
+BOOST_AUTO_TEST_CASE(KeysThatAreNoTextDoNotHideOtherEntries) {
+  for (const std::string key :
+       {"servers/\xff", "servers/\xc3", "servers/\xc0\xaf",
+        "servers/\xe0\x80\x80", "servers/\xed\xa0\x80",
+        "servers/\xf4\x90\x80\x80", "servers/a\nb", R"(servers/\udcff)",
+        R"(servers/\ud83c)", R"(servers/\ud83cx)", R"(servers/\ud83c\ud83c)",
+        R"(servers/\ud83c\udfed)", "servers/\xf0\x9f\x8f\xad"}) {
+    const auto page =
+        decode(list({item(key, Server, 5), item("servers/i-02", Server, 6)}));
+    BOOST_TEST(page.Servers.size() == 1U, key);
+    BOOST_TEST(page.Unreadable == 1U, key);
+    BOOST_TEST(page.LastKey == "servers/i-02", key);
+  }
+  BOOST_TEST(!StoreCodec::decode({}, "{\"items\":[\xff],\"at_rev\":1}").ok());
+  BOOST_TEST(!StoreCodec::decode({}, "{\"items\":[\"\\").ok());
+}
+
 // Guards against a crash, or a server without identity or port, from a
 // truncated or corrupted response body.
 BOOST_AUTO_TEST_CASE(CorruptedBodiesYieldErrorsOrValidServers) {
--- a/Source/platform/StoreCodec.cpp
+++ b/Source/platform/StoreCodec.cpp
@@ -3,6 +3,7 @@
 #include "Common/EpochTime.h"
 #include "Common/Text.h"
 #include "platform/JsonFilter.h"
+#include "platform/JsonText.h"
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/escaping.h"
@@ -327,6 +328,41 @@
   page.Removed.push_back({name, *revision, /*IsUnreadable=*/true});
 }
 
+absl::StatusOr<RegistryPage> decodePage(bool isList, std::string_view body) {
+  // One element is stored at a time.
+  static const JsonFilter listFilter{
+      "at_rev",           "items",         "items[]",           "items[].key",
+      "items[].revision", "items[].value", "items[].tombstone", "has_more"};
+  static const JsonFilter watchFilter{"at_rev",
+                                      "events",
+                                      "events[]",
+                                      "events[].key",
+                                      "events[].revision",
+                                      "events[].value",
+                                      "events[].tombstone",
+                                      "has_more"};
+  RegistryPage page;
+  const auto object = (isList ? listFilter : watchFilter)
+                          .read(body, isList ? "items[]" : "events[]",
+                                [&](const json &it) { decodeItem(it, page); });
+  if (!object)
+    return absl::InvalidArgumentError("the response body is not a JSON object");
+  const auto revision = member<std::uint64_t>(*object, "at_rev");
+  if (!revision)
+    return absl::InvalidArgumentError(
+        "the response body has no unsigned integer \"at_rev\"");
+  page.Revision = *revision;
+  const auto *listName = isList ? "items" : "events";
+  const auto items = object->find(listName);
+  if (items == object->end() || !items->is_array())
+    return absl::InvalidArgumentError(
+        absl::StrCat("the response body has no array \"", listName, "\""));
+  const auto more = object->find("has_more");
+  page.HasMore =
+      more != object->end() && more->is_boolean() && more->get<bool>();
+  return page;
+}
+
 } // namespace
 
 std::string StoreCodec::requestTarget(const RegistryCall &call) {
@@ -364,37 +400,11 @@
 absl::StatusOr<RegistryPage> StoreCodec::decode(const RegistryCall &call,
                                                 std::string_view body) {
   const bool isList = call.Kind == RegistryCallKind::List;
-  // One element is stored at a time.
-  static const JsonFilter listFilter{
-      "at_rev",           "items",         "items[]",           "items[].key",
-      "items[].revision", "items[].value", "items[].tombstone", "has_more"};
-  static const JsonFilter watchFilter{"at_rev",
-                                      "events",
-                                      "events[]",
-                                      "events[].key",
-                                      "events[].revision",
-                                      "events[].value",
-                                      "events[].tombstone",
-                                      "has_more"};
-  RegistryPage page;
-  const auto object = (isList ? listFilter : watchFilter)
-                          .read(body, isList ? "items[]" : "events[]",
-                                [&](const json &it) { decodeItem(it, page); });
-  if (!object)
-    return absl::InvalidArgumentError("the response body is not a JSON object");
-  const auto revision = member<std::uint64_t>(*object, "at_rev");
-  if (!revision)
-    return absl::InvalidArgumentError(
-        "the response body has no unsigned integer \"at_rev\"");
-  page.Revision = *revision;
-  const auto *listName = isList ? "items" : "events";
-  const auto items = object->find(listName);
-  if (items == object->end() || !items->is_array())
-    return absl::InvalidArgumentError(
-        absl::StrCat("the response body has no array \"", listName, "\""));
-  const auto more = object->find("has_more");
-  page.HasMore =
-      more != object->end() && more->is_boolean() && more->get<bool>();
+  auto page = decodePage(isList, body);
+  // A key with odd bytes must not hide the other entries.
+  if (!page.ok())
+    if (const auto valid = withValidStrings(body); valid != body)
+      page = decodePage(isList, valid);
   return page;
 }
 
