Limit the answers of a host that wait for their clients

Cause: a host answered up to 64 requests at the same time, each with a body of its own. A view with many entries of another writer has up to 2 MiB, with a large configuration 3 MiB, and after a loss of power many hosts fetch one at once: 192 MiB in the worst case, on a host with 80 MB.

Change: while 16 MiB wait, further requests get status 503; a starting host then asks another one. ViewMemoryTest also checks what a full view takes at the host that fetches it.

Test: AnswersThatWaitForClientsAreLimited failed before: five answers of 8 MiB were built, now two are.

--- a/Source/Reactor/AsyncHttpServer.cpp
+++ b/Source/Reactor/AsyncHttpServer.cpp
@@ -25,6 +25,10 @@
 /// Limit of concurrent connections, which bounds memory and file descriptors.
 /// Further connections are closed when they are accepted.
 constexpr std::size_t MaxConnections = 64;
+/// Limit of the answers that wait for their clients, in bytes; one may exceed
+/// it. Further requests get status 503. A view has at most 3 MiB, and after a
+/// loss of power many hosts fetch one at the same time.
+constexpr std::size_t MaxWaitingBytes = std::size_t{16} * 1024 * 1024;
 /// Delay after a failed accept, for example when file descriptors run out.
 constexpr std::chrono::milliseconds AcceptRetryDelay{100};
 
@@ -36,12 +40,15 @@
     : public std::enable_shared_from_this<AsyncHttpServer::Session> {
 public:
   Session(tcp::socket socket, std::shared_ptr<PathHandlers> handlers,
-          std::shared_ptr<std::size_t> sessionCount)
+          std::shared_ptr<Load> load)
       : Stream(std::move(socket)), Handlers(std::move(handlers)),
-        SessionCount(std::move(sessionCount)) {
-    ++*SessionCount;
+        ServerLoad(std::move(load)) {
+    ++ServerLoad->Sessions;
+  }
+  ~Session() {
+    --ServerLoad->Sessions;
+    ServerLoad->WaitingBytes -= Response.body().size();
   }
-  ~Session() { --*SessionCount; }
 
   void readRequest() {
     Parser.emplace();
@@ -73,23 +80,32 @@
       Response.result(http::status::method_not_allowed);
     } else if (it == Handlers->end()) {
       Response.result(http::status::not_found);
+    } else if (ServerLoad->WaitingBytes >= MaxWaitingBytes) {
+      Response.result(http::status::service_unavailable);
     } else {
       auto result = it->second.Handle(query);
       Response.result(result.Status);
       Response.set(http::field::content_type, it->second.ContentType);
       Response.body() = std::move(result.Body);
+      ServerLoad->WaitingBytes += Response.body().size();
     }
     Response.prepare_payload();
     http::async_write(Stream, Response,
                       [self = shared_from_this()](auto ec, std::size_t) {
+                        self->releaseBody();
                         if (!ec && self->Response.keep_alive())
                           self->readRequest();
                       });
   }
 
+  void releaseBody() {
+    ServerLoad->WaitingBytes -= Response.body().size();
+    Response.body() = {};
+  }
+
   beast::tcp_stream Stream;
   std::shared_ptr<PathHandlers> Handlers;
-  std::shared_ptr<std::size_t> SessionCount;
+  std::shared_ptr<Load> ServerLoad;
   beast::flat_buffer Buffer;
   std::optional<http::request_parser<http::empty_body>> Parser;
   http::response<http::string_body> Response;
@@ -101,9 +117,9 @@
     : public std::enable_shared_from_this<AsyncHttpServer::Listener> {
 public:
   Listener(asio::io_context &loop, std::shared_ptr<PathHandlers> handlers,
-           std::shared_ptr<std::size_t> sessionCount)
+           std::shared_ptr<Load> load)
       : Acceptor(loop), RetryTimer(loop), Handlers(std::move(handlers)),
-        SessionCount(std::move(sessionCount)) {}
+        ServerLoad(std::move(load)) {}
 
   absl::Status open(common::Endpoint address) {
     const tcp::endpoint at(asio::ip::address_v4(address.Address), address.Port);
@@ -135,9 +151,9 @@
         return;
       if (ec)
         return self->retryAcceptLater();
-      if (*self->SessionCount < MaxConnections)
+      if (self->ServerLoad->Sessions < MaxConnections)
         std::make_shared<Session>(std::move(socket), self->Handlers,
-                                  self->SessionCount)
+                                  self->ServerLoad)
             ->readRequest();
       self->accept();
     });
@@ -154,13 +170,13 @@
   tcp::acceptor Acceptor;
   asio::steady_timer RetryTimer;
   std::shared_ptr<PathHandlers> Handlers;
-  std::shared_ptr<std::size_t> SessionCount;
+  std::shared_ptr<Load> ServerLoad;
   bool IsClosed = false;
 };
 
 AsyncHttpServer::AsyncHttpServer(asio::io_context &loop)
     : Loop(loop), Handlers(std::make_shared<PathHandlers>()),
-      SessionCount(std::make_shared<std::size_t>(0)) {}
+      ServerLoad(std::make_shared<Load>()) {}
 
 AsyncHttpServer::~AsyncHttpServer() {
   if (ActiveListener)
@@ -173,7 +189,7 @@
 }
 
 absl::Status AsyncHttpServer::listen(common::Endpoint address) {
-  ActiveListener = std::make_shared<Listener>(Loop, Handlers, SessionCount);
+  ActiveListener = std::make_shared<Listener>(Loop, Handlers, ServerLoad);
   return ActiveListener->open(address);
 }
 
--- a/Source/Reactor/AsyncHttpServer.h
+++ b/Source/Reactor/AsyncHttpServer.h
@@ -37,13 +37,18 @@
     std::string ContentType;
     Handler Handle;
   };
+  /// What the connections take together.
+  struct Load {
+    std::size_t Sessions = 0;
+    std::size_t WaitingBytes = 0; ///< Of answers that are not sent yet.
+  };
   class Session;
   class Listener;
   using PathHandlers = std::map<std::string, PathHandler, std::less<>>;
 
   boost::asio::io_context &Loop;
   std::shared_ptr<PathHandlers> Handlers;
-  std::shared_ptr<std::size_t> SessionCount;
+  std::shared_ptr<Load> ServerLoad;
   std::shared_ptr<Listener> ActiveListener;
 };
 
--- a/Source/UnitTests/Reactor/AsyncHttpTest.cpp
+++ b/Source/UnitTests/Reactor/AsyncHttpTest.cpp
@@ -264,6 +264,46 @@
   BOOST_TEST(call(loop, client, "/x").ok());
 }
 
+// Guards against large answers to many clients at once that exceed the memory
+// of the process: a view may have 3 MiB.
+BOOST_AUTO_TEST_CASE(AnswersThatWaitForClientsAreLimited) {
+  boost::asio::io_context loop;
+  const auto address = freeEndpoint(loop);
+  AsyncHttpServer server(loop);
+  int handled = 0;
+  server.serve("/large", "text/plain", [&](std::string_view) {
+    ++handled;
+    return HttpResponse{200, std::string(std::size_t{8} * 1024 * 1024, 'x')};
+  });
+  server.serve("/x", "text/plain", [](std::string_view) {
+    return HttpResponse{200, "ok"};
+  });
+  BOOST_REQUIRE(server.listen(address).ok());
+  std::vector<tcp::socket> slowClients;
+  for (int i = 0; i < 5; ++i) {
+    slowClients.emplace_back(loop);
+    slowClients.back().connect(
+        {boost::asio::ip::address_v4(address.Address), address.Port});
+    boost::asio::write(slowClients.back(),
+                       boost::asio::buffer(std::string(
+                           "GET /large HTTP/1.1\r\nHost: x\r\n\r\n")));
+  }
+  boost::asio::steady_timer pause(loop, 50ms);
+  pause.async_wait([](auto) {});
+  loop.restart();
+  loop.run_for(60ms);
+  AsyncHttpClient client(loop, address);
+  BOOST_TEST(call(loop, client, "/x")->Status == 503);
+  BOOST_TEST(handled == 2);
+  // A client that has gone takes no more memory.
+  slowClients.clear();
+  pause.expires_after(50ms);
+  pause.async_wait([](auto) {});
+  loop.restart();
+  loop.run_for(60ms);
+  BOOST_TEST(call(loop, client, "/x")->Status == 200);
+}
+
 // A server that sends an answer twice: the second copy must not be taken for
 // the answer to the next request on the connection.
 BOOST_AUTO_TEST_CASE(SecondCopyOfAnAnswerIsNotTheNextAnswer) {
--- a/Source/UnitTests/platform/ViewMemoryTest.cpp
+++ b/Source/UnitTests/platform/ViewMemoryTest.cpp
@@ -1,3 +1,5 @@
+#include "Fleet/GossipCodec.h"
+#include "Fleet/RegistryReader.h"
 #include "UnitTests/Fleet/FleetFixture.h"
 #include "UnitTests/platform/AllocationPeak.h"
 #include "platform/StoreCodec.h"
@@ -8,6 +10,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace auburnroute;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -47,6 +50,16 @@
     }
     BOOST_TEST(peak.bytes() <= maxPeakBytes);
     BOOST_TEST(host.View.refused() + host.View.unreadable() >= 180000U);
+    // A host that starts fetches the view of this one.
+    const auto snapshot = fleet::GossipCodec::encode(
+        fleet::AgedSnapshot{host.View.snapshotSince(0, 0), milliseconds(0)});
+    const unittests::AllocationPeak peerPeak;
+    unittests::ViewFixture peer;
+    const auto decoded = fleet::GossipCodec::decodeSnapshot(snapshot);
+    BOOST_REQUIRE(decoded.has_value());
+    peer.View.applySnapshot(decoded->View, milliseconds(0), clock.now());
+    BOOST_TEST(peer.Directory.size() == host.Directory.size());
+    BOOST_TEST(peerPeak.bytes() <= maxPeakBytes);
   }
 }
 
