--- a/Source/UnitTests/Fleet/GossipCodecTest.cpp
+++ b/Source/UnitTests/Fleet/GossipCodecTest.cpp
@@ -178,7 +178,8 @@
       auto server = unittests::sampleServer(n, 1769245012022 + n);
       server.Name = std::string(length - 1, 'x') + std::to_string(n);
       server.Service = server.Zone = std::string(length, 'y');
-      server.StartTimeMs = server.Sequence = 1769245012022;
+      server.StartTimeMs = 1769245012022;
+      server.Sequence = 1769245012022;
       tags.push_back(routing::ServerTag::of(n).front());
       servers.push_back(server);
     }
--- a/Source/UnitTests/Reactor/AsyncHttpTest.cpp
+++ b/Source/UnitTests/Reactor/AsyncHttpTest.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -110,8 +111,11 @@
     Timer.async_wait([this](auto ec) {
       if (ec)
         return;
-      boost::asio::write(*Peer, boost::asio::buffer(Pieces[Next++]), ec);
-      sendNext();
+      boost::asio::async_write(*Peer, boost::asio::buffer(Pieces[Next++]),
+                               [this](auto error, auto) {
+                                 if (!error)
+                                   sendNext();
+                               });
     });
   }
 
@@ -187,6 +191,29 @@
              status.message());
 }
 
+// Guards against a body without a stated length of any size.
+BOOST_AUTO_TEST_CASE(OversizedChunkedBodyIsRejected) {
+  for (const std::size_t chunkBytes :
+       {std::size_t{5} * 1024 * 1024, std::size_t{512} * 1024}) {
+    boost::asio::io_context loop;
+    const auto address = freeEndpoint(loop);
+    std::vector<std::string> pieces = {
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"};
+    std::ostringstream chunk;
+    chunk << std::hex << chunkBytes << "\r\n"
+          << std::string(chunkBytes, 'x') << "\r\n";
+    pieces.front() += chunk.str();
+    for (int i = 0; i < 10; ++i)
+      pieces.push_back(chunk.str());
+    pieces.push_back("0\r\n\r\n");
+    SlowServer server(loop, address, pieces, 1ms);
+    AsyncHttpClient client(loop, address);
+    const auto status = call(loop, client, "/x").status();
+    BOOST_TEST((status.code() == absl::StatusCode::kResourceExhausted),
+               status.message());
+  }
+}
+
 // Guards against a large answer that can never be read over a slow link,
 // because the timeout of the request is over before its last byte.
 BOOST_AUTO_TEST_CASE(BodyMayArriveAfterTheTimeout) {
--- a/Source/UnitTests/platform/StoreCodecTest.cpp
+++ b/Source/UnitTests/platform/StoreCodecTest.cpp
@@ -337,11 +337,11 @@
 // Guards against an entry of another writer whose document exceeds the memory
 // of a host, 80 MB: nested arrays take 80 bytes for each byte of the value.
 BOOST_AUTO_TEST_CASE(OddValuesTakeLittleMemory) {
-  constexpr std::size_t valueBytes = 1048576; // Limit of the registry.
-  constexpr std::size_t maxPeakBytes = std::size_t{12} * 1024 * 1024;
+  constexpr std::size_t ValueBytes = 1048576; // Limit of the registry.
+  constexpr std::size_t MaxPeakBytes = std::size_t{12} * 1024 * 1024;
   const auto repeated = [](std::string_view text) {
     std::string value;
-    while (value.size() + text.size() <= valueBytes)
+    while (value.size() + text.size() <= ValueBytes)
       value.append(text);
     return value;
   };
@@ -361,7 +361,7 @@
           {item("servers/i-02", Server, 6), item(key, value, 5)}, "events");
       const unittests::AllocationPeak peak;
       const auto page = decode(body, RegistryCallKind::Watch);
-      BOOST_TEST(peak.bytes() <= maxPeakBytes, value.substr(0, 40));
+      BOOST_TEST(peak.bytes() <= MaxPeakBytes, value.substr(0, 40));
       BOOST_TEST(page.Servers.size() == 1U);
       BOOST_TEST(page.Unreadable == 1U);
     }
@@ -370,11 +370,11 @@
 // Guards against a body with many odd entries, each of which would need little
 // memory.
 BOOST_AUTO_TEST_CASE(ManyOddEntriesTakeLittleMemory) {
-  constexpr std::size_t bodyBytes = std::size_t{4} * 1024 * 1024;
-  constexpr std::size_t maxPeakBytes = std::size_t{24} * 1024 * 1024;
+  constexpr std::size_t BodyBytes = std::size_t{4} * 1024 * 1024;
+  constexpr std::size_t MaxPeakBytes = std::size_t{24} * 1024 * 1024;
   std::vector<std::string> items = {item("servers/i-02", Server, 1)};
   std::size_t size = 0;
-  while (size < bodyBytes) {
+  while (size < BodyBytes) {
     items.push_back(item(absl::StrCat("servers/i-9", absl::Hex(items.size())),
                          R"({"service":[]})", items.size()));
     size += items.back().size();
@@ -382,7 +382,7 @@
   const auto body = list(items, "events");
   const unittests::AllocationPeak peak;
   const auto page = decode(body, RegistryCallKind::Watch);
-  BOOST_TEST(peak.bytes() <= maxPeakBytes);
+  BOOST_TEST(peak.bytes() <= MaxPeakBytes);
   BOOST_TEST(page.Servers.size() == 1U);
   BOOST_TEST(page.Unreadable == items.size() - 1);
 }
--- a/Source/UnitTests/platform/ViewMemoryTest.cpp
+++ b/Source/UnitTests/platform/ViewMemoryTest.cpp
@@ -31,7 +31,7 @@
 // Guards against a list with very many entries of another writer, readable or
 // not, for which a host exceeds its memory of 80 MB.
 BOOST_AUTO_TEST_CASE(ManyEntriesTakeLittleMemory) {
-  constexpr std::size_t maxPeakBytes = std::size_t{32} * 1024 * 1024;
+  constexpr std::size_t MaxPeakBytes = std::size_t{32} * 1024 * 1024;
   for (const std::string value :
        {R"({"service":"press","address":"10.128.0.9:8080","zone":"sando",)"
         R"("slots":2,"state":"ready","sequence":4,"born":1769245012022})",
@@ -48,7 +48,7 @@
       BOOST_REQUIRE(answer.ok());
       reader.onPage(*answer, clock.now());
     }
-    BOOST_TEST(peak.bytes() <= maxPeakBytes);
+    BOOST_TEST(peak.bytes() <= MaxPeakBytes);
     BOOST_TEST(host.View.refused() + host.View.unreadable() >= 180000U);
     // A host that starts fetches the view of this one.
     const auto snapshot = fleet::GossipCodec::encode(
@@ -59,7 +59,7 @@
     BOOST_REQUIRE(decoded.has_value());
     peer.View.applySnapshot(decoded->View, milliseconds(0), clock.now());
     BOOST_TEST(peer.Directory.size() == host.Directory.size());
-    BOOST_TEST(peerPeak.bytes() <= maxPeakBytes);
+    BOOST_TEST(peerPeak.bytes() <= MaxPeakBytes);
   }
 }
 
--- a/Source/platform/JsonText.cpp
+++ b/Source/platform/JsonText.cpp
@@ -22,7 +22,7 @@
     unsigned char MinSecond;
     unsigned char MaxSecond;
   };
-  static constexpr std::array<Lead, 9> leads{{{0x00, 0x7f, 1, 0, 0},
+  static constexpr std::array<Lead, 9> Leads{{{0x00, 0x7f, 1, 0, 0},
                                               {0xc2, 0xdf, 2, 0x80, 0xbf},
                                               {0xe0, 0xe0, 3, 0xa0, 0xbf},
                                               {0xe1, 0xec, 3, 0x80, 0xbf},
@@ -35,10 +35,10 @@
     return static_cast<unsigned char>(text[i]);
   };
   const auto first = byteAt(0);
-  const auto lead = std::ranges::find_if(leads, [&](const Lead &it) {
+  const auto lead = std::ranges::find_if(Leads, [&](const Lead &it) {
     return first >= it.First && first <= it.Last;
   });
-  if (lead == leads.end() || text.size() < lead->Length)
+  if (lead == Leads.end() || text.size() < lead->Length)
     return 0;
   if (lead->Length > 1 &&
       (byteAt(1) < lead->MinSecond || byteAt(1) > lead->MaxSecond))
@@ -69,7 +69,7 @@
 } // namespace
 
 std::string withValidStrings(std::string_view text) {
-  constexpr std::size_t unitLength = 6; // \uXXXX
+  constexpr std::size_t UnitLength = 6; // \uXXXX
   std::string out;
   out.reserve(text.size());
   bool isInString = false;
@@ -78,11 +78,11 @@
     if (isInString && text.front() == '\\') {
       const auto unit = escapedUnit(text);
       if (isHighSurrogate(unit) &&
-          isLowSurrogate(escapedUnit(text.substr(unitLength)))) {
-        n = 2 * unitLength;
+          isLowSurrogate(escapedUnit(text.substr(UnitLength)))) {
+        n = 2 * UnitLength;
       } else if (isHighSurrogate(unit) || isLowSurrogate(unit)) {
         out.append("\\ufffd");
-        text.remove_prefix(unitLength);
+        text.remove_prefix(UnitLength);
         continue;
       } else {
         n = std::min<std::size_t>(2, text.size());
--- a/Source/platform/StoreCodec.cpp
+++ b/Source/platform/StoreCodec.cpp
@@ -64,19 +64,19 @@
   if (it->is_number_unsigned())
     return std::min(it->get<std::uint64_t>(), max);
   // The parser reads integers of more than 64 bits as floating-point numbers.
-  constexpr double pastUint64 = 18446744073709551616.0;
-  if (it->is_number_float() && it->get<double>() >= pastUint64)
+  constexpr double PastUint64 = 18446744073709551616.0;
+  if (it->is_number_float() && it->get<double>() >= PastUint64)
     return max;
   return std::nullopt;
 }
 
 /// The member \p name as a duration in milliseconds. Messages between hosts
-/// hold at most maxDuration, so that all hosts limit a longer one to it.
+/// hold at most MaxDuration, so that all hosts limit a longer one to it.
 std::optional<milliseconds> durationMember(const json &object,
                                            const char *name) {
-  constexpr std::uint64_t maxDuration =
+  constexpr std::uint64_t MaxDuration =
       std::numeric_limits<std::int32_t>::max();
-  if (const auto value = limitedMember(object, name, maxDuration))
+  if (const auto value = limitedMember(object, name, MaxDuration))
     return milliseconds(*value);
   return std::nullopt;
 }
