--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -239,8 +239,8 @@
   message.Changes.Era = in.era();
   message.Changes.From = in.changes_from();
   // An invalid server rejects the whole message: without it, the changes would
-  // not be complete up to Changes.To. They are without an entry under a name
-  // that no server has.
+  // not be complete up to Changes.To. An entry whose name no server can have is
+  // no part of them.
   for (const auto &it : in.changes()) {
     if (!routing::isValidName(it.name())) {
       ++message.SkippedServers;
--- a/Source/platform/JsonFilter.cpp
+++ b/Source/platform/JsonFilter.cpp
@@ -1,7 +1,5 @@
 #include "platform/JsonFilter.h"
 
-#include "Common/Text.h"
-
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
