Read the servers of messages and views in one place, and drop small repeats

Left: RouteTable and ServerDirectory keep the set of routed services and the sum of names, which could be derived, as both are read for each applied entry; the members of SelectedValueBuilder that JsonReader has, too, are the parser's interface.

--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -33,7 +33,7 @@
     return false;
   const auto limit = isRouted ? MaxBytes : MaxBytes / 2;
   const auto bytes =
-      Directory.size() * NumberBytes + Directory.nameBytes() + NumberBytes;
+      (Directory.size() + 1) * NumberBytes + Directory.nameBytes();
   return bytes + nameBytes(server) <= limit ||
          Directory.findByName(server.Name) != nullptr;
 }
@@ -327,16 +327,19 @@
   for (auto it = History.rbegin(); it != History.rend(); ++it) {
     if (it->Revision <= since || !seen.insert(it->Name).second)
       continue;
-    std::vector<const ServerRegistration *> next;
-    if (const auto *known = Directory.findByName(it->Name))
-      next.push_back(&known->Registration);
+    const auto *known = Directory.findByName(it->Name);
     const auto held = Withheld.find(it->Name);
-    if (held != Withheld.end())
-      next.push_back(&held->second);
-    for (const auto *server : next)
-      bytes += nameBytes(*server);
+    std::size_t n = 0;
+    if (known != nullptr) {
+      ++n;
+      bytes += nameBytes(known->Registration);
+    }
+    if (held != Withheld.end()) {
+      ++n;
+      bytes += nameBytes(held->second);
+    }
     const bool isFirst = changes.Servers.empty();
-    if (changes.Servers.size() + next.size() > maxServers ||
+    if (changes.Servers.size() + n > maxServers ||
         (!isFirst && bytes > MaxNameBytes)) {
       // Only a receiver that already has the changes left out may apply the
       // rest, so From is raised to the highest revision left out; History is
@@ -344,8 +347,10 @@
       changes.From = std::max(changes.From, it->Revision);
       continue;
     }
-    for (const auto *server : next)
-      changes.Servers.push_back(*server);
+    if (known != nullptr)
+      changes.Servers.push_back(known->Registration);
+    if (held != Withheld.end())
+      changes.Servers.push_back(held->second);
   }
   return changes;
 }
--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -88,6 +88,25 @@
       .LapsedFor = milliseconds(in.lapsed_ms())};
 }
 
+/// Reads the changes or servers of a view. Returns false if one is invalid:
+/// without it, the view would not be complete. Entries whose names no server
+/// can have are no part of it; they are counted in \p skipped.
+bool read(const google::protobuf::RepeatedPtrField<wire::Server> &in,
+          std::uint64_t era, std::vector<routing::ServerRegistration> &out,
+          std::size_t &skipped) {
+  for (const auto &it : in) {
+    if (!routing::isValidName(it.name())) {
+      ++skipped;
+      continue;
+    }
+    auto server = read(it, era);
+    if (!server)
+      return false;
+    out.push_back(*std::move(server));
+  }
+  return true;
+}
+
 void write(const routing::RoutingConfiguration &configuration,
            wire::Configuration &out) {
   out.set_version(configuration.Version);
@@ -238,19 +257,9 @@
   message.Changes.To = in.revision();
   message.Changes.Era = in.era();
   message.Changes.From = in.changes_from();
-  // An invalid server rejects the whole message: without it, the changes would
-  // not be complete up to Changes.To. An entry whose name no server can have is
-  // no part of them.
-  for (const auto &it : in.changes()) {
-    if (!routing::isValidName(it.name())) {
-      ++message.SkippedServers;
-      continue;
-    }
-    auto server = read(it, in.era());
-    if (!server)
-      return std::nullopt;
-    message.Changes.Servers.push_back(*std::move(server));
-  }
+  if (!read(in.changes(), in.era(), message.Changes.Servers,
+            message.SkippedServers))
+    return std::nullopt;
   message.ViewAge = milliseconds(in.age_ms());
   message.Changes.ConfigurationVersion = in.configuration_version();
   for (const auto &it : in.suspects())
@@ -308,16 +317,9 @@
     snapshot.View.Configuration = *std::move(configuration);
   else
     return std::nullopt;
-  for (const auto &it : in.servers()) {
-    if (!routing::isValidName(it.name())) {
-      ++snapshot.SkippedServers;
-      continue;
-    }
-    auto server = read(it, in.era());
-    if (!server)
-      return std::nullopt;
-    snapshot.View.Servers.push_back(*std::move(server));
-  }
+  if (!read(in.servers(), in.era(), snapshot.View.Servers,
+            snapshot.SkippedServers))
+    return std::nullopt;
   return snapshot;
 }
 
--- a/Source/Reactor/AsyncHttpServer.cpp
+++ b/Source/Reactor/AsyncHttpServer.cpp
@@ -47,7 +47,7 @@
   }
   ~Session() {
     --ServerLoad->Sessions;
-    ServerLoad->WaitingBytes -= Response.body().size();
+    releaseBody();
   }
 
   void readRequest() {
--- a/Source/UnitTests/Reactor/AsyncHttpTest.cpp
+++ b/Source/UnitTests/Reactor/AsyncHttpTest.cpp
@@ -42,6 +42,14 @@
   return *std::move(result);
 }
 
+/// Runs the event loop for a while without a request.
+void runForAWhile(boost::asio::io_context &loop) {
+  boost::asio::steady_timer pause(loop, 50ms);
+  pause.async_wait([](auto) {});
+  loop.restart();
+  loop.run_for(60ms);
+}
+
 /// Accepts connections one after the other and answers the requests on each
 /// with the next of \p answers; closes the connection after the last one.
 class ScriptedServer {
@@ -284,10 +292,7 @@
   AsyncHttpClient client(loop, address);
   BOOST_TEST(!call(loop, client, "/x").ok());
   idleClients.clear();
-  boost::asio::steady_timer pause(loop, 50ms);
-  pause.async_wait([](auto) {});
-  loop.restart();
-  loop.run_for(60ms);
+  runForAWhile(loop);
   BOOST_TEST(call(loop, client, "/x").ok());
 }
 
@@ -315,19 +320,13 @@
                        boost::asio::buffer(std::string(
                            "GET /large HTTP/1.1\r\nHost: x\r\n\r\n")));
   }
-  boost::asio::steady_timer pause(loop, 50ms);
-  pause.async_wait([](auto) {});
-  loop.restart();
-  loop.run_for(60ms);
+  runForAWhile(loop);
   AsyncHttpClient client(loop, address);
   BOOST_TEST(call(loop, client, "/x")->Status == 503);
   BOOST_TEST(handled == 2);
   // A client that has gone takes no more memory.
   slowClients.clear();
-  pause.expires_after(50ms);
-  pause.async_wait([](auto) {});
-  loop.restart();
-  loop.run_for(60ms);
+  runForAWhile(loop);
   BOOST_TEST(call(loop, client, "/x")->Status == 200);
 }
 
--- a/Source/platform/StoreCodec.cpp
+++ b/Source/platform/StoreCodec.cpp
@@ -309,10 +309,8 @@
     if (value)
       rejected.Why =
           configuration ? EntryRejection::Field : EntryRejection::Syntax;
-    if (!configuration)
-      reject(page, std::move(rejected));
-    else if (skippedRoutes != 0)
-      reject(page, std::move(rejected), skippedRoutes);
+    if (!configuration || skippedRoutes != 0)
+      reject(page, std::move(rejected), configuration ? skippedRoutes : 1);
     if (configuration)
       page.Configuration = std::move(configuration);
     return;
