--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -48,6 +48,8 @@
     return state::Cause::NoRoute;
   case RefusalReason::NoServer:
     return state::Cause::NoBackendServer;
+  case RefusalReason::Overloaded:
+    return state::Cause::QueueFull;
   case RefusalReason::UnknownServer:
     return state::Cause::UnknownServer;
   case RefusalReason::ServerGone:
--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -111,6 +111,13 @@
            wire::Configuration &out) {
   out.set_version(configuration.Version);
   out.set_idle_timeout_ms(clampedMilliseconds(configuration.IdleTimeout));
+  for (const auto &it : configuration.ColdStarts) {
+    auto &service = *out.add_services();
+    service.set_name(it.Service);
+    service.set_cold_start_ms(clampedMilliseconds(it.Duration));
+    service.set_cold_millirate(static_cast<std::uint32_t>(
+        std::clamp(it.FlowsPerSecond, 0.0, 1e6) * 1000));
+  }
   for (const auto &route : configuration.Routes) {
     auto &wireRoute = *out.add_routes();
     wireRoute.set_name(route.Name);
@@ -119,6 +126,7 @@
     wireRoute.set_kind(static_cast<std::uint32_t>(route.Kind));
     wireRoute.set_timeout_ms(clampedMilliseconds(route.Timeout));
     wireRoute.set_objective_ms(clampedMilliseconds(route.Objective));
+    wireRoute.set_priority(route.Priority);
     for (const auto &share : route.Services) {
       auto &service = *wireRoute.add_services();
       service.set_service(share.Service);
@@ -143,10 +151,15 @@
     route.Kind = static_cast<RequestKind>(it.kind());
     route.Timeout = milliseconds(it.timeout_ms());
     route.Objective = milliseconds(it.objective_ms());
+    route.Priority = it.priority();
     for (const auto &share : it.services())
       route.Services.push_back({share.service(), share.weight()});
     configuration.Routes.push_back(std::move(route));
   }
+  for (const auto &it : in.services())
+    configuration.ColdStarts.push_back({it.name(),
+                                        milliseconds(it.cold_start_ms()),
+                                        it.cold_millirate() / 1000.0});
   return configuration;
 }
 
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -41,6 +41,8 @@
     return "unknown_server";
   case RefusalReason::ServerGone:
     return "server_gone";
+  case RefusalReason::Overloaded:
+    return "overloaded";
   case RefusalReason::Malformed:
     return "malformed";
   case RefusalReason::Count:
@@ -159,6 +161,15 @@
     recordRetransmission(flow->Server, SuspicionReason::SynUnanswered, id,
                          flow->LastSeen, now);
   const auto service = serviceOf(route, id);
+  // Copies follow an admitted SYN, which a server may have answered.
+  if (Admission != nullptr && packet.Acknowledgement == 0 &&
+      !Admission->admits(id, route, service, now)) {
+    PendingSyns.erase(id);
+    return refuse({.Flow = id,
+                   .Why = RefusalReason::Overloaded,
+                   .IsSyn = true,
+                   .Service = service});
+  }
   const auto server = PlacementPolicy.choose(
       service, std::span<const ServerId>(pending.TriedServers), UsesLapsed,
       now);
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Clock.h"
+#include "Routing/FlowAdmission.h"
 #include "Routing/FlowTable.h"
 #include "Routing/Placement.h"
 #include "Routing/RouteTable.h"
@@ -28,6 +29,10 @@
       : Routes(routes), Directory(directory), Health(health), Flows(health),
         PlacementPolicy(placement), Observer(observer) {}
 
+  /// Sets what decides whether new flows are accepted; all are if it is null.
+  /// It must outlive the object.
+  void setAdmission(FlowAdmission *admission) { Admission = admission; }
+
   RoutingOutcome onPacket(const FlowPacket &packet, common::TimePoint now);
   /// Gives up the flows with a pending request to \p server if it is dead:
   /// its callers would otherwise wait for a retransmission or their timeout.
@@ -106,6 +111,7 @@
   FlowTable Flows;
   Placement &PlacementPolicy;
   RoutingObserver &Observer;
+  FlowAdmission *Admission = nullptr;
   absl::flat_hash_map<FlowId, PendingSyn> PendingSyns;
   // Callers control tags and addresses, so both tables are bounded.
   static constexpr std::size_t MaxPendingSyns = 16384;
--- a/Source/Routing/RouteTable.h
+++ b/Source/Routing/RouteTable.h
@@ -31,13 +31,29 @@
   RequestKind Kind = RequestKind::Idempotent;
   std::chrono::milliseconds Timeout{0};   ///< Time limit of a request.
   std::chrono::milliseconds Objective{0}; ///< Latency objective of a request.
-  std::vector<ServiceShare> Services;     ///< At least one.
+  /// Importance of the requests; 0 is the highest.
+  std::uint32_t Priority = DefaultPriority;
+  std::vector<ServiceShare> Services; ///< At least one.
+
+  /// Of routes that state none.
+  static constexpr std::uint32_t DefaultPriority = 2;
+};
+
+/// What a service's servers bear while they are cold.
+struct ColdStartLimit {
+  std::string Service;
+  /// How long a server is cold after its start.
+  std::chrono::milliseconds Duration{0};
+  /// New flows a second that a cold server bears.
+  double FlowsPerSecond = 0;
 };
 
 /// One version of the routing configuration.
 struct RoutingConfiguration {
   std::uint64_t Version = 0; ///< 0 if none is known.
   std::vector<Route> Routes;
+  /// Of the services that limit the rate of new flows to cold servers.
+  std::vector<ColdStartLimit> ColdStarts;
   /// A flow that was idle for longer may be discarded.
   std::chrono::milliseconds IdleTimeout{15000};
 };
--- a/Source/Routing/RoutingOutcome.h
+++ b/Source/Routing/RoutingOutcome.h
@@ -16,6 +16,7 @@
                    ///< configuration.
   UnknownRoute,    ///< An open flow of a route that this host never had.
   NoServer,        ///< No backend server is available for a new flow.
+  Overloaded,      ///< No server could serve a new flow in time.
   UnknownServer,   ///< The tag matches no known backend server.
   ServerGone,      ///< The backend server of an open flow has ended.
   Malformed,
--- a/Source/Routing/ServerPlacement.cpp
+++ b/Source/Routing/ServerPlacement.cpp
@@ -28,6 +28,11 @@
   const auto &server = Directory.at(id);
   if (server.Registration.State == ServerState::Draining)
     return Rank::Unusable;
+  if (Parts.Evacuations != nullptr &&
+      Parts.Evacuations->isEvacuated(server.Registration.Zone))
+    return Rank::Unusable;
+  if (Parts.ColdStarts != nullptr && !Parts.ColdStarts->admits(server, now))
+    return Rank::Unusable;
   if (server.Registration.State == ServerState::Lapsed)
     return useLapsed && server.Registration.HasLapsedUnannounced
                ? Rank::Lapsed
@@ -39,13 +44,18 @@
                                                      : Rank::Preferred;
 }
 
-double ServerPlacement::loadOf(ServerId id, TimePoint now) const {
+double ServerPlacement::loadOf(ServerId id, std::optional<NameTable::Id> zone,
+                               TimePoint now) const {
   const auto &server = Directory.at(id);
   const auto &activity = Health.activity(id);
-  const double work = 1.0 + activity.PendingRequests + activity.PendingSyns +
-                      Weights.OpenFlow * activity.OpenFlows;
+  double work = 1.0 + activity.PendingRequests + activity.PendingSyns +
+                Weights.OpenFlow * activity.OpenFlows;
+  if (Parts.Load != nullptr) {
+    const auto remote = Parts.Load->elsewhere(id, now);
+    work += remote.Outstanding + Weights.OpenFlow * remote.OpenFlows;
+  }
   double load = work / std::max(1U, server.Registration.Slots);
-  if (server.Zone != OwnZone)
+  if (server.Zone != zone.value_or(OwnZone))
     load += Weights.OtherZone;
   if (now < server.ColdUntil)
     load += Weights.Cold;
@@ -56,6 +66,8 @@
                                                 std::span<const ServerId> tried,
                                                 bool useLapsed, TimePoint now) {
   updateUnreachableZones(now);
+  const auto zone = Parts.Zones == nullptr ? std::nullopt
+                                           : Parts.Zones->zoneFor(service, now);
   std::optional<ServerId> best;
   auto bestRank = Rank::Unusable;
   double bestLoad = 0;
@@ -64,7 +76,7 @@
     const auto rank = rankOf(id, tried, useLapsed, now);
     if (rank == Rank::Unusable || rank > bestRank)
       continue;
-    const double load = loadOf(id, now);
+    const double load = loadOf(id, zone, now);
     const bool equal = rank == bestRank && load == bestLoad && best;
     if (equal) {
       // Reservoir sampling: each of n equals is chosen with probability 1/n.
@@ -79,6 +91,8 @@
       equals = 1;
     }
   }
+  if (best && Parts.ColdStarts != nullptr)
+    Parts.ColdStarts->onPlaced(Directory.at(*best), now);
   return best;
 }
 
--- a/Source/Routing/ServerPlacement.h
+++ b/Source/Routing/ServerPlacement.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "Routing/ColdStartLimiter.h"
 #include "Routing/Placement.h"
 #include "Routing/ServerHealthTracker.h"
+#include "Routing/SharedLoad.h"
+#include "Routing/ZoneEvacuations.h"
+#include "Routing/ZoneSelector.h"
 
 #include <cstdint>
 #include <optional>
@@ -24,6 +28,15 @@
   double OpenFlow = 0.02;
 };
 
+/// Optional parts of the placement; each may be null. They must outlive the
+/// placement.
+struct PlacementParts {
+  const ZoneEvacuations *Evacuations = nullptr;
+  ColdStartLimiter *ColdStarts = nullptr;
+  const SharedLoad *Load = nullptr;
+  ZoneSelector *Zones = nullptr;
+};
+
 /// Chooses the least loaded backend server from this host's own view of load
 /// and health.
 class ServerPlacement final : public Placement {
@@ -36,10 +49,14 @@
       : Directory(directory), Health(health), OwnZone(ownZone), Random(seed),
         Weights(weights) {}
 
+  void setParts(const PlacementParts &parts) { Parts = parts; }
+
   /// The least loaded server of \p service that is not in \p tried. Suspected
   /// servers and those of unreachable zones are used only if there are no
   /// others; servers whose entry lapsed without draining are used only if \p
-  /// useLapsed is set and none is registered. Draining servers are never used.
+  /// useLapsed is set and none is registered. Draining servers, those of
+  /// evacuated zones and those that the cold start limit excludes are never
+  /// used.
   std::optional<ServerId> choose(NameTable::Id service,
                                  std::span<const ServerId> tried,
                                  bool useLapsed,
@@ -56,7 +73,9 @@
   };
   Rank rankOf(ServerId id, std::span<const ServerId> tried, bool useLapsed,
               common::TimePoint now) const;
-  double loadOf(ServerId id, common::TimePoint now) const;
+  /// \p zone: where the flow is to be served, if that is decided.
+  double loadOf(ServerId id, std::optional<NameTable::Id> zone,
+                common::TimePoint now) const;
   void updateUnreachableZones(common::TimePoint now);
 
   const ServerDirectory &Directory;
@@ -64,6 +83,7 @@
   NameTable::Id OwnZone;
   std::mt19937_64 Random;
   PlacementWeights Weights;
+  PlacementParts Parts;
   std::vector<bool> UnreachableZones;
   common::TimePoint ZonesCheckedAt;
 };
--- a/Source/platform/StoreCodec.cpp
+++ b/Source/platform/StoreCodec.cpp
@@ -168,6 +168,10 @@
   route.Timeout =
       durationMember(object, "timeout_ms").value_or(milliseconds(0));
   route.Objective = durationMember(object, "aim_ms").value_or(milliseconds(0));
+  route.Priority = static_cast<std::uint32_t>(
+      limitedMember(object, "priority",
+                    std::numeric_limits<std::uint32_t>::max())
+          .value_or(routing::Route::DefaultPriority));
   if (const auto service = member<std::string>(object, "service"))
     route.Services.push_back({*service, 1});
   else if (const auto it = object.find("backends");
@@ -187,6 +191,34 @@
   return route;
 }
 
+/// The member \p name as a non-negative number, limited to \p max; nullopt if
+/// it is absent or of another type.
+std::optional<double> numberMember(const json &object, const char *name,
+                                   double max) {
+  const auto it = object.find(name);
+  if (it == object.end() || !it->is_number() || it->get<double>() < 0)
+    return std::nullopt;
+  return std::min(it->get<double>(), max);
+}
+
+/// The limit that \p object, an element of "services", states for cold
+/// servers. A rate of 0 is the platform's word for none.
+std::optional<routing::ColdStartLimit> decodeColdStart(const json &object) {
+  constexpr double MaxSeconds = 3600;
+  constexpr double MaxRate = 1e6;
+  if (!object.is_object())
+    return std::nullopt;
+  const auto name = member<std::string>(object, "name");
+  const auto seconds = numberMember(object, "cold_start_s", MaxSeconds);
+  const auto rate = numberMember(object, "cold_per_s", MaxRate);
+  if (!name || !seconds || !rate || *seconds == 0 || *rate == 0)
+    return std::nullopt;
+  return routing::ColdStartLimit{*name,
+                                 std::chrono::duration_cast<milliseconds>(
+                                     std::chrono::duration<double>(*seconds)),
+                                 *rate};
+}
+
 /// Sets \p skippedRoutes to the number of routes that are not used.
 std::optional<routing::RoutingConfiguration>
 decodeConfiguration(std::string_view value, std::uint32_t &skippedRoutes) {
@@ -199,11 +231,17 @@
                                  "routes[].type",
                                  "routes[].timeout_ms",
                                  "routes[].aim_ms",
+                                 "routes[].priority",
                                  "routes[].service",
                                  "routes[].backends",
                                  "routes[].backends[]",
                                  "routes[].backends[].service",
                                  "routes[].backends[].weight",
+                                 "services",
+                                 "services[]",
+                                 "services[].name",
+                                 "services[].cold_start_s",
+                                 "services[].cold_per_s",
                                  "limits",
                                  "limits.idle_timeout_ms"};
   routing::RoutingConfiguration configuration;
@@ -221,6 +259,11 @@
       !routes->is_array())
     return std::nullopt;
   configuration.Version = *version;
+  if (const auto services = object->find("services");
+      services != object->end() && services->is_array())
+    for (const auto &it : *services)
+      if (auto limit = decodeColdStart(it))
+        configuration.ColdStarts.push_back(*std::move(limit));
   if (const auto limits = object->find("limits");
       limits != object->end() && limits->is_object())
     if (const auto idle = durationMember(*limits, "idle_timeout_ms"))
