--- a/Source/Edge/EdgeMetrics.cpp
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -78,6 +78,8 @@
     return "registry_lists_total";
   case EdgeCounter::EraChanges:
     return "registry_era_changes_total";
+  case EdgeCounter::EvacuationChanges:
+    return "evacuation_changes_total";
   case EdgeCounter::EntriesUnreadable:
     return "entries_unreadable_total";
   case EdgeCounter::EntriesRefused:
@@ -139,6 +141,7 @@
   appendSample(text, "registry_era", "gauge", gauges.RegistryEra);
   appendSample(text, "view_age_ms", "gauge", gauges.ViewAge.count());
   appendSample(text, "ready_servers", "gauge", gauges.ReadyServers);
+  appendSample(text, "evacuated_zones", "gauge", gauges.EvacuatedZones);
   appendSample(text, "flows", "gauge", gauges.Flows);
   appendSample(text, "peers", "gauge", gauges.Peers);
   appendSample(text, "evidence_cases", "gauge", gauges.EvidenceCases);
--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -38,6 +38,7 @@
   RegistryFailures,
   RegistryLists,
   EraChanges,
+  EvacuationChanges,
   EntriesUnreadable,
   EntriesRefused,
   EntriesOutdated,
@@ -66,6 +67,7 @@
   std::uint64_t RegistryEra = 0;
   std::chrono::milliseconds ViewAge{0};
   std::size_t ReadyServers = 0;
+  std::size_t EvacuatedZones = 0;
   std::size_t Flows = 0;
   std::size_t Peers = 0;
   std::size_t EvidenceCases = 0;
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -84,7 +84,8 @@
       ViewChangeListener(Recorder, Directory, Health),
       View(Routes, Directory, ViewChangeListener,
            fleet::FleetView::rewriteTimeFor(Settings.ServerHeartbeat)),
-      Reader(View, fleet::RegistryReadTiming::forBound(Settings.ChangeBound)),
+      Reader(View,
+             fleet::RegistryReadTiming::forBound(Settings.registryBound())),
       Peers({Settings.Peers.Address, Settings.Zone, randomSeed()},
             randomSeed()),
       Detector(Peers, Directory, Health, Recorder,
@@ -96,6 +97,7 @@
       Router(Routes, Directory, Health, Placement, Recorder), ReadyServer(Loop),
       ControlServer(Loop), MetricsServer(Loop), PeerServer(Loop) {
   Recorder.setView(&View);
+  Placement.setParts({.Evacuations = &View.evacuations()});
 }
 
 absl::Status EdgeNode::run() {
@@ -361,13 +363,16 @@
                     common::addressToString(address),
                     "\",\"state\":\"live\",\"operator\":\"",
                     common::toString({address, Settings.Control.Port}), "\"}");
+  std::string zones;
+  for (const auto &it : View.evacuations().evacuatedZones())
+    absl::StrAppend(&zones, zones.empty() ? "" : ",", "\"", it, "\"");
   return absl::StrCat(
       "{\"host\":\"", Settings.Host, "\",\"zone\":\"", Settings.Zone,
       "\",\"ready\":", Ready ? "true" : "false",
       ",\"version\":", Routes.version(), ",\"revision\":", View.revision(),
       ",\"era\":", View.era(), ",\"view_age_ms\":", View.age(now).count(),
-      ",\"servers\":", Directory.readyCount(),
-      ",\"flows\":", Router.flowCount(), ",\"peers\":", alive.size(),
+      ",\"servers\":", Directory.readyCount(), ",\"evacuated_zones\":[", zones,
+      "],\"flows\":", Router.flowCount(), ",\"peers\":", alive.size(),
       ",\"hosts\":[", hosts, "]}\n");
 }
 
@@ -380,6 +385,7 @@
   gauges.RegistryEra = View.era();
   gauges.ViewAge = View.age(now);
   gauges.ReadyServers = Directory.readyCount();
+  gauges.EvacuatedZones = View.evacuations().evacuatedZones().size();
   gauges.Flows = Router.flowCount();
   gauges.Peers = Peers.aliveCount(now);
   gauges.EvidenceCases = Detector.caseCount();
--- a/Source/Edge/EventLog.cpp
+++ b/Source/Edge/EventLog.cpp
@@ -78,6 +78,8 @@
     return "registry_read";
   case LogEvent::RegistryEra:
     return "registry_era";
+  case LogEvent::Evacuation:
+    return "evacuation";
   case LogEvent::EntryRejected:
     return "entry_rejected";
   case LogEvent::Peer:
--- a/Source/Edge/EventLog.h
+++ b/Source/Edge/EventLog.h
@@ -27,6 +27,7 @@
   Registry,
   RegistryRead,
   RegistryEra,
+  Evacuation,
   EntryRejected,
   Peer,
   ViewFetch,
--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -313,6 +313,17 @@
               absl::StrCat("\"version\":", version, viewFields()));
 }
 
+void EventRecorder::recordEvacuation(
+    const routing::ZoneEvacuation &evacuation) {
+  Metrics.add(EdgeCounter::EvacuationChanges);
+  if (Log.tryAdmit(LogEvent::Evacuation))
+    Log.write(LogEvent::Evacuation,
+              absl::StrCat(
+                  "\"zone\":\"", evacuation.Zone,
+                  "\",\"active\":", evacuation.IsActive ? "true" : "false",
+                  ",\"entry_revision\":", evacuation.Revision, viewFields()));
+}
+
 void EventRecorder::recordEra(const fleet::EraChange &change) {
   Metrics.add(EdgeCounter::EraChanges);
   History.recordForHost(state::Cause::PlatformRestored);
--- a/Source/Edge/EventRecorder.h
+++ b/Source/Edge/EventRecorder.h
@@ -39,6 +39,7 @@
   void onRejected(fleet::EvidenceRejection why, std::uint64_t identity,
                   std::uint32_t sender) override;
   void recordConfiguration(std::uint64_t version);
+  void recordEvacuation(const routing::ZoneEvacuation &evacuation);
   void recordEra(const fleet::EraChange &change);
   void recordRejectedEntry(const fleet::RejectedEntry &entry);
   void recordReconciliation(const fleet::EraReconciliation &result);
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -387,13 +387,17 @@
   if (snapshot)
     Metrics.add(EdgeCounter::GossipServersSkipped, snapshot->SkippedServers);
   std::string_view outcome = "taken";
-  if (!snapshot) {
+  const bool isOlderVersion = snapshot && !snapshot->View.HasEvacuations;
+  if (!snapshot || isOlderVersion) {
     const bool isLate = !result.ok() && now - fetch.StartedAt >= fetch.Timeout;
-    outcome = hasBody ? "malformed" : isLate ? "timed_out" : "refused";
+    outcome = isOlderVersion ? "older_version"
+              : hasBody      ? "malformed"
+              : isLate       ? "timed_out"
+                             : "refused";
     using Failure = fleet::InitialViewSource::FetchFailure;
     InitialView.onFetchFailed(isLate ? Failure::TimedOut : Failure::Refused);
     Metrics.add(EdgeCounter::SnapshotsFailed);
-    if (hasBody)
+    if (hasBody && !isOlderVersion)
       Metrics.add(EdgeCounter::GossipMalformed);
   } else if (isFirst && !InitialView.onFetched(age, now)) {
     outcome = "too_old";
--- a/Source/Edge/RegistryClient.cpp
+++ b/Source/Edge/RegistryClient.cpp
@@ -81,7 +81,7 @@
   if (Reader.onPage(*page, Clock.now()) == RegistryFailure::Malformed)
     reportFailure("a page of the list has no key after which the next begins");
   const auto entries = page->Servers.size() + page->Removed.size() +
-                       (page->Configuration ? 1 : 0);
+                       page->Evacuations.size() + (page->Configuration ? 1 : 0);
   if (call.Kind == fleet::RegistryCallKind::List || entries != 0)
     reportRead(call, HttpResponse::Ok, era, page->Revision, entries,
                Reader.view().outdated() - outdated);
--- a/Source/Edge/ViewListener.h
+++ b/Source/Edge/ViewListener.h
@@ -24,6 +24,14 @@
                                   .Revision = server.Revision,
                                   .Why = fleet::EntryRejection::NoRoom});
   }
+  void onEvacuation(const routing::ZoneEvacuation &evacuation) override {
+    Recorder.recordEvacuation(evacuation);
+  }
+  void onEvacuationRefused(const routing::ZoneEvacuation &evacuation) override {
+    Recorder.recordRejectedEntry({.Key = evacuation.Zone,
+                                  .Revision = evacuation.Revision,
+                                  .Why = fleet::EntryRejection::NoRoom});
+  }
   void onEra(const fleet::EraChange &change) override {
     Recorder.recordEra(change);
   }
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -154,6 +154,63 @@
   }
   if (page.Configuration)
     Outdated += applyConfiguration(*page.Configuration) ? 0 : 1;
+  for (auto evacuation : page.Evacuations) {
+    evacuation.Era = page.Era;
+    Outdated += applyEvacuation(evacuation, now) ? 0 : 1;
+  }
+}
+
+bool FleetView::applyEvacuation(const routing::ZoneEvacuation &evacuation,
+                                TimePoint now) {
+  const auto *known = Evacuations.find(evacuation.Zone, evacuation.Era);
+  if (known != nullptr && known->Revision >= evacuation.Revision)
+    return known->Revision == evacuation.Revision;
+  if (!Evacuations.hasRoomFor(evacuation)) {
+    ++Refused;
+    Observer.onEvacuationRefused(evacuation);
+    return true;
+  }
+  const bool changed = Evacuations.apply(evacuation, now);
+  if (evacuation.Era == Era)
+    History.push_back({evacuation.Revision, now, evacuation.Zone,
+                       /*IsEvacuation=*/true});
+  if (changed) {
+    ++ChangeCount;
+    Observer.onEvacuation(evacuation);
+  }
+  if (!evacuation.IsActive)
+    discardEndedEvacuations(now);
+  return true;
+}
+
+void FleetView::applyPeerEvacuation(const routing::ZoneEvacuation &evacuation,
+                                    TimePoint now) {
+  if (evacuation.Era < Era && IsReconciled)
+    return;
+  // As in isForgotten(): it has ended since, and the end was discarded.
+  const bool isInView =
+      (evacuation.Era == Era && evacuation.Revision <= Revision) ||
+      (evacuation.Era == PreviousEra && evacuation.Era < Era &&
+       evacuation.Revision <= PreviousRevision);
+  if (isInView && Evacuations.find(evacuation.Zone, evacuation.Era) == nullptr)
+    return;
+  applyEvacuation(evacuation, now);
+}
+
+void FleetView::endMissingEvacuations(const std::set<std::string> &present,
+                                      std::uint64_t revision, TimePoint now) {
+  for (const auto &it : Evacuations.entries())
+    if (it.IsActive && it.Era == Era && it.Revision < revision &&
+        !present.contains(it.Zone))
+      applyEvacuation({it.Zone, /*IsActive=*/false, Era, revision}, now);
+}
+
+void FleetView::discardEndedEvacuations(TimePoint now) {
+  const auto revision =
+      Evacuations.discardEnded(Directory.retention(), now, Era);
+  // Peers that may lack these ends need a full snapshot.
+  HistoryStart = std::max(HistoryStart, revision);
+  RemovalsUnknownUpTo = std::max(RemovalsUnknownUpTo, revision);
 }
 
 void FleetView::applyChanges(const RegistryPage &page, TimePoint askedAt,
@@ -201,6 +258,9 @@
       remember(it.Registration);
   for (const auto &[name, server] : Withheld)
     remember(server);
+  for (const auto &it : Evacuations.entries())
+    if (it.Era == era && it.Revision > revision)
+      History.push_back({it.Revision, now, it.Zone, /*IsEvacuation=*/true});
   RemovalsUnknownUpTo = revision;
   ++ChangeCount;
   if (change.RevisionBefore != 0)
@@ -238,18 +298,24 @@
       ++result.Lapsed;
       recordChange(it, change, now);
     }
+  for (const auto &zone : Evacuations.discardErasBefore(Era)) {
+    ++ChangeCount;
+    Observer.onEvacuation({zone, /*IsActive=*/false, Era, Revision});
+  }
   if (PreviousRevision != 0)
     Observer.onEraReconciled(result);
 }
 
 void FleetView::finishList(const std::set<std::string> &listed,
-                           const ListStart &start, TimePoint now) {
+                           const ListStart &start, TimePoint now,
+                           const std::set<std::string> &evacuated) {
   IsListDue = false;
   if (start.Era < Era)
     return;
   if (start.Era > Era)
     enterEra(start.Era, start.Revision, now, now);
   markMissingAsLapsed(listed, start.Revision, now);
+  endMissingEvacuations(evacuated, start.Revision, now);
   // Peers with an older view need a full snapshot: what was removed before the
   // list was read does not show in it.
   if (start.Revision > Revision) {
@@ -263,6 +329,10 @@
                                  milliseconds peerViewAge, TimePoint now) {
   for (const auto &it : changes.Servers)
     applyPeerServer(it, now);
+  for (const auto &it : changes.Evacuations)
+    applyPeerEvacuation(it, now);
+  if (!changes.HasEvacuations)
+    return true;
   if (changes.ConfigurationVersion > Routes.version() || changes.Era > Era)
     return false;
   if (changes.Era < Era)
@@ -278,6 +348,8 @@
                               milliseconds peerViewAge, TimePoint now) {
   for (const auto &it : snapshot.Servers)
     applyPeerServer(it, now);
+  for (const auto &it : snapshot.Evacuations)
+    applyPeerEvacuation(it, now);
   if (snapshot.Configuration.Version != 0)
     applyConfiguration(snapshot.Configuration);
   if (snapshot.Era < Era || (snapshot.Era > Era && snapshot.From != 0))
@@ -292,6 +364,11 @@
       if (it.Era == Era)
         present.insert(it.Name);
     markMissingAsLapsed(present, snapshot.Revision, now);
+    std::set<std::string> evacuated;
+    for (const auto &it : snapshot.Evacuations)
+      if (it.Era == Era)
+        evacuated.insert(it.Zone);
+    endMissingEvacuations(evacuated, snapshot.Revision, now);
     // The sender may have discarded removals.
     RemovalsUnknownUpTo = std::max(RemovalsUnknownUpTo, snapshot.Revision);
   }
@@ -315,21 +392,42 @@
   return std::chrono::duration_cast<milliseconds>(now - FreshAt);
 }
 
-ViewChanges FleetView::recentChanges(std::size_t maxServers,
+ViewChanges FleetView::recentChanges(std::size_t maxChanges,
                                      std::uint64_t since) const {
   ViewChanges changes;
   changes.From = std::max(HistoryStart, since);
   changes.To = Revision;
   changes.ConfigurationVersion = Routes.version();
   changes.Era = Era;
-  std::set<std::string_view> seen;
+  std::set<std::pair<bool, std::string_view>> seen;
   std::size_t bytes = 0;
+  std::size_t count = 0;
+  // Peers may be in the era already without having known these. They are few,
+  // and most of a message is left for changes.
+  if (!IsReconciled)
+    for (auto &old : Evacuations.entries())
+      if (old.IsActive && old.Era < Era && count < maxChanges / 2 &&
+          bytes + old.Zone.size() <= MaxNameBytes / 2) {
+        ++count;
+        bytes += old.Zone.size();
+        changes.Evacuations.push_back(std::move(old));
+      }
+  const auto repeated = count;
   for (auto it = History.rbegin(); it != History.rend(); ++it) {
-    if (it->Revision <= since || !seen.insert(it->Name).second)
+    if (it->Revision <= since ||
+        !seen.emplace(it->IsEvacuation, it->Name).second)
       continue;
-    const auto *known = Directory.findByName(it->Name);
-    const auto held = Withheld.find(it->Name);
+    const auto *evacuation =
+        it->IsEvacuation ? Evacuations.find(it->Name, Era) : nullptr;
+    const auto *known =
+        it->IsEvacuation ? nullptr : Directory.findByName(it->Name);
+    const auto held =
+        it->IsEvacuation ? Withheld.end() : Withheld.find(it->Name);
     std::size_t n = 0;
+    if (evacuation != nullptr) {
+      ++n;
+      bytes += evacuation->Zone.size();
+    }
     if (known != nullptr) {
       ++n;
       bytes += nameBytes(known->Registration);
@@ -338,15 +436,17 @@
       ++n;
       bytes += nameBytes(held->second);
     }
-    const bool isFirst = changes.Servers.empty();
-    if (changes.Servers.size() + n > maxServers ||
-        (!isFirst && bytes > MaxNameBytes)) {
+    const bool isFirst = count == repeated;
+    if (count + n > maxChanges || (!isFirst && bytes > MaxNameBytes)) {
       // Only a receiver that already has the changes left out may apply the
       // rest, so From is raised to the highest revision left out; History is
       // not sorted by revision.
       changes.From = std::max(changes.From, it->Revision);
       continue;
     }
+    count += n;
+    if (evacuation != nullptr)
+      changes.Evacuations.push_back(*evacuation);
     if (known != nullptr)
       changes.Servers.push_back(known->Registration);
     if (held != Withheld.end())
@@ -372,6 +472,9 @@
       snapshot.Servers.push_back(it.Registration);
   for (const auto &[name, server] : Withheld)
     snapshot.Servers.push_back(server);
+  for (auto &it : Evacuations.entries())
+    if (it.Era != Era || it.Revision > snapshot.From)
+      snapshot.Evacuations.push_back(std::move(it));
   return snapshot;
 }
 
@@ -407,6 +510,7 @@
   }
   RemovalsUnknownUpTo =
       std::max(RemovalsUnknownUpTo, Directory.discardExpired(now, Era));
+  discardEndedEvacuations(now);
 }
 
 } // namespace auburnroute::fleet
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -4,6 +4,7 @@
 #include "Fleet/RegistryCall.h"
 #include "Routing/RouteTable.h"
 #include "Routing/ServerDirectory.h"
+#include "Routing/ZoneEvacuations.h"
 
 #include "absl/container/flat_hash_map.h"
 
@@ -27,6 +28,11 @@
   std::uint64_t ConfigurationVersion = 0;
   /// Era that From and To belong to, see RegistryPage.
   std::uint64_t Era = 0;
+  /// Also those of earlier eras that count until the view is reconciled.
+  std::vector<routing::ZoneEvacuation> Evacuations{};
+  /// Whether the sender's view has evacuations; those of earlier versions do
+  /// not, so they leave the receiver's view incomplete.
+  bool HasEvacuations = true;
 };
 
 /// Full or partial content of a view, for a host that lacks too much to catch
@@ -42,6 +48,8 @@
   std::uint64_t Era = 0;
   /// Time for which the sender has been in the era.
   std::chrono::milliseconds EraAge{0};
+  std::vector<routing::ZoneEvacuation> Evacuations{};
+  bool HasEvacuations = true; ///< See ViewChanges.
 };
 
 /// First answer of a list of the registry.
@@ -77,6 +85,11 @@
                         routing::DirectoryChange change) = 0;
   /// The view has no room for \p server.
   virtual void onServerRefused(const routing::ServerRegistration &server) = 0;
+  /// A zone has been evacuated, or is so no longer.
+  virtual void onEvacuation(const routing::ZoneEvacuation &evacuation) = 0;
+  /// The view has no room for \p evacuation.
+  virtual void
+  onEvacuationRefused(const routing::ZoneEvacuation &evacuation) = 0;
   virtual void onEra(const EraChange &change) = 0;
   virtual void onEraReconciled(const EraReconciliation &result) = 0;
 };
@@ -91,8 +104,9 @@
 /// revisions again and lacks what was written last, until servers and operator
 /// have written it again. The view then takes the registry's new revisions, but
 /// keeps what it knew: entries that the server wrote before the known one do
-/// not count, and servers without an entry stay. After the rewrite time the
-/// registry's word holds: the view is reconciled.
+/// not count, and servers without an entry stay. Zones are evacuated if either
+/// era says so. After the rewrite time the registry's word holds: the view is
+/// reconciled.
 class FleetView {
 public:
   /// How long changes are kept for peers that lag. Peers that lag further fetch
@@ -139,23 +153,26 @@
   void applyChanges(const RegistryPage &page, common::TimePoint askedAt,
                     common::TimePoint now);
   /// Completes a list: servers that it did not contain have lapsed, unless it
-  /// is the first one of an era.
+  /// is the first one of an era, and evacuations of zones that are not in \p
+  /// evacuated have ended.
   void finishList(const std::set<std::string> &listed, const ListStart &start,
-                  common::TimePoint now);
+                  common::TimePoint now,
+                  const std::set<std::string> &evacuated = {});
   /// Applies a peer's changes. Returns whether the view is now complete up to
   /// \p changes.To, configuration included; if not, a snapshot is needed.
   /// \p peerViewAge: age of the peer's view when it sent the changes.
   bool applyPeerChanges(const ViewChanges &changes,
                         std::chrono::milliseconds peerViewAge,
                         common::TimePoint now);
-  /// Applies a snapshot whose sender had a view of age \p peerViewAge.
+  /// Applies a snapshot whose sender had a view of age \p peerViewAge, with
+  /// evacuations.
   void applySnapshot(const ViewSnapshot &snapshot,
                      std::chrono::milliseconds peerViewAge,
                      common::TimePoint now);
 
-  /// The retained changes after revision \p since, at most \p maxServers
-  /// servers with names of MaxNameBytes in all.
-  ViewChanges recentChanges(std::size_t maxServers,
+  /// The retained changes after revision \p since, at most \p maxChanges
+  /// servers and evacuations with names of MaxNameBytes in all.
+  ViewChanges recentChanges(std::size_t maxChanges,
                             std::uint64_t since = 0) const;
   /// What a host lacks whose view is complete up to \p after and has
   /// configuration \p version; a full snapshot if removals after \p after may
@@ -180,6 +197,7 @@
   /// and the view is current.
   void reconcileEra(common::TimePoint now);
 
+  const routing::ZoneEvacuations &evacuations() const { return Evacuations; }
   /// Whether the active configuration has a route to \p service.
   bool isRouted(const std::string &service) const {
     return Routes.isRouted(service);
@@ -222,7 +240,19 @@
     std::uint64_t Revision = 0; ///< Revision of the server's entry.
     common::TimePoint At;
     std::string Name;
+    bool IsEvacuation = false; ///< Name is that of a zone.
   };
+  /// Returns false if a later state of the zone is known.
+  bool applyEvacuation(const routing::ZoneEvacuation &evacuation,
+                       common::TimePoint now);
+  /// Applies an evacuation of a peer's view, which may be older than this one.
+  void applyPeerEvacuation(const routing::ZoneEvacuation &evacuation,
+                           common::TimePoint now);
+  /// Ends each evacuation at \p revision that is not in \p present and has a
+  /// lower revision.
+  void endMissingEvacuations(const std::set<std::string> &present,
+                             std::uint64_t revision, common::TimePoint now);
+  void discardEndedEvacuations(common::TimePoint now);
   /// Whether \p server may be added within the limits of the view, or is known.
   bool hasRoomFor(const routing::ServerRegistration &server) const;
   /// Returns false if a later state of the server is known.
@@ -250,6 +280,7 @@
   routing::RouteTable &Routes;
   routing::ServerDirectory &Directory;
   ViewObserver &Observer;
+  routing::ZoneEvacuations Evacuations;
   std::chrono::milliseconds RewriteTime;
   std::uint64_t Era = 0;
   std::uint64_t Revision = 0;
--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -107,6 +107,32 @@
   return true;
 }
 
+/// \p era: era of the message.
+void write(const std::vector<routing::ZoneEvacuation> &evacuations,
+           std::uint64_t era,
+           google::protobuf::RepeatedPtrField<wire::Evacuation> &out) {
+  for (const auto &it : evacuations) {
+    auto &evacuation = *out.Add();
+    evacuation.set_zone(it.Zone);
+    evacuation.set_active(it.IsActive);
+    evacuation.set_revision(it.Revision);
+    evacuation.set_era_offset(static_cast<std::int64_t>(it.Era - era));
+  }
+}
+
+/// Reads evacuations. Those of names that no zone can have are left out.
+std::vector<routing::ZoneEvacuation>
+read(const google::protobuf::RepeatedPtrField<wire::Evacuation> &in,
+     std::uint64_t era) {
+  std::vector<routing::ZoneEvacuation> evacuations;
+  for (const auto &it : in)
+    if (routing::isValidName(it.zone()))
+      evacuations.push_back({it.zone(), it.active(),
+                             era + static_cast<std::uint64_t>(it.era_offset()),
+                             it.revision()});
+  return evacuations;
+}
+
 void write(const routing::RoutingConfiguration &configuration,
            wire::Configuration &out) {
   out.set_version(configuration.Version);
@@ -225,6 +251,9 @@
   out.set_changes_from(message.Changes.From);
   for (const auto &it : message.Changes.Servers)
     write(it, message.Changes.Era, *out.add_changes());
+  write(message.Changes.Evacuations, message.Changes.Era,
+        *out.mutable_evacuations());
+  out.set_has_evacuations(true);
   for (const auto &it : message.Suspects) {
     auto &suspect = *out.add_suspects();
     suspect.set_identity(it.Identity);
@@ -273,6 +302,8 @@
   if (!read(in.changes(), in.era(), message.Changes.Servers,
             message.SkippedServers))
     return std::nullopt;
+  message.Changes.Evacuations = read(in.evacuations(), in.era());
+  message.Changes.HasEvacuations = in.has_evacuations();
   message.ViewAge = milliseconds(in.age_ms());
   message.Changes.ConfigurationVersion = in.configuration_version();
   for (const auto &it : in.suspects())
@@ -312,6 +343,9 @@
   write(snapshot.View.Configuration, *out.mutable_configuration());
   for (const auto &it : snapshot.View.Servers)
     write(it, snapshot.View.Era, *out.add_servers());
+  write(snapshot.View.Evacuations, snapshot.View.Era,
+        *out.mutable_evacuations());
+  out.set_has_evacuations(true);
   return out.SerializeAsString();
 }
 
@@ -333,6 +367,8 @@
   if (!read(in.servers(), in.era(), snapshot.View.Servers,
             snapshot.SkippedServers))
     return std::nullopt;
+  snapshot.View.Evacuations = read(in.evacuations(), in.era());
+  snapshot.View.HasEvacuations = in.has_evacuations();
   return snapshot;
 }
 
--- a/Source/Fleet/RegistryCall.h
+++ b/Source/Fleet/RegistryCall.h
@@ -3,6 +3,7 @@
 #include "Fleet/EntryRejection.h"
 #include "Routing/BackendServer.h"
 #include "Routing/RouteTable.h"
+#include "Routing/ZoneEvacuations.h"
 
 #include <chrono>
 #include <cstdint>
@@ -47,6 +48,8 @@
   std::vector<routing::ServerRegistration> Servers;
   std::vector<RegistryRemoval> Removed;
   std::optional<routing::RoutingConfiguration> Configuration;
+  /// Evacuations of zones, and the ends of such.
+  std::vector<routing::ZoneEvacuation> Evacuations;
   std::string LastKey; ///< List: key after which the next page begins.
   bool HasMore = false;
   /// Number of entries that were skipped because they could not be parsed.
--- a/Source/Fleet/RegistryReader.cpp
+++ b/Source/Fleet/RegistryReader.cpp
@@ -41,6 +41,7 @@
   case Step::List:
     call.Kind = RegistryCallKind::List;
     ListedNames.clear();
+    ListedZones.clear();
     After.clear();
     break;
   case Step::NextPage:
@@ -93,7 +94,7 @@
     // Without a change the registry answers at the end of the wait, so the view
     // is current as of then. Otherwise the answer may be as old as the call.
     const bool waited = page.Servers.empty() && page.Removed.empty() &&
-                        !page.Configuration &&
+                        page.Evacuations.empty() && !page.Configuration &&
                         now - CallStartedAt >= Timing.WatchWait;
     View.applyChanges(
         page, waited ? CallStartedAt + Timing.WatchWait : CallStartedAt, now);
@@ -112,6 +113,8 @@
   for (const auto &it : page.Servers)
     if (View.contains(it.Name))
       ListedNames.insert(it.Name);
+  for (const auto &it : page.Evacuations)
+    ListedZones.insert(it.Zone);
   After = page.LastKey;
   NextStep = Step::NextPage;
   if (!page.HasMore)
@@ -125,8 +128,9 @@
 }
 
 void RegistryReader::finishList(TimePoint now) {
-  View.finishList(ListedNames, FirstPage, now);
+  View.finishList(ListedNames, FirstPage, now, ListedZones);
   ListedNames.clear();
+  ListedZones.clear();
   LostRevision = 0;
   NextStep = View.isComplete() ? Step::Watch : Step::List;
   NextCallAt =
--- a/Source/Fleet/RegistryReader.h
+++ b/Source/Fleet/RegistryReader.h
@@ -111,6 +111,7 @@
   std::string After;
   ListStart FirstPage;
   std::set<std::string> ListedNames;
+  std::set<std::string> ListedZones; ///< Those that are evacuated.
 };
 
 } // namespace auburnroute::fleet
--- a/Source/Routing/ServerDirectory.h
+++ b/Source/Routing/ServerDirectory.h
@@ -102,6 +102,7 @@
   /// All slots, including unused ones.
   const std::vector<KnownServer> &all() const { return Servers; }
   std::size_t readyCount() const;
+  std::chrono::seconds retention() const { return Retention; }
   /// Number of servers in any state.
   std::size_t size() const { return ByName.size(); }
   /// Sum of the lengths of the names of all servers, their services and zones.
--- a/Source/Routing/ZoneEvacuations.cpp
+++ b/Source/Routing/ZoneEvacuations.cpp
@@ -1,35 +1,90 @@
 #include "Routing/ZoneEvacuations.h"
 
-#include "Common/Text.h"
-
 #include <algorithm>
-#include <tuple>
 
 namespace auburnroute::routing {
 
-bool ZoneEvacuations::apply(const ZoneEvacuation &evacuation) {
-  const auto [it, added] = ByZone.try_emplace(evacuation.Zone, evacuation);
-  auto &known = it->second;
-  if (!added && std::tie(known.Era, known.Revision) >=
-                    std::tie(evacuation.Era, evacuation.Revision))
-    return false;
-  const bool changed =
-      added ? evacuation.IsActive : known.IsActive != evacuation.IsActive;
-  known = evacuation;
+using common::TimePoint;
+
+bool ZoneEvacuations::updateState(const std::string &zone) {
+  const bool isActive = std::ranges::any_of(Entries, [&](const Entry &it) {
+    return it.Evacuation.IsActive && it.Evacuation.Zone == zone;
+  });
+  const bool changed = isActive != Active.contains(zone);
+  if (changed && isActive)
+    Active.insert(zone);
+  else if (changed)
+    Active.erase(zone);
   ChangeCount += changed;
   return changed;
 }
 
-bool ZoneEvacuations::isEvacuated(std::string_view zone) const {
-  const auto it = ByZone.find(common::toAbsl(zone));
-  return it != ByZone.end() && it->second.IsActive;
+bool ZoneEvacuations::hasRoomFor(const ZoneEvacuation &evacuation) const {
+  return !evacuation.IsActive || Active.size() < MaxZones ||
+         Active.contains(evacuation.Zone);
+}
+
+bool ZoneEvacuations::apply(const ZoneEvacuation &evacuation, TimePoint now) {
+  if (!hasRoomFor(evacuation))
+    return false;
+  const auto known = std::ranges::find_if(Entries, [&](const Entry &it) {
+    return it.Evacuation.Zone == evacuation.Zone &&
+           it.Evacuation.Era == evacuation.Era;
+  });
+  if (known != Entries.end()) {
+    if (known->Evacuation.Revision >= evacuation.Revision)
+      return false;
+    Entries.erase(known);
+  }
+  Entries.push_back({evacuation, now});
+  return updateState(evacuation.Zone);
+}
+
+const ZoneEvacuation *ZoneEvacuations::find(std::string_view zone,
+                                            std::uint64_t era) const {
+  for (const auto &it : Entries)
+    if (it.Evacuation.Zone == zone && it.Evacuation.Era == era)
+      return &it.Evacuation;
+  return nullptr;
+}
+
+std::vector<ZoneEvacuation> ZoneEvacuations::entries() const {
+  std::vector<ZoneEvacuation> all;
+  all.reserve(Entries.size());
+  for (const auto &it : Entries)
+    all.push_back(it.Evacuation);
+  return all;
+}
+
+std::vector<std::string> ZoneEvacuations::discardErasBefore(std::uint64_t era) {
+  std::erase_if(Entries,
+                [&](const Entry &it) { return it.Evacuation.Era < era; });
+  auto ended = evacuatedZones();
+  std::erase_if(ended,
+                [&](const std::string &zone) { return !updateState(zone); });
+  return ended;
+}
+
+std::uint64_t ZoneEvacuations::discardEnded(std::chrono::seconds retention,
+                                            TimePoint now, std::uint64_t era) {
+  std::uint64_t highest = 0;
+  auto surplus = std::ranges::count_if(
+      Entries, [](const Entry &it) { return !it.Evacuation.IsActive; });
+  surplus -= static_cast<std::ptrdiff_t>(MaxZones);
+  std::erase_if(Entries, [&](const Entry &it) {
+    if (it.Evacuation.IsActive ||
+        (surplus <= 0 && now - it.AppliedAt < retention))
+      return false;
+    --surplus;
+    if (it.Evacuation.Era == era)
+      highest = std::max(highest, it.Evacuation.Revision);
+    return true;
+  });
+  return highest;
 }
 
 std::vector<std::string> ZoneEvacuations::evacuatedZones() const {
-  std::vector<std::string> zones;
-  for (const auto &[name, it] : ByZone)
-    if (it.IsActive)
-      zones.push_back(name);
+  std::vector<std::string> zones(Active.begin(), Active.end());
   std::ranges::sort(zones);
   return zones;
 }
--- a/Source/Routing/ZoneEvacuations.h
+++ b/Source/Routing/ZoneEvacuations.h
@@ -1,7 +1,11 @@
 #pragma once
 
-#include "absl/container/flat_hash_map.h"
+#include "Common/Clock.h"
+#include "Common/Text.h"
 
+#include "absl/container/flat_hash_set.h"
+
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -21,19 +25,52 @@
 };
 
 /// The zones whose servers must get no new flows. Open flows are not affected.
+///
+/// For each zone, one entry of each era is kept, the one with the highest
+/// revision. A zone is evacuated if the entry of any era says so.
 class ZoneEvacuations {
 public:
-  /// Stores \p evacuation. Returns whether the state of the zone changed.
-  bool apply(const ZoneEvacuation &evacuation);
+  /// Limit of the evacuated zones, and of the ended evacuations that are kept
+  /// for other hosts. Deployments have at most ten zones.
+  static constexpr std::size_t MaxZones = 64;
+
+  /// Stores \p evacuation, which became known at \p now. Returns whether the
+  /// state of the zone changed; not if there is no room for it.
+  bool apply(const ZoneEvacuation &evacuation, common::TimePoint now = {});
+  /// Whether the zone of \p evacuation is evacuated already or can be.
+  bool hasRoomFor(const ZoneEvacuation &evacuation) const;
+  /// The entry of \p zone in \p era, or nullptr.
+  const ZoneEvacuation *find(std::string_view zone, std::uint64_t era) const;
+  /// All entries, ended ones included.
+  std::vector<ZoneEvacuation> entries() const;
 
-  bool isEvacuated(std::string_view zone) const;
+  /// Discards the entries of eras before \p era. Returns the zones that are no
+  /// longer evacuated, sorted.
+  std::vector<std::string> discardErasBefore(std::uint64_t era);
+  /// Discards evacuations that ended more than \p retention before \p now, and
+  /// the oldest ended ones above MaxZones. Returns the highest revision of \p
+  /// era among those discarded, 0 if there are none.
+  std::uint64_t discardEnded(std::chrono::seconds retention,
+                             common::TimePoint now, std::uint64_t era);
+
+  bool isEvacuated(std::string_view zone) const {
+    return !Active.empty() && Active.contains(common::toAbsl(zone));
+  }
   /// Changes with each change of a zone's state; only compared for equality.
   std::uint64_t changeCount() const { return ChangeCount; }
   /// Names of the zones that are evacuated, sorted.
   std::vector<std::string> evacuatedZones() const;
 
 private:
-  absl::flat_hash_map<std::string, ZoneEvacuation> ByZone;
+  struct Entry {
+    ZoneEvacuation Evacuation;
+    common::TimePoint AppliedAt;
+  };
+  /// Updates Active. Returns whether the state of \p zone changed.
+  bool updateState(const std::string &zone);
+
+  std::vector<Entry> Entries; ///< In the order in which they were applied.
+  absl::flat_hash_set<std::string> Active;
   std::uint64_t ChangeCount = 0;
 };
 
--- a/Source/State/EdgeSettings.cpp
+++ b/Source/State/EdgeSettings.cpp
@@ -52,6 +52,10 @@
           V::duration("changeBound", 500ms, 10min,
                       "Time in which a change has to be in force on all "
                       "hosts.")),
+      field<E, &E::EvacuationBound>(
+          V::duration("evacuationBound", 500ms, 10min,
+                      "Time in which the evacuation of a zone has to be in "
+                      "force on all hosts; changeBound by default.")),
       field<E, &E::FlowLifetime>(V::duration(
           "flowLifetime", 1s, 1000min, "Age up to which a flow must be kept.")),
       field<E, &E::StopTimeout>(V::duration("stopTimeout", 100ms, 60min,
--- a/Source/State/EdgeSettings.h
+++ b/Source/State/EdgeSettings.h
@@ -4,6 +4,7 @@
 
 #include "absl/status/statusor.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -33,8 +34,17 @@
   std::chrono::milliseconds ServerHeartbeat{1000};
   /// The shortest bound on the time until a change is in force.
   std::chrono::milliseconds ChangeBound{3000};
+  /// The time until an evacuation is in force; 0: ChangeBound.
+  std::chrono::milliseconds EvacuationBound{0};
   std::chrono::milliseconds FlowLifetime{60000};
   std::chrono::milliseconds StopTimeout{6000};
+
+  /// The bound that the reads of the registry have to meet.
+  std::chrono::milliseconds registryBound() const {
+    return EvacuationBound.count() == 0
+               ? ChangeBound
+               : std::min(ChangeBound, EvacuationBound);
+  }
 };
 
 /// Reads and checks the settings of an edge daemon. Errors: InvalidArgument,
--- a/Source/Tool/StatusCommand.cpp
+++ b/Source/Tool/StatusCommand.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <string>
 
 namespace auburnroute::tool {
 
@@ -15,13 +16,19 @@
 /// Status of a host that runs auburnedge, which has no settings of its own.
 void writeEdgeText(const std::string &name, const Json &status,
                    std::ostream &out) {
+  // Hosts of earlier versions do not state the zones.
+  std::string zones;
+  for (const auto &it : status.value("evacuated_zones", Json::array()))
+    zones +=
+        (zones.empty() ? ", evacuated zones: " : " ") + it.get<std::string>();
   out << name << ": " << (status.value("ready", false) ? "ready" : "not ready")
       << " in " << status.value("zone", "") << ", configuration "
       << status.value("version", std::uint64_t{0}) << ", registry era "
       << status.value("era", std::uint64_t{0}) << " revision "
       << status.value("revision", std::uint64_t{0}) << ", view "
       << status.value("view_age_ms", std::int64_t{0}) << " ms old, "
-      << status.value("servers", std::uint64_t{0}) << " backend servers\n";
+      << status.value("servers", std::uint64_t{0}) << " backend servers"
+      << zones << "\n";
 }
 
 void writeText(const std::string &name, const Json &status, std::ostream &out) {
--- a/Source/UnitTests/Fleet/FleetFixture.h
+++ b/Source/UnitTests/Fleet/FleetFixture.h
@@ -21,6 +21,12 @@
   void onServerRefused(const routing::ServerRegistration &) override {
     ++Refused;
   }
+  void onEvacuation(const routing::ZoneEvacuation &evacuation) override {
+    Evacuations.push_back(evacuation);
+  }
+  void onEvacuationRefused(const routing::ZoneEvacuation &) override {
+    ++Refused;
+  }
   void onEra(const fleet::EraChange &change) override {
     Eras.push_back(change.To);
   }
@@ -31,6 +37,7 @@
   std::vector<std::uint64_t> Versions;
   std::uint64_t ServerChanges = 0;
   std::uint64_t Refused = 0;
+  std::vector<routing::ZoneEvacuation> Evacuations;
   std::vector<std::uint64_t> Eras;
   std::vector<fleet::EraReconciliation> Reconciliations;
 };
--- a/Source/UnitTests/Fleet/FleetModel.cpp
+++ b/Source/UnitTests/Fleet/FleetModel.cpp
@@ -2,6 +2,7 @@
 
 #include "Fleet/GossipCodec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace auburnroute::unittests {
@@ -19,16 +20,21 @@
 
 } // namespace
 
-FleetModel::FleetModel(std::uint64_t seed)
-    : Random(seed), Registry(seed, Clock.now()) {
+FleetModel::FleetModel(std::uint64_t seed, bool placementEvacuates)
+    : Random(seed), Registry(seed, Clock.now()),
+      PlacementEvacuates(placementEvacuates) {
   Hosts.resize(HostCount);
   for (std::size_t n = 0; n < HostCount; ++n)
     restartHost(n);
 }
 
 void FleetModel::restartHost(std::size_t n) {
-  Hosts[n] = std::make_unique<Host>();
+  Hosts[n] = std::make_unique<Host>(
+      RegistryModel::ZoneNames[n % RegistryModel::ZoneNames.size()]);
   Hosts[n]->StartedAt = Clock.now();
+  if (PlacementEvacuates)
+    Hosts[n]->Placement.setParts(
+        {.Evacuations = &Hosts[n]->Fixture.View.evacuations()});
 }
 
 void FleetModel::run(milliseconds time, bool isCalm) {
@@ -208,7 +214,59 @@
       " ms: " + text);
 }
 
+TimePoint FleetModel::contactSince(const Host &host) const {
+  return std::max(
+      {host.FrozenUntil, host.CutFromRegistryUntil, Registry.downUntil()});
+}
+
+void FleetModel::checkEvacuations(std::size_t n) {
+  auto &host = *Hosts[n];
+  const auto now = Clock.now();
+  const auto &view = host.Fixture.View;
+  if (!view.isComplete())
+    return;
+  const bool hadContact = now - contactSince(host) > ContactTime;
+  // Without other reasons, the least loaded server of the service is chosen.
+  const auto placed = host.Placement.choose(
+      host.Fixture.Directory.serviceNames().idOf("orders"), {}, true, now);
+  if (placed) {
+    const auto &zone = host.Fixture.Directory.at(*placed).Registration.Zone;
+    const auto it = Registry.requested().find(zone);
+    if (hadContact && it != Registry.requested().end() &&
+        now - it->second > EvacuationBound)
+      report(n, "places a flow in the evacuated zone " + zone);
+  }
+  for (const auto name : RegistryModel::ZoneNames) {
+    const std::string zone(name);
+    const bool isRequested = Registry.requested().contains(zone);
+    const bool isEvacuated = view.evacuations().isEvacuated(zone);
+    if (isRequested) {
+      const auto since = Registry.requested().at(zone);
+      const auto it = host.Evacuated.find(zone);
+      // A restored registry may not hold the request for a while.
+      if (it != host.Evacuated.end() && it->second == since && !isEvacuated)
+        report(n, "ended the evacuation of zone " + zone);
+      // Before, it may be that of an earlier request.
+      if (hadContact && isEvacuated && now - since > EvacuationBound)
+        host.Evacuated[zone] = since;
+    }
+    if (!hadContact)
+      continue;
+    ++EvacuationChecks;
+    // A view keeps what a restore removed, until it is reconciled. A host that
+    // learns of the restore late, or starts then, may get it from a late peer.
+    constexpr auto rewriteTime = fleet::FleetView::MinRewriteTime;
+    const auto endedAt = std::max(Registry.lastEvacuated(zone),
+                                  Registry.downUntil() + rewriteTime);
+    if (isEvacuated && !isRequested && now - endedAt > EvacuationBound &&
+        now - std::max(contactSince(host), host.StartedAt) >
+            ContactTime + rewriteTime)
+      report(n, "keeps zone " + zone + " evacuated");
+  }
+}
+
 void FleetModel::checkPromises(std::size_t n) {
+  checkEvacuations(n);
   auto &host = *Hosts[n];
   const auto version = host.Fixture.View.configurationVersion();
   if (version < host.HighestVersion)
@@ -242,6 +300,10 @@
     if (fixture.View.age(Clock.now()) > ChangeBound)
       differ("the view is " +
              std::to_string(fixture.View.age(Clock.now()).count()) + " ms old");
+    for (const auto name : RegistryModel::ZoneNames)
+      if (const std::string zone(name); fixture.View.evacuations().isEvacuated(
+                                            zone) != Registry.isEvacuated(zone))
+        differ("the evacuation of zone " + zone + " is not as in the registry");
     for (const auto &[name, it] : stored) {
       const auto *known = fixture.Directory.findByName(name);
       if (known == nullptr || known->Registration.State != it.Entry.State ||
--- a/Source/UnitTests/Fleet/FleetModel.h
+++ b/Source/UnitTests/Fleet/FleetModel.h
@@ -2,9 +2,11 @@
 
 #include "Fleet/GossipMessage.h"
 #include "Fleet/RegistryReader.h"
+#include "Routing/ServerPlacement.h"
 #include "UnitTests/Fleet/FleetFixture.h"
 #include "UnitTests/Fleet/RegistryModel.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -23,7 +25,15 @@
   static constexpr std::chrono::milliseconds ChangeBound{3000};
   static constexpr std::chrono::milliseconds Step{50};
 
-  explicit FleetModel(std::uint64_t seed);
+  /// Time from an operator's request until no host places new flows in the
+  /// zone, and from its end until they do again.
+  static constexpr std::chrono::milliseconds EvacuationBound{5000};
+
+  /// After this time with contact to the registry, evacuations must be known.
+  static constexpr std::chrono::milliseconds ContactTime = ChangeBound;
+
+  /// \p placementEvacuates: whether the placement asks for evacuations.
+  explicit FleetModel(std::uint64_t seed, bool placementEvacuates = true);
 
   /// Runs for \p time; with \p isCalm without faults and changes.
   void run(std::chrono::milliseconds time, bool isCalm);
@@ -34,6 +44,9 @@
   /// What broke a promise so far, and where the views differ from the registry.
   std::vector<std::string> faults() const;
   std::uint64_t registryCalls() const { return RegistryCalls; }
+  /// How often the promises on evacuations were checked on a host that had
+  /// contact.
+  std::uint64_t evacuationChecks() const { return EvacuationChecks; }
 
 private:
   struct PendingCall {
@@ -52,7 +65,13 @@
     std::size_t From = 0;
   };
   struct Host {
+    explicit Host(std::string_view zone)
+        : Placement(Fixture.Directory, Health,
+                    Fixture.Directory.zoneNames().idOf(zone), /*seed=*/1) {}
+
     ViewFixture Fixture;
+    routing::ServerHealthTracker Health;
+    routing::ServerPlacement Placement;
     fleet::RegistryReader Reader{
         Fixture.View, fleet::RegistryReadTiming::forBound(ChangeBound)};
     std::optional<PendingCall> Call;
@@ -63,6 +82,8 @@
     common::TimePoint FrozenUntil;
     common::TimePoint CutFromPeersUntil;
     common::TimePoint CutFromRegistryUntil;
+    /// Zones that it evacuated within the bound, by the time of the request.
+    std::map<std::string, common::TimePoint> Evacuated;
     std::uint64_t AnnouncedChangeCount = 0;
     std::uint64_t HighestVersion = 0;
     /// Runs of servers that this host knew to be draining.
@@ -78,6 +99,9 @@
   void receive(std::size_t n);
   void finishFetch(std::size_t n);
   void checkPromises(std::size_t n);
+  void checkEvacuations(std::size_t n);
+  /// Since when the host runs and can reach the registry.
+  common::TimePoint contactSince(const Host &host) const;
   void report(std::size_t n, const std::string &text);
   std::size_t below(std::size_t n) { return Random() % n; }
 
@@ -87,6 +111,8 @@
   std::vector<std::unique_ptr<Host>> Hosts;
   std::vector<std::string> BrokenPromises;
   std::uint64_t RegistryCalls = 0;
+  std::uint64_t EvacuationChecks = 0;
+  bool PlacementEvacuates;
   bool IsCalm = false;
 };
 
--- a/Source/UnitTests/Fleet/GossipCodecTest.cpp
+++ b/Source/UnitTests/Fleet/GossipCodecTest.cpp
@@ -29,6 +29,8 @@
     server.Era = 6;
     message.Changes.Servers.push_back(server);
   }
+  message.Changes.Evacuations = {{"couva", true, 7, 100090},
+                                 {"sando", false, 6, 100095}};
   message.Changes.From = 99000;
   message.Changes.To = 100100;
   message.Changes.ConfigurationVersion = 100000;
@@ -75,6 +77,14 @@
   BOOST_TEST(server.Era == 6U);
   BOOST_TEST((server.Address == message.Changes.Servers.back().Address));
   BOOST_TEST((decoded->Suspects.back().SilentFor == 1500ms));
+  BOOST_TEST(decoded->Changes.HasEvacuations);
+  BOOST_REQUIRE(decoded->Changes.Evacuations.size() == 2U);
+  const auto &ended = decoded->Changes.Evacuations.back();
+  BOOST_TEST(ended.Zone == "sando");
+  BOOST_TEST(!ended.IsActive);
+  BOOST_TEST(ended.Era == 6U);
+  BOOST_TEST(ended.Revision == 100095U);
+  BOOST_TEST(decoded->Changes.Evacuations.front().IsActive);
 }
 
 // Reports, verdicts and answers must survive encoding. A kind of verdict of a
--- a/Source/UnitTests/Fleet/OpenFlowHost.cpp
+++ b/Source/UnitTests/Fleet/OpenFlowHost.cpp
@@ -47,7 +47,9 @@
       InitialView(fleet::InitialViewTiming::forBound(Self.ChangeBound)),
       Placement(Directory, Health, Directory.zoneNames().idOf(Self.Zone),
                 Self.Random),
-      Router(Routes, Directory, Health, Placement, *this) {}
+      Router(Routes, Directory, Health, Placement, *this) {
+  Placement.setParts({.Evacuations = &View.evacuations()});
+}
 
 void OpenFlowHost::start() {
   StartedAt = LastWakeUp = Clock.now();
--- a/Source/UnitTests/Fleet/OpenFlowHost.h
+++ b/Source/UnitTests/Fleet/OpenFlowHost.h
@@ -108,6 +108,8 @@
   void onServer(const routing::ServerRegistration &server,
                 routing::DirectoryChange change) override;
   void onServerRefused(const routing::ServerRegistration &) override {}
+  void onEvacuation(const routing::ZoneEvacuation &) override {}
+  void onEvacuationRefused(const routing::ZoneEvacuation &) override {}
   void onEra(const fleet::EraChange &) override {}
   void onEraReconciled(const fleet::EraReconciliation &) override {}
   void onVerdict(const fleet::VerdictEvent &verdict) override;
--- a/Source/UnitTests/Fleet/RegistryModel.cpp
+++ b/Source/UnitTests/Fleet/RegistryModel.cpp
@@ -42,6 +42,7 @@
 void RegistryModel::addServer(TimePoint now) {
   Server server;
   server.Entry = sampleServer(Servers.size() + 1, 0);
+  server.Entry.Zone = ZoneNames[Servers.size() % ZoneNames.size()];
   // A new server may get the address of one that has ended.
   for (const auto &it : Servers)
     if (!it.IsRunning && !Now.Servers.contains(it.Entry.Name) &&
@@ -72,12 +73,44 @@
   }
   Now.Version = NewestVersion;
   Now.VersionRevision = ++Now.Revision;
-  Events.push_back({Now.Revision, now, {}, std::nullopt, Now.Version});
+  Events.push_back(
+      {Now.Revision, now, {}, std::nullopt, Now.Version, std::nullopt});
+}
+
+void RegistryModel::evacuate(const std::string &zone, bool isActive,
+                             TimePoint now) {
+  if (isDown(now))
+    return;
+  if (isActive)
+    Requested.try_emplace(zone, now);
+  else
+    Requested.erase(zone);
+  if (isActive == isEvacuated(zone))
+    return;
+  const auto revision = ++Now.Revision;
+  if (isActive)
+    Now.Evacuations[zone] = revision;
+  else
+    Now.Evacuations.erase(zone);
+  Events.push_back({revision,
+                    now,
+                    {},
+                    std::nullopt,
+                    0,
+                    routing::ZoneEvacuation{zone, isActive, 0, revision}});
+}
+
+void RegistryModel::rewriteEvacuations(TimePoint now) {
+  for (const auto name : ZoneNames) {
+    const std::string zone(name);
+    evacuate(zone, Requested.contains(zone), now);
+  }
 }
 
 void RegistryModel::removeEntry(const std::string &name, TimePoint now) {
   if (Now.Servers.erase(name) != 0)
-    Events.push_back({++Now.Revision, now, name, std::nullopt, 0});
+    Events.push_back(
+        {++Now.Revision, now, name, std::nullopt, 0, std::nullopt});
 }
 
 void RegistryModel::checkIn(Server &server, TimePoint now) {
@@ -90,7 +123,8 @@
   stored.Entry = server.Entry;
   stored.Entry.Sequence = server.Sequence;
   stored.Entry.Revision = ++Now.Revision;
-  Events.push_back({Now.Revision, now, server.Entry.Name, stored.Entry, 0});
+  Events.push_back(
+      {Now.Revision, now, server.Entry.Name, stored.Entry, 0, std::nullopt});
 }
 
 void RegistryModel::step(TimePoint now) {
@@ -110,10 +144,12 @@
     return;
   if (RewriteAt && now >= *RewriteAt) {
     RewriteAt.reset();
+    rewriteEvacuations(now);
     if (Now.Version < NewestVersion) {
       Now.Version = NewestVersion;
       Now.VersionRevision = ++Now.Revision;
-      Events.push_back({Now.Revision, now, {}, std::nullopt, Now.Version});
+      Events.push_back(
+          {Now.Revision, now, {}, std::nullopt, Now.Version, std::nullopt});
     }
   }
   std::vector<std::string> expired;
@@ -126,6 +162,8 @@
     CompactedRevision = Events.front().Revision;
     Events.pop_front();
   }
+  for (const auto &[zone, revision] : Now.Evacuations)
+    LastEvacuated[zone] = now;
   Now.At = now;
   Copies.push_back(Now);
   while (now - Copies.front().At > HistoryRetention)
@@ -134,7 +172,7 @@
 
 void RegistryModel::change(TimePoint now) {
   auto &server = Servers[below(Servers.size())];
-  switch (below(8)) {
+  switch (below(10)) {
   case 0:
   case 1:
   case 2:
@@ -157,6 +195,12 @@
   case 6: // Starts again under its name, after a crash or its end.
     restart(server, now);
     break;
+  case 7:
+  case 8: {
+    const std::string zone(ZoneNames[below(ZoneNames.size())]);
+    evacuate(zone, !Requested.contains(zone), now);
+    break;
+  }
   default:
     server.CutOffUntil = now + milliseconds(1000 + below(4000));
   }
@@ -188,6 +232,8 @@
   RegistryPage page;
   if (after.empty()) {
     page.Configuration = sampleConfiguration(Now.Version);
+    for (const auto &[zone, revision] : Now.Evacuations)
+      page.Evacuations.push_back({zone, true, 0, revision});
     page.LastKey = "!";
   }
   for (auto it = Now.Servers.upper_bound(after); it != Now.Servers.end();
@@ -216,7 +262,9 @@
     for (const auto &it : Events) {
       if (it.Revision <= call.Revision)
         continue;
-      if (it.Name.empty())
+      if (it.Evacuation)
+        page.Evacuations.push_back(*it.Evacuation);
+      else if (it.Name.empty())
         page.Configuration = sampleConfiguration(it.Version);
       else if (it.Entry)
         page.Servers.push_back(*it.Entry);
@@ -224,7 +272,7 @@
         page.Removed.push_back({it.Name, it.Revision});
     }
     if (page.Servers.empty() && page.Removed.empty() && !page.Configuration &&
-        now - sentAt < call.Wait)
+        page.Evacuations.empty() && now - sentAt < call.Wait)
       return std::nullopt;
   }
   page.Revision = Now.Revision;
--- a/Source/UnitTests/Fleet/RegistryModel.h
+++ b/Source/UnitTests/Fleet/RegistryModel.h
@@ -3,12 +3,14 @@
 #include "Common/Clock.h"
 #include "Fleet/RegistryCall.h"
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -47,6 +49,9 @@
   /// before \p now. Calls during the downtime are reset or hang.
   void restore(common::TimePoint now, std::chrono::milliseconds age,
                std::chrono::milliseconds downtime);
+  /// Zones of the servers; operators evacuate them.
+  static constexpr std::array<std::string_view, 3> ZoneNames{"a", "b", "c"};
+
   /// From now on no call is refused.
   void endFaults() { RefusesCalls = false; }
 
@@ -61,6 +66,23 @@
     return Now.Servers;
   }
   std::uint64_t newestVersion() const { return NewestVersion; }
+  /// The zones that the operator wants to be evacuated, each with the time at
+  /// which the registry accepted the request. A restore that loses a request
+  /// does not change the time.
+  const std::map<std::string, common::TimePoint> &requested() const {
+    return Requested;
+  }
+  /// Whether the registry holds a request for \p zone.
+  bool isEvacuated(const std::string &zone) const {
+    return Now.Evacuations.contains(zone);
+  }
+  /// The last time at which the registry held a request for \p zone.
+  common::TimePoint lastEvacuated(const std::string &zone) const {
+    const auto it = LastEvacuated.find(zone);
+    return it == LastEvacuated.end() ? common::TimePoint() : it->second;
+  }
+  /// The end of the last time at which the registry was away.
+  common::TimePoint downUntil() const { return DownUntil; }
 
 private:
   struct Event {
@@ -69,6 +91,7 @@
     std::string Name; ///< Empty: the configuration.
     std::optional<routing::ServerRegistration> Entry; ///< Unset: removed.
     std::uint64_t Version = 0;
+    std::optional<routing::ZoneEvacuation> Evacuation;
   };
   struct Content {
     common::TimePoint At;
@@ -76,6 +99,7 @@
     std::uint64_t Version = 0;
     std::uint64_t VersionRevision = 0;
     std::map<std::string, StoredServer> Servers;
+    std::map<std::string, std::uint64_t> Evacuations; ///< Revisions by zone.
   };
   struct Server {
     routing::ServerRegistration Entry;
@@ -89,6 +113,9 @@
   void addServer(common::TimePoint now);
   void restart(Server &server, common::TimePoint now);
   void checkIn(Server &server, common::TimePoint now);
+  void evacuate(const std::string &zone, bool isActive, common::TimePoint now);
+  /// Writes what the operator wants and a restored registry does not hold.
+  void rewriteEvacuations(common::TimePoint now);
   void writeConfiguration(common::TimePoint now);
   void removeEntry(const std::string &name, common::TimePoint now);
   fleet::RegistryPage list(const std::string &after) const;
@@ -102,6 +129,8 @@
   /// Changes up to this revision are no longer in the history.
   std::uint64_t CompactedRevision = 0;
   std::vector<Server> Servers;
+  std::map<std::string, common::TimePoint> Requested;
+  std::map<std::string, common::TimePoint> LastEvacuated;
   std::uint64_t NewestVersion = 0;
   std::optional<common::TimePoint> RewriteAt;
   common::TimePoint DownUntil;
--- a/Source/UnitTests/Process/edge_fleet.py
+++ b/Source/UnitTests/Process/edge_fleet.py
@@ -28,6 +28,7 @@
 SYN, ACK, FIN, RST = 8, 128, 64, 4
 READY_PORT, CONTROL_PORT, PEER_PORT, PACKET_PORT = 8167, 8166, 7720, 8172
 CHANGE_BOUND_SECONDS = 3.0  # until a change is in force on all hosts
+EVACUATION_BOUND_SECONDS = 5.0  # until an evacuation is in force on all hosts
 SETTLE_SECONDS = 4.0  # without a fault, after which the bounds hold
 REQUEST_TIMEOUT_SECONDS = 3.0  # after which a caller gives up a request
 STRAY_SECONDS, STRAY_PACKETS = 2.0, 3  # packets to other servers, none to the own, that break an open flow
@@ -350,7 +351,7 @@
                        "ready": f"{self.ip}:{READY_PORT}", "control": f"{self.ip}:{CONTROL_PORT}",
                        "peers": f"{self.ip}:{PEER_PORT}", "registry": f"{self.fleet.address(4, self.number)}:8169",
                        "seeds": [f"{self.fleet.address(1, n)}:{CONTROL_PORT}" for n in range(1, 4)],
-                       "serverHeartbeat": "700ms", "changeBound": "3s", "stopTimeout": "6s"}, out)
+                       "serverHeartbeat": "700ms", "changeBound": "3s", "evacuationBound": "5s", "stopTimeout": "6s"}, out)
         log = open(os.path.join(self.fleet.folder, f"{self.name}.log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
             os.path.join(self.fleet.bin_dir_of(self.number), "auburnedge"), "--settings", file, stdout=log, stderr=log)
@@ -529,13 +530,15 @@
         self.odd_bin_dir = odd_bin_dir or bin_dir
         self.seed = seed
         self.random, self.fault_random = random.Random(seed), random.Random(f"overlapping faults {seed}")
+        self.evacuation_random = random.Random(f"evacuations {seed}")
         self.registry = Registry()
+        self.evacuated = {}  # zones, and when the registry accepted their evacuation
         self.hosts, self.servers, self.callers = [], [], []
         self.flows = {}  # opened flows by the caller's address
         self.run_counts, self.failures = {}, []
         self.watched = []  # shares of the live servers of which a reset would be reported, every 50 ms
         self.counts = {"sent": 0, "answered": 0, "unanswered": 0, "refused": 0, "feeds": 0, "opened": 0, "resets": 0,
-                       "max_lag_ms": 0, "max_memory_kib": 0, "odd_entries": 0}
+                       "max_lag_ms": 0, "max_memory_kib": 0, "odd_entries": 0, "evacuations": 0, "syns_in_evacuation": 0}
         self.version, self.idle_route_dropped_at = 0, None
         self.number = 0
         self.planned_only = True
@@ -580,10 +583,22 @@
                 and self.registry.mode == "up" and self.is_settled(host.disturbed_at):
             self.report_failure(f"{host.name} sent a new flow to {server.name}, "
                       f"draining for {now() - server.draining_since:.1f} s")
+        self.check_evacuation(server, host)
         if packet.dst == self.IDLE_ROUTE and self.idle_route_dropped_at \
                 and now() - self.idle_route_dropped_at > CHANGE_BOUND_SECONDS and self.is_settled(host.disturbed_at):
             self.report_failure(f"{host.name} used a route {now() - self.idle_route_dropped_at:.1f} s after its removal")
 
+    def check_evacuation(self, server, host):
+        """Reports a new flow in a zone that has been evacuated for longer than the bound."""
+        if host is None or self.registry.mode != "up" or not self.evacuated \
+                or now() - max(host.disturbed_at, self.registry.disturbed_at) < EVACUATION_BOUND_SECONDS:
+            return
+        over = {zone for zone, since in self.evacuated.items() if now() - since > EVACUATION_BOUND_SECONDS}
+        self.counts["syns_in_evacuation"] += bool(over)
+        if server.zone in over:
+            self.report_failure(f"{host.name} sent a new flow to {server.name} of zone {server.zone}, evacuated for "
+                                f"{now() - self.evacuated[server.zone]:.1f} s")
+
     def must_stay_open(self, flow):
         """Whether only the flow's server may reset it: the server got the end of the handshake and lives, and neither
         it nor its links were disturbed of late. The state of hosts and registry excuses nothing."""
@@ -655,6 +670,52 @@
                                          "limits": {"idle_timeout_ms": 15000}})
         self.registry.put("op/config", self.configuration)
 
+    def evacuate(self, zone, is_active):
+        """Begins or ends the evacuation of a zone, if the registry takes the write."""
+        if self.registry.mode != "up" or is_active == (zone in self.evacuated):
+            return
+        self.log_event(f"zone {zone} {'evacuated' if is_active else 'used again'}")
+        if is_active:
+            self.evacuated[zone] = now()
+            self.counts["evacuations"] += 1
+        else:
+            del self.evacuated[zone]
+        self.write_evacuations()
+
+    def write_evacuations(self):
+        """Brings the registry, which may have been restored, in line with what the operator wants."""
+        for zone in {it.zone for it in self.hosts}:
+            key = f"op/evacuate/{zone}"
+            if zone not in self.evacuated:
+                self.registry.remove(key)
+            elif key not in self.registry.items:
+                self.registry.put(key, self.evacuation_random.choice([b"", b"{}", b"\xff\0", b'{"by": "operator"}']))
+
+    async def evacuate_zones(self):
+        """Evacuates zones for a short or a long time, at times all; one may stay evacuated in the end."""
+        pick = self.evacuation_random
+        zones = sorted({it.zone for it in self.hosts})
+        while not self.events_over.is_set():
+            await self.wait_for_events(pick.uniform(0.2, 2))
+            chosen = zones if pick.random() < 0.1 else [pick.choice(zones)]
+            for zone in chosen:
+                self.evacuate(zone, True)
+            await self.wait_for_events(pick.choice([pick.uniform(0.2, 3), pick.uniform(6, 12)]))
+            for zone in chosen:
+                self.evacuate(zone, False)
+        last = pick.choice([None, *zones])
+        for zone in zones:
+            while (zone in self.evacuated) != (zone == last):
+                self.evacuate(zone, zone == last)
+                await asyncio.sleep(0.1)
+
+    async def wait_for_events(self, seconds):
+        """Waits, but no longer than until the events are over."""
+        try:
+            await asyncio.wait_for(self.events_over.wait(), seconds)
+        except asyncio.TimeoutError:
+            pass
+
     async def add_server(self, service, zone):
         self.number += 1
         server = BackendServer(self, self.number, service, zone,
@@ -786,6 +847,7 @@
         item = self.registry.items.get("op/config")
         if item is None or json.loads(base64.b64decode(item["value"]))["version"] < self.version:
             self.registry.put("op/config", self.configuration)
+        self.write_evacuations()
         await asyncio.gather(*rewrites)
         self.registry.disturbed_at = now()
 
@@ -1048,7 +1110,7 @@
             if self.odd_entries.random.random() < 0.2:
                 self.odd_entries.remove_some()
 
-    async def run(self, seconds, planned_only, course, hosts_per_zone, has_odd_entries):
+    async def run(self, seconds, planned_only, course, hosts_per_zone, has_odd_entries, has_evacuations):
         self.planned_only = planned_only
         # Cut and lossy links excuse resets, so half of the runs have none.
         self.has_link_faults = self.fault_random.random() < 0.5
@@ -1064,6 +1126,8 @@
         if has_odd_entries:
             self.odd_entries = OddEntryWriter(self.registry, self.seed)
             self.tasks.append(asyncio.ensure_future(self.write_odd_entries()))
+        if has_evacuations and not course:
+            self.tasks.append(asyncio.ensure_future(self.evacuate_zones()))
         if course:
             await asyncio.sleep(seconds)
             self.begin("registry", course(self))
@@ -1106,12 +1170,13 @@
         own = {f"servers/{it.name}" for it in self.servers}
         entries = [json.loads(base64.b64decode(it["value"])) for key, it in self.registry.items.items() if key in own]
         if self.counts["odd_entries"]:
-            self.odd_entries.remove_all(own | {"op/config"})
+            self.odd_entries.remove_all(own | {"op/config"} | {f"op/evacuate/{it}" for it in self.evacuated})
             await asyncio.sleep(CHANGE_BOUND_SECONDS)
         for host in self.hosts:
             host.check_process()
         expected = {"auburnedge_configuration_version": self.version, "auburnedge_registry_era": self.registry.era,
                     "auburnedge_view_revision": self.registry.revision,
+                    "auburnedge_evacuated_zones": len(self.evacuated),
                     "auburnedge_ready_servers": sum(it["state"] == "ready" for it in entries)}
         for host in self.hosts:
             metrics = await host.metrics()
@@ -1126,6 +1191,10 @@
             self.report_failure(f"auburnctl status does not show era {self.registry.era} of {len(self.hosts)} hosts: "
                                 f"{text!r}")
 
+        zones = ", evacuated zones: " + " ".join(sorted(self.evacuated)) if self.evacuated else " backend servers"
+        if text.count(zones + "\n") != len(self.hosts):
+            self.report_failure(f"auburnctl status does not show {zones!r} of {len(self.hosts)} hosts: {text!r}")
+
     async def check_causes_outlive_host(self):
         """Checks that the other hosts report the causes of a host that was killed."""
         gone, *others = self.random.sample(self.hosts, len(self.hosts))
@@ -1167,6 +1236,8 @@
     for name, course, help_text in COURSES:
         courses.add_argument(name, dest="course", action="store_const", const=course, help=help_text)
     parser.add_argument("--odd-entries", action="store_true", help="another writer leaves odd entries in the registry")
+    parser.add_argument("--evacuations", action="store_true",
+                        help="operators evacuate zones, as in every second run of random events without this option")
     parser.add_argument("--hosts", type=int, default=2, help="hosts per zone, of which there are two")
     parser.add_argument("--net", type=int, default=0, choices=range(25), help="loopback network, to run several at once")
     parser.add_argument("--odd-bin-dir", help="programs of the hosts with odd numbers, for a fleet of two versions")
@@ -1175,10 +1246,11 @@
     folder = options.logs or tempfile.mkdtemp(prefix="edge-fleet-")
     os.makedirs(folder, exist_ok=True)
     random.seed(options.seed)
+    has_evacuations = options.evacuations or options.seed % 2 == 0
     fleet = Fleet(options.bin_dir, options.seed, folder, options.net, options.odd_bin_dir)
     try:
         asyncio.run(fleet.run_to_the_end(options.seconds, options.calm, options.course, options.hosts,
-                                         options.odd_entries))
+                                         options.odd_entries, has_evacuations))
     finally:
         for host in fleet.hosts:
             if host.process is not None and host.process.returncode is None:
--- a/Source/UnitTests/Process/edge_fleet_check.py
+++ b/Source/UnitTests/Process/edge_fleet_check.py
@@ -65,6 +65,27 @@
         self.assertEqual(self.failures_of_packets((1, self.other), (1.2, self.other), (1.4, self.other), (1.9, self.own)), 0)
         self.assertEqual(self.failures_of_packets((3, self.other), (3.2, self.own), (4, self.other), (5, self.other)), 0)
 
+    def failures_of_syn(self, seconds_after_evacuation, zone, host_disturbed_at=0.0):
+        self.fleet.evacuated["a"] = 100.0
+        self.time = 100.0 + seconds_after_evacuation
+        host = types.SimpleNamespace(name="host", disturbed_at=host_disturbed_at)
+        self.fleet.check_evacuation(types.SimpleNamespace(name="s", zone=zone), host)
+        return len(self.fleet.failures)
+
+    def test_new_flow_in_a_zone_evacuated_for_longer_than_the_bound_is_reported(self):
+        self.assertEqual(self.failures_of_syn(5.1, "a"), 1)
+
+    def test_new_flow_before_the_bound_or_in_another_zone_is_allowed(self):
+        self.assertEqual(self.failures_of_syn(4.9, "a"), 0)
+        self.assertEqual(self.failures_of_syn(5.1, "b"), 0)
+
+    def test_host_or_registry_disturbed_within_the_bound_excuses_a_new_flow(self):
+        self.assertEqual(self.failures_of_syn(20, "a", host_disturbed_at=115.1), 0)
+        self.assertEqual(self.failures_of_syn(20, "a", host_disturbed_at=114.9), 1)
+        self.fleet.registry.set_mode("up")
+        self.assertEqual(self.failures_of_syn(24.9, "a"), 1)
+        self.assertEqual(self.failures_of_syn(25.1, "a"), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/Source/UnitTests/State/EdgeSettingsTest.cpp
+++ b/Source/UnitTests/State/EdgeSettingsTest.cpp
@@ -48,6 +48,16 @@
   BOOST_TEST(settings->Seeds.size() == 2U);
   BOOST_TEST((settings->StopTimeout == 2500ms));
   BOOST_TEST((settings->ChangeBound == 3000ms));
+  BOOST_TEST((settings->registryBound() == 3000ms));
+  // Either bound may be the smaller one.
+  const auto bounds = [](const std::string &text) {
+    const auto read = state::loadEdgeSettings(
+        with(R"("stopTimeout")", text + R"(, "stopTimeout")"), "f");
+    BOOST_REQUIRE(read.ok());
+    return read->registryBound();
+  };
+  BOOST_TEST((bounds(R"("evacuationBound": "2s")") == 2000ms));
+  BOOST_TEST((bounds(R"("evacuationBound": "5s")") == 3000ms));
   BOOST_TEST(state::loadEdgeSettings(
                  with(R"("10.2.0.40:8166", "10.3.0.7:8166")", ""), "f")
                  .ok());
--- a/Source/UnitTests/platform/StoreCodecTest.cpp
+++ b/Source/UnitTests/platform/StoreCodecTest.cpp
@@ -94,6 +94,45 @@
   BOOST_TEST(it.IdleTimeout.count() == 12000);
 }
 
+// Only the key of an evacuation counts: hosts must not ignore one because of
+// its value.
+BOOST_AUTO_TEST_CASE(EvacuationsAreDecodedWhateverTheirValue) {
+  const std::string bare = R"({"key":"op/evacuate/couva","revision":7})";
+  const std::string odd =
+      R"({"key":"op/evacuate/tunapuna","value":{"a":[1]},"revision":8})";
+  const std::string gone =
+      R"({"key":"op/evacuate/sando","revision":9,"tombstone":true})";
+  const std::vector<std::string> items = {
+      item("op/evacuate/a-1", R"({"by":"ops"})", 5),
+      item("op/evacuate/a-2", std::string("\xff\0", 2), 6), bare, odd, gone};
+  for (const auto kind : {RegistryCallKind::List, RegistryCallKind::Watch}) {
+    const auto page = decode(
+        list(items, kind == RegistryCallKind::List ? "items" : "events"), kind);
+    BOOST_TEST(page.Unreadable == 0U);
+    BOOST_REQUIRE(page.Evacuations.size() == 5U);
+    BOOST_TEST(page.Evacuations[0].Zone == "a-1");
+    BOOST_TEST(page.Evacuations[0].Revision == 5U);
+    for (std::size_t i = 0; i < 5; ++i)
+      BOOST_TEST(page.Evacuations[i].IsActive == (i < 4));
+    BOOST_TEST(page.Evacuations[4].Zone == "sando");
+    BOOST_TEST(page.LastKey == "op/evacuate/sando");
+  }
+}
+
+// Hosts cannot tell each other of a name that no zone can have.
+BOOST_AUTO_TEST_CASE(EvacuationsOfInvalidNamesAreRejected) {
+  const auto page = decode(
+      list({item("op/evacuate/", "x", 5), item("op/evacuate/a/b", "x", 6),
+            item("op/evacuate/" + std::string(201, 'z'), "x", 7),
+            item("op/evacuate", "x", 8), item("op/evacuated/a", "x", 9),
+            R"({"key":"op/evacuate/a b","revision":9,"tombstone":true})"}));
+  BOOST_TEST(page.Evacuations.empty());
+  BOOST_TEST(page.Unreadable == 3U);
+  BOOST_REQUIRE(page.Rejected.size() == 3U);
+  BOOST_TEST(page.Rejected[1].Key == "op/evacuate/a/b");
+  BOOST_TEST((page.Rejected[1].Why == fleet::EntryRejection::Key));
+}
+
 // Guards against a malformed or foreign entry that is accepted as a backend
 // server, and against one that makes the entries next to it unreadable.
 BOOST_AUTO_TEST_CASE(MalformedEntriesAreSkippedAndCounted) {
--- a/Source/platform/SettingsTemplate.cpp
+++ b/Source/platform/SettingsTemplate.cpp
@@ -36,6 +36,7 @@
       {"platform.address", "10.200.1.7:8169"},
       {"bounds.drain_ms", "3000"},
       {"bounds.propagation_ms", "3000"},
+      {"bounds.evacuate_ms", "5000"},
       {"bounds.grace_s", "6"},
       {"bounds.flow_lifetime_s", "60"},
       {".", "10.2.0.40:8166"}, // The current element of a section.
@@ -45,7 +46,7 @@
 }
 
 bool isKnownSection(std::string_view name) {
-  return name == "seeds" || name == "bootstrap";
+  return name == "seeds" || name == "bootstrap" || name == "bounds.evacuate_ms";
 }
 
 } // namespace
@@ -81,7 +82,9 @@
     position = close + 2;
     if (name.starts_with('#') || name.starts_with('/')) {
       if (!isKnownSection(name.substr(1)))
-        return errorAt("unknown section, expected seeds or bootstrap", name);
+        return errorAt("unknown section, expected seeds, bootstrap or "
+                       "bounds.evacuate_ms",
+                       name);
       continue;
     }
     const auto it = samples().find(name);
--- a/Source/platform/StoreCodec.cpp
+++ b/Source/platform/StoreCodec.cpp
@@ -30,6 +30,7 @@
 
 constexpr std::string_view ServerPrefix = "servers/";
 constexpr std::string_view ConfigurationKey = "op/config";
+constexpr std::string_view EvacuationPrefix = "op/evacuate/";
 constexpr std::string_view EraHeader = "store-era";
 /// Longest value of a backend server. It has some 200 bytes, and its names at
 /// most 200 each. A parse of 1 MiB, the limit of the registry, takes 0.2 s on a
@@ -314,6 +315,17 @@
   return value;
 }
 
+/// Adds the evacuation, or the end of one, that the key of \p entry states. The
+/// value may be anything.
+void addEvacuation(RejectedEntry entry, bool isRemoved, RegistryPage &page) {
+  auto zone = entry.Key.substr(EvacuationPrefix.size());
+  if (routing::isValidName(zone))
+    page.Evacuations.push_back(
+        {std::move(zone), !isRemoved, /*Era=*/0, entry.Revision});
+  else if (!isRemoved)
+    reject(page, std::move(entry));
+}
+
 /// Decodes one item or event and adds it to \p page.
 void decodeItem(const json &item, RegistryPage &page) {
   const auto key = item.is_object() ? member<std::string>(item, "key")
@@ -326,13 +338,18 @@
   }
   page.LastKey = *key;
   const bool isServer = key->starts_with(ServerPrefix);
-  if (!isServer && *key != ConfigurationKey)
+  const bool isEvacuation = key->starts_with(EvacuationPrefix);
+  if (!isServer && !isEvacuation && *key != ConfigurationKey)
     return;
   const auto name = isServer ? key->substr(ServerPrefix.size()) : *key;
   const auto tombstone = item.find("tombstone");
   const bool isRemoved = tombstone != item.end() && tombstone->is_boolean() &&
                          tombstone->get<bool>();
   RejectedEntry rejected{.Key = *key, .Revision = *revision};
+  if (isEvacuation) {
+    addEvacuation(std::move(rejected), isRemoved, page);
+    return;
+  }
   // Hosts cannot tell each other of such a name, and no server has it.
   if (isServer && !isServerName(name)) {
     if (!isRemoved)
