Limit new flows to cold servers over all hosts

Cause: a server that has just started must get at most rate x overage + slack new flows in any second, summed over all hosts, for services that state a rate. Hosts did not limit them.

Hosts that each take themselves for the only one exceed it.

--- a/Source/Edge/EdgeMetrics.cpp
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -38,6 +38,8 @@
     return "flows_placed_total";
   case EdgeCounter::SynsRepeated:
     return "syns_repeated_total";
+  case EdgeCounter::SynsKeptFromCold:
+    return "syns_kept_from_cold_total";
   case EdgeCounter::FlowsReset:
     return "flows_reset_total";
   case EdgeCounter::ResetsRouteRemoved:
@@ -142,6 +144,7 @@
   appendSample(text, "flows", "gauge", gauges.Flows);
   appendSample(text, "peers", "gauge", gauges.Peers);
   appendSample(text, "evidence_cases", "gauge", gauges.EvidenceCases);
+  appendSample(text, "cold_servers", "gauge", gauges.ColdServers);
   const auto name = absl::StrCat(common::toAbsl(Prefix), "answer_time_ms");
   absl::StrAppend(&text, "# TYPE ", name, " histogram\n");
   // Bin -1 is the underflow bin: values below the first bound.
--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -16,6 +16,7 @@
   PacketsForwarded,
   FlowsPlaced,
   SynsRepeated,
+  SynsKeptFromCold, ///< SYNs for which cold servers were left out.
   FlowsReset,
   // Resets of open flows, by reason; also counted in FlowsReset.
   ResetsRouteRemoved,
@@ -69,6 +70,7 @@
   std::size_t Flows = 0;
   std::size_t Peers = 0;
   std::size_t EvidenceCases = 0;
+  std::size_t ColdServers = 0;
 };
 
 /// Counters and the response time histogram of an edge daemon. Not thread-safe.
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -8,6 +8,7 @@
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 #include <utility>
@@ -64,6 +65,15 @@
   return verdicts;
 }
 
+fleet::FleetStart fleetStartOf(const state::EdgeSettings &settings) {
+  if (std::ranges::all_of(settings.Seeds, [&](const auto &it) {
+        return it.Address == settings.Peers.Address;
+      }))
+    return fleet::FleetStart::Alone;
+  return settings.Start == state::StartMode::First ? fleet::FleetStart::First
+                                                   : fleet::FleetStart::Restart;
+}
+
 std::uint64_t randomSeed() { return std::random_device{}(); }
 
 } // namespace
@@ -91,11 +101,16 @@
                verdictLimits(routing::HealthLimits::forHeartbeat(
                    Settings.ServerHeartbeat, Settings.ChangeBound))),
       InitialView(fleet::InitialViewTiming::forBound(Settings.ChangeBound)),
+      ColdStarts(Peers, fleetStartOf(Settings), Routes, Directory, Recorder,
+                 {.Overage = Settings.ColdStartOverage,
+                  .Slack = Settings.ColdStartSlack,
+                  .Heartbeat = Settings.ServerHeartbeat}),
       Placement(Directory, Health, Directory.zoneNames().idOf(Settings.Zone),
                 randomSeed()),
       Router(Routes, Directory, Health, Placement, Recorder), ReadyServer(Loop),
       ControlServer(Loop), MetricsServer(Loop), PeerServer(Loop) {
   Recorder.setView(&View);
+  Placement.setParts({.ColdStarts = &ColdStarts});
 }
 
 absl::Status EdgeNode::run() {
@@ -220,6 +235,7 @@
   if (now >= NextHousekeeping) {
     NextHousekeeping = now + HousekeepingInterval;
     Router.onTick(now);
+    ColdStarts.update(now);
     View.reconcileEra(now);
     View.discardExpired(now);
     History.expire();
@@ -383,6 +399,7 @@
   gauges.Flows = Router.flowCount();
   gauges.Peers = Peers.aliveCount(now);
   gauges.EvidenceCases = Detector.caseCount();
+  gauges.ColdServers = ColdStarts.coldCount();
   return Recorder.metrics().text(gauges);
 }
 
--- a/Source/Edge/EdgeNode.h
+++ b/Source/Edge/EdgeNode.h
@@ -5,6 +5,7 @@
 #include "Edge/PeerExchange.h"
 #include "Edge/RegistryClient.h"
 #include "Edge/ViewListener.h"
+#include "Fleet/SharedColdStartLimiter.h"
 #include "Reactor/AsyncHttpServer.h"
 #include "Routing/ServerPlacement.h"
 #include "State/EdgeSettings.h"
@@ -76,6 +77,7 @@
   fleet::PeerTable Peers;
   fleet::SharedFailureDetector Detector;
   fleet::InitialViewSource InitialView;
+  fleet::SharedColdStartLimiter ColdStarts;
   routing::ServerPlacement Placement;
   routing::PacketRouter Router;
   std::unique_ptr<PacketForwarder> Forwarder;
--- a/Source/Edge/EventLog.cpp
+++ b/Source/Edge/EventLog.cpp
@@ -86,6 +86,10 @@
     return "view_fetch";
   case LogEvent::Placed:
     return "placed";
+  case LogEvent::ColdStart:
+    return "cold_start";
+  case LogEvent::ColdLimited:
+    return "cold_limited";
   case LogEvent::Refused:
     return "refused";
   case LogEvent::Suspected:
--- a/Source/Edge/EventLog.h
+++ b/Source/Edge/EventLog.h
@@ -31,6 +31,8 @@
   Peer,
   ViewFetch,
   Placed,
+  ColdStart,
+  ColdLimited,
   Refused,
   Suspected,
   Cleared,
--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -306,6 +306,26 @@
                          Health.activity(server).PendingRequests));
 }
 
+void EventRecorder::onCold(ServerId server, std::uint32_t share) {
+  if (Log.tryAdmit(LogEvent::ColdStart))
+    Log.write(LogEvent::ColdStart,
+              absl::StrCat(serverField(server),
+                           ",\"phase\":\"began\",\"share\":", share));
+}
+
+void EventRecorder::onWarm(ServerId server) {
+  if (Log.tryAdmit(LogEvent::ColdStart))
+    Log.write(LogEvent::ColdStart,
+              absl::StrCat(serverField(server), ",\"phase\":\"ended\""));
+}
+
+void EventRecorder::onLimited(std::optional<ServerId> server) {
+  Metrics.add(EdgeCounter::SynsKeptFromCold);
+  if (Log.tryAdmit(LogEvent::ColdLimited))
+    Log.write(LogEvent::ColdLimited,
+              server ? serverField(*server) : "\"refused\":true");
+}
+
 void EventRecorder::recordConfiguration(std::uint64_t version) {
   History.record(state::Cause::SettingsApplied, {}, version, {});
   if (Log.tryAdmit(LogEvent::Configuration))
--- a/Source/Edge/EventRecorder.h
+++ b/Source/Edge/EventRecorder.h
@@ -4,17 +4,20 @@
 #include "Edge/EventLog.h"
 #include "Fleet/CauseHistory.h"
 #include "Fleet/FleetView.h"
+#include "Fleet/SharedColdStartLimiter.h"
 #include "Fleet/SharedFailureDetector.h"
 #include "Routing/RoutingObserver.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace auburnroute::edge {
 
 /// Records routing decisions as log lines, metrics and causes.
 class EventRecorder final : public routing::RoutingObserver,
-                            public fleet::VerdictObserver {
+                            public fleet::VerdictObserver,
+                            public fleet::ColdStartObserver {
 public:
   /// References must outlive the object.
   EventRecorder(EventLog &log, const common::Clock &clock,
@@ -38,6 +41,9 @@
   void onVerdictEnd(const fleet::VerdictEnd &end) override;
   void onRejected(fleet::EvidenceRejection why, std::uint64_t identity,
                   std::uint32_t sender) override;
+  void onCold(routing::ServerId server, std::uint32_t share) override;
+  void onWarm(routing::ServerId server) override;
+  void onLimited(std::optional<routing::ServerId> server) override;
   void recordConfiguration(std::uint64_t version);
   void recordEra(const fleet::EraChange &change);
   void recordRejectedEntry(const fleet::RejectedEntry &entry);
--- a/Source/Fleet/PeerTable.cpp
+++ b/Source/Fleet/PeerTable.cpp
@@ -93,6 +93,21 @@
   return addresses;
 }
 
+TimePoint PeerTable::lastHeardAt() const {
+  TimePoint last;
+  for (const auto &[address, peer] : Peers)
+    last = std::max(last, peer.HeartbeatRoseAt);
+  return last;
+}
+
+std::vector<std::uint32_t> PeerTable::leavingInZone() const {
+  std::vector<std::uint32_t> addresses;
+  for (const auto &[address, peer] : Peers)
+    if (peer.Info.IsLeaving && peer.Info.Zone == Self.Zone)
+      addresses.push_back(address);
+  return addresses;
+}
+
 std::size_t PeerTable::aliveCount(TimePoint now) const {
   return static_cast<std::size_t>(std::ranges::count_if(
       Peers, [&](const auto &it) { return isAlive(it.second, now); }));
--- a/Source/Fleet/PeerTable.h
+++ b/Source/Fleet/PeerTable.h
@@ -71,6 +71,12 @@
   /// Sorted addresses of the live hosts of the own zone that are not leaving,
   /// and of this host.
   std::vector<std::uint32_t> hostsInZone(common::TimePoint now) const;
+  /// When this host last learned that another one runs; the default value if
+  /// it knows none.
+  common::TimePoint lastHeardAt() const;
+  /// Addresses of the hosts of the own zone that announced a stop, in no
+  /// particular order.
+  std::vector<std::uint32_t> leavingInZone() const;
   /// Whether no other live host that is not leaving has a lower address.
   bool hasLowestAddress(common::TimePoint now) const;
   /// Removes hosts whose heartbeat has not increased for RemovalTimeout.
--- a/Source/Routing/ColdStartLimiter.h
+++ b/Source/Routing/ColdStartLimiter.h
@@ -16,6 +16,8 @@
                       common::TimePoint now) const = 0;
   /// A SYN is forwarded to \p server.
   virtual void onPlaced(const KnownServer &server, common::TimePoint now) = 0;
+  /// A SYN is refused, as no server was left for it.
+  virtual void onRefused(common::TimePoint now) = 0;
 };
 
 } // namespace auburnroute::routing
--- a/Source/Routing/ServerDirectory.cpp
+++ b/Source/Routing/ServerDirectory.cpp
@@ -66,8 +66,11 @@
   removeFromIndexes(id);
   if (before.Address != registration.Address)
     releaseAddress(id);
-  if (registration.StartTimeMs != before.StartTimeMs)
+  if (registration.StartTimeMs != before.StartTimeMs) {
     server.RunSeenAt = now;
+    server.HasStatedWarmUp = false;
+  }
+  server.HasStatedWarmUp |= registration.WarmUpLeft.count() > 0;
   NameBytes += routing::nameBytes(registration) - routing::nameBytes(before);
   server.Registration = registration;
   server.Service = Services.idOf(registration.Service);
--- a/Source/Routing/ServerDirectory.h
+++ b/Source/Routing/ServerDirectory.h
@@ -26,6 +26,8 @@
   common::TimePoint FirstSeen;
   common::TimePoint RunSeenAt; ///< When its current run became known.
   common::TimePoint ColdUntil;
+  /// An entry of its current run stated a warm-up time.
+  bool HasStatedWarmUp = false;
   common::TimePoint LapsedAt; ///< Valid in state Lapsed.
   bool IsOccupied = false;    ///< This slot of the directory holds a server.
   /// Another server has registered with its address since.
--- a/Source/Routing/ServerPlacement.cpp
+++ b/Source/Routing/ServerPlacement.cpp
@@ -91,8 +91,12 @@
       equals = 1;
     }
   }
-  if (best && Parts.ColdStarts != nullptr)
-    Parts.ColdStarts->onPlaced(Directory.at(*best), now);
+  if (Parts.ColdStarts != nullptr) {
+    if (best)
+      Parts.ColdStarts->onPlaced(Directory.at(*best), now);
+    else
+      Parts.ColdStarts->onRefused(now);
+  }
   return best;
 }
 
--- a/Source/State/EdgeSettings.cpp
+++ b/Source/State/EdgeSettings.cpp
@@ -56,6 +56,13 @@
           "flowLifetime", 1s, 1000min, "Age up to which a flow must be kept.")),
       field<E, &E::StopTimeout>(V::duration("stopTimeout", 100ms, 60min,
                                             "Time from SIGTERM to SIGKILL.")),
+      field<E, &E::ColdStartOverage>(
+          V::share("coldStartOverage", 0, 1000,
+                   "Factor of the rate of new flows that a service states for "
+                   "cold servers.")),
+      field<E, &E::ColdStartSlack>(
+          V::share("coldStartSlack", 0, 1e6,
+                   "New flows a second that cold servers bear beyond that.")),
   };
   return table;
 }
--- a/Source/State/EdgeSettings.h
+++ b/Source/State/EdgeSettings.h
@@ -35,6 +35,10 @@
   std::chrono::milliseconds ChangeBound{3000};
   std::chrono::milliseconds FlowLifetime{60000};
   std::chrono::milliseconds StopTimeout{6000};
+  /// A cold server gets at most rate x ColdStartOverage + ColdStartSlack new
+  /// flows in any second, with the rate that its service states.
+  double ColdStartOverage = 1;
+  double ColdStartSlack = 0;
 };
 
 /// Reads and checks the settings of an edge daemon. Errors: InvalidArgument,
--- a/Source/UnitTests/Edge/DocumentationTest.cpp
+++ b/Source/UnitTests/Edge/DocumentationTest.cpp
@@ -119,6 +119,10 @@
     recorder.onRejected(fleet::EvidenceRejection::Refuted, 1, 1);
     recorder.onAnswered(flow, id, std::chrono::milliseconds(200),
                         std::chrono::milliseconds(100));
+    recorder.onCold(id, 1);
+    recorder.onWarm(id);
+    recorder.onLimited(id);
+    recorder.onLimited(std::nullopt);
     recorder.recordConfiguration(1);
     recorder.recordEra({});
     recorder.recordReconciliation({});
@@ -135,7 +139,7 @@
     for (const auto &[name, value] : fields.items())
       BOOST_TEST(hasCodeSpan(page, name), name);
   }
-  BOOST_TEST(count == 13);
+  BOOST_TEST(count == 17);
 }
 
 BOOST_AUTO_TEST_CASE(EachMetricIsDocumented) {
--- a/Source/UnitTests/State/EdgeSettingsTest.cpp
+++ b/Source/UnitTests/State/EdgeSettingsTest.cpp
@@ -48,6 +48,15 @@
   BOOST_TEST(settings->Seeds.size() == 2U);
   BOOST_TEST((settings->StopTimeout == 2500ms));
   BOOST_TEST((settings->ChangeBound == 3000ms));
+  BOOST_TEST(settings->ColdStartOverage == 1);
+  BOOST_TEST(settings->ColdStartSlack == 0);
+  const auto limited = state::loadEdgeSettings(
+      with(R"("stopTimeout")",
+           R"("coldStartOverage": 1.5, "coldStartSlack": 5, "stopTimeout")"),
+      "f");
+  BOOST_REQUIRE(limited.ok());
+  BOOST_TEST(limited->ColdStartOverage == 1.5);
+  BOOST_TEST(limited->ColdStartSlack == 5);
   BOOST_TEST(state::loadEdgeSettings(
                  with(R"("10.2.0.40:8166", "10.3.0.7:8166")", ""), "f")
                  .ok());
--- a/Source/platform/SettingsTemplate.cpp
+++ b/Source/platform/SettingsTemplate.cpp
@@ -38,6 +38,8 @@
       {"bounds.propagation_ms", "3000"},
       {"bounds.grace_s", "6"},
       {"bounds.flow_lifetime_s", "60"},
+      {"bounds.cold_overage", "1.5"},
+      {"bounds.cold_slack", "5.0"},
       {".", "10.2.0.40:8166"}, // The current element of a section.
       {",", ""},               // Separator, empty after the last element.
   };
@@ -45,7 +47,9 @@
 }
 
 bool isKnownSection(std::string_view name) {
-  return name == "seeds" || name == "bootstrap";
+  // Bounds that only some deployments have.
+  return name == "seeds" || name == "bootstrap" ||
+         name == "bounds.cold_overage" || name == "bounds.cold_slack";
 }
 
 } // namespace
@@ -81,7 +85,9 @@
     position = close + 2;
     if (name.starts_with('#') || name.starts_with('/')) {
       if (!isKnownSection(name.substr(1)))
-        return errorAt("unknown section, expected seeds or bootstrap", name);
+        return errorAt("unknown section, expected seeds, bootstrap or an "
+                       "optional bound",
+                       name);
       continue;
     }
     const auto it = samples().find(name);
