--- a/Source/State/EdgeSettings.h
+++ b/Source/State/EdgeSettings.h
@@ -38,6 +38,10 @@
   std::chrono::milliseconds EvacuationBound{0};
   std::chrono::milliseconds FlowLifetime{60000};
   std::chrono::milliseconds StopTimeout{6000};
+  /// A cold server gets at most rate x ColdStartOverage + ColdStartSlack new
+  /// flows in any second, with the rate that its service states.
+  double ColdStartOverage = 1;
+  double ColdStartSlack = 0;
 
   /// The bound that the reads of the registry have to meet.
   std::chrono::milliseconds registryBound() const {
--- a/Source/platform/SettingsTemplate.cpp
+++ b/Source/platform/SettingsTemplate.cpp
@@ -39,6 +39,8 @@
       {"bounds.evacuate_ms", "5000"},
       {"bounds.grace_s", "6"},
       {"bounds.flow_lifetime_s", "60"},
+      {"bounds.cold_overage", "1.5"},
+      {"bounds.cold_slack", "5.0"},
       {".", "10.2.0.40:8166"}, // The current element of a section.
       {",", ""},               // Separator, empty after the last element.
   };
@@ -46,7 +48,10 @@
 }
 
 bool isKnownSection(std::string_view name) {
-  return name == "seeds" || name == "bootstrap" || name == "bounds.evacuate_ms";
+  // Bounds that only some deployments have.
+  return name == "seeds" || name == "bootstrap" ||
+         name == "bounds.evacuate_ms" || name == "bounds.cold_overage" ||
+         name == "bounds.cold_slack";
 }
 
 } // namespace
@@ -82,8 +87,8 @@
     position = close + 2;
     if (name.starts_with('#') || name.starts_with('/')) {
       if (!isKnownSection(name.substr(1)))
-        return errorAt("unknown section, expected seeds, bootstrap or "
-                       "bounds.evacuate_ms",
+        return errorAt("unknown section, expected seeds, bootstrap or an "
+                       "optional bound",
                        name);
       continue;
     }
