Count outstanding requests until they are answered

A request counted as answered 300 ms after it was sent unless it was retransmitted. Servers acknowledge requests at once and answer later, so slow requests vanished from the load.

LoadMeter counts requests until their answer, the end of the flow or the timeout of the route, with a time-weighted mean and a rate. After a change of the routers, requests count for 1 s at most and flows without packets stop counting. Phases of flows, and so the evidence on servers and the placement without shared load, are as before.

With the count of phases, the new test of slow requests sees 0 requests after 900 ms in place of 1.

--- a/Source/Routing/FlowTable.cpp
+++ b/Source/Routing/FlowTable.cpp
@@ -3,6 +3,7 @@
 #include "Common/SequenceNumber.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburnroute::routing {
 
@@ -34,6 +35,48 @@
     Health.onRequest(flow.Server);
   flow.Phase = phase;
   flow.PhaseSince = now;
+  if (!isOpen(phase)) {
+    setLoadCounted(flow, false);
+    endOutstanding(flow, now);
+  }
+}
+
+void FlowTable::setLoadCounted(FlowState &flow, bool isCounted) {
+  if (std::exchange(flow.IsLoadCounted, isCounted) == isCounted)
+    return;
+  if (isCounted)
+    Health.load(flow.Server).onFlow();
+  else
+    Health.load(flow.Server).onFlowEnd();
+}
+
+void FlowTable::beginOutstanding(FlowState &flow,
+                                 std::chrono::milliseconds timeout,
+                                 TimePoint now) {
+  if (flow.OutstandingUntil == TimePoint())
+    Health.load(flow.Server).onRequest(now);
+  timeout = std::min(timeout, MaxOutstandingTime);
+  flow.OutstandingUntil =
+      now + (mayHaveMoved(now) ? std::min(timeout, MovedRequestTime) : timeout);
+}
+
+void FlowTable::endOutstanding(FlowState &flow, TimePoint now) {
+  if (flow.OutstandingUntil == TimePoint())
+    return;
+  flow.OutstandingUntil = {};
+  Health.load(flow.Server).onRequestEnd(now);
+}
+
+void FlowTable::limitOutstanding(TimePoint now) {
+  for (auto &[id, flow] : Flows)
+    if (flow.OutstandingUntil != TimePoint())
+      flow.OutstandingUntil =
+          std::min(flow.OutstandingUntil, now + MovedRequestTime);
+}
+
+void FlowTable::onRoutersChanged(TimePoint now) {
+  RoutersChangedAt = now;
+  limitOutstanding(now);
 }
 
 void FlowTable::onSyn(const FlowId &id, ServerId server,
@@ -70,7 +113,8 @@
 }
 
 FlowEvent FlowTable::onPacket(const FlowId &id, ServerId server,
-                              const FlowPacket &packet, TimePoint now) {
+                              const FlowPacket &packet, TimePoint now,
+                              std::chrono::milliseconds timeout) {
   if (Flows.size() >= MaxFlows && !Flows.contains(id))
     return FlowEvent::None;
   const auto [it, added] = Flows.try_emplace(id);
@@ -100,6 +144,7 @@
   } else if (sequenceAfter(packet.Acknowledgement, flow.Acknowledged)) {
     event = FlowEvent::Answered;
     flow.Acknowledged = packet.Acknowledgement;
+    endOutstanding(flow, now);
     if (flow.Phase == FlowPhase::Busy) {
       Health.onAnswerTime(std::chrono::duration_cast<std::chrono::milliseconds>(
                               now - flow.PhaseSince),
@@ -111,6 +156,8 @@
     setPhase(flow, FlowPhase::Closed, now);
     return event;
   }
+  if (flow.Phase != FlowPhase::Closed)
+    setLoadCounted(flow, true);
   if (packet.PayloadSize == 0)
     return event;
   if (sequenceAfter(end, flow.NextSequence)) {
@@ -119,6 +166,8 @@
     if (flow.Phase == FlowPhase::Busy)
       flow.PhaseSince = now;
     setPhase(flow, FlowPhase::Busy, now);
+    setLoadCounted(flow, true);
+    beginOutstanding(flow, timeout, now);
   } else if (event == FlowEvent::None && flow.Phase == FlowPhase::Busy &&
              now - flow.PhaseSince >= MinRetransmissionDelay) {
     if (flow.RetransmissionCount == 0)
@@ -132,6 +181,7 @@
 }
 
 void FlowTable::expire(TimePoint now, std::chrono::milliseconds idleTimeout) {
+  const bool isMoving = mayHaveMoved(now);
   for (auto it = Flows.begin(); it != Flows.end();) {
     auto &flow = it->second;
     const auto limit =
@@ -143,6 +193,10 @@
       Flows.erase(it++);
       continue;
     }
+    if (isMoving && now - flow.LastSeen > RoutersSettleTime)
+      setLoadCounted(flow, false);
+    if (now > flow.OutstandingUntil)
+      endOutstanding(flow, now);
     if (flow.Phase == FlowPhase::Busy && flow.RetransmissionCount == 0 &&
         now - flow.PhaseSince > AnswerAssumedAfter)
       setPhase(flow, FlowPhase::Idle, now);
@@ -159,6 +213,7 @@
     flow.RetransmissionCount = 0;
   }
   SentSyns.clear();
+  limitOutstanding(now);
 }
 
 std::vector<std::pair<FlowId, std::uint32_t>>
--- a/Source/Routing/FlowTable.h
+++ b/Source/Routing/FlowTable.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -36,6 +37,11 @@
   std::uint32_t Acknowledged = 0; ///< Highest acknowledgement seen.
   common::TimePoint LastSeen;
   common::TimePoint PhaseSince;
+  /// Until when the pending request counts as load; the default value if none
+  /// is pending. Unlike Phase, it lasts until the request is answered.
+  common::TimePoint OutstandingUntil;
+  /// Counted as an open flow of its server in the load of this host.
+  bool IsLoadCounted = false;
 };
 
 /// What a packet reveals about the backend server of its flow.
@@ -77,6 +83,16 @@
   /// packets.
   static constexpr std::chrono::milliseconds ClosedFlowLifetime{2000};
 
+  /// How long a request counts as load if its route states no shorter timeout.
+  static constexpr std::chrono::milliseconds MaxOutstandingTime{10000};
+  /// After a change of the routers, flows may move to other hosts until this
+  /// time has passed: probes take 1.3 s, and hosts learn of each other by
+  /// gossip.
+  static constexpr std::chrono::milliseconds RoutersSettleTime{3000};
+  /// While flows may have moved, requests count for this long at most: their
+  /// answers may pass through other hosts.
+  static constexpr std::chrono::milliseconds MovedRequestTime{1000};
+
   explicit FlowTable(ServerHealthTracker &health) : Health(health) {}
 
   /// The state of flow \p id, or nullptr.
@@ -84,9 +100,15 @@
   /// Records that the SYN of \p id was forwarded to \p server.
   void onSyn(const FlowId &id, ServerId server, const FlowPacket &packet,
              common::TimePoint now);
-  /// Records a packet after the SYN, which is forwarded to \p server.
+  /// Records a packet after the SYN, which is forwarded to \p server. A request
+  /// in it counts as load for \p timeout at most.
   FlowEvent onPacket(const FlowId &id, ServerId server,
-                     const FlowPacket &packet, common::TimePoint now);
+                     const FlowPacket &packet, common::TimePoint now,
+                     std::chrono::milliseconds timeout = MaxOutstandingTime);
+  /// The routers may have moved flows to other hosts. Until RoutersSettleTime
+  /// has passed, flows without a packet within that time, and requests older
+  /// than MovedRequestTime, stop counting as load.
+  void onRoutersChanged(common::TimePoint now);
   /// The flows that have been opening for MaxOpeningTime, each returned once.
   std::vector<UnansweredSyn> takeUnansweredSyns(common::TimePoint now);
   /// Removes flows that were idle for \p idleTimeout and marks requests older
@@ -107,11 +129,21 @@
 private:
   /// Changes the phase and updates the counts of the server's health.
   void setPhase(FlowState &flow, FlowPhase phase, common::TimePoint now);
+  void setLoadCounted(FlowState &flow, bool isCounted);
+  void beginOutstanding(FlowState &flow, std::chrono::milliseconds timeout,
+                        common::TimePoint now);
+  void endOutstanding(FlowState &flow, common::TimePoint now);
+  /// Limits the time for which pending requests count to MovedRequestTime.
+  void limitOutstanding(common::TimePoint now);
+  bool mayHaveMoved(common::TimePoint now) const {
+    return RoutersChangedAt && now - *RoutersChangedAt <= RoutersSettleTime;
+  }
 
   ServerHealthTracker &Health;
   absl::flat_hash_map<FlowId, FlowState> Flows;
   /// Flows in the order of their SYNs, and when these were forwarded.
   std::deque<std::pair<FlowId, common::TimePoint>> SentSyns;
+  std::optional<common::TimePoint> RoutersChangedAt;
 };
 
 } // namespace auburnroute::routing
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -242,7 +242,7 @@
   const bool wasBusy = known != nullptr && known->Phase == FlowPhase::Busy;
   const bool wasOpening =
       known != nullptr && known->Phase == FlowPhase::Opening;
-  switch (Flows.onPacket(id, serverId, packet, now)) {
+  switch (Flows.onPacket(id, serverId, packet, now, route.Timeout)) {
   case FlowEvent::Answered:
     recordAnswer(serverId, wasBusy || wasOpening ? sentAt : TimePoint(), now);
     if (wasBusy)
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -49,6 +49,8 @@
   /// packets have waited in its socket, and what it then reads says nothing
   /// about the servers.
   void discardEvidence(common::TimePoint now);
+  /// Hosts of the zone joined or left, so that the routers move flows.
+  void onRoutersChanged(common::TimePoint now) { Flows.onRoutersChanged(now); }
   /// Removes expired state. Call at least once a second.
   void onTick(common::TimePoint now);
   /// Whether servers whose entry lapsed without draining may get new flows when
--- a/Source/Routing/ServerHealthTracker.h
+++ b/Source/Routing/ServerHealthTracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Clock.h"
+#include "Routing/LoadMeter.h"
 #include "Routing/ServerDirectory.h"
 #include "Routing/SilenceRule.h"
 
@@ -29,6 +30,8 @@
   /// SYNs sent to it that are not answered yet.
   std::uint32_t PendingSyns = 0;
   std::uint32_t OpenFlows = 0;
+  /// Load for the exchange between hosts; no evidence rests on it.
+  LoadMeter Load;
   /// Time of the last caller packet that acknowledged data or a SYN-ACK from
   /// the server.
   common::TimePoint LastAnswer;
@@ -113,6 +116,8 @@
   void onClosed(ServerId id);
   void onRequest(ServerId id);
   void onRequestDone(ServerId id);
+  /// Counts for the exchange of loads.
+  LoadMeter &load(ServerId id) { return activityRef(id).Load; }
   /// The SYN got no answer, or its flow was discarded before one.
   void onSynAbandoned(ServerId id);
   /// A server of \p zone answered a packet that was sent at \p sentAt; the
--- a/Source/UnitTests/Routing/FlowTableTest.cpp
+++ b/Source/UnitTests/Routing/FlowTableTest.cpp
@@ -19,6 +19,7 @@
   FlowTable Flows{Health};
   FlowId Id{{1, 2}, {3, 4}};
 
+  const routing::LoadMeter &load() { return Health.activity(0).Load; }
   FlowEvent packet(std::uint32_t sequence, std::uint32_t ack,
                    std::uint16_t size, bool fin = false) {
     FlowPacket it;
@@ -103,4 +104,71 @@
   BOOST_TEST(it.Health.activity(0).OpenFlows == 0U);
 }
 
+// Servers acknowledge requests at once and answer later without a
+// retransmission: slow requests vanished from the load after 300 ms.
+BOOST_AUTO_TEST_CASE(SlowRequestsCountUntilTheirAnswerOrTimeout) {
+  Fixture it;
+  it.open();
+  it.packet(100, 50, 200);
+  it.Clock.advance(900ms);
+  it.Flows.expire(it.Clock.now(), 15s);
+  BOOST_TEST(it.Health.activity(0).PendingRequests == 0U);
+  BOOST_TEST(it.load().outstanding() == 1U);
+  // A late copy of an answered or assumed request is no evidence.
+  BOOST_TEST((it.packet(100, 50, 200) == FlowEvent::None));
+  BOOST_TEST((it.packet(300, 1250, 0) == FlowEvent::Answered));
+  BOOST_TEST(it.load().outstanding() == 0U);
+  it.packet(300, 1250, 200);
+  it.Clock.advance(FlowTable::MaxOutstandingTime + 1ms);
+  it.Flows.expire(it.Clock.now(), 15s);
+  BOOST_TEST(it.load().outstanding() == 0U);
+  it.packet(500, 1250, 200);
+  it.packet(700, 1250, 0, true);
+  BOOST_TEST(it.load().outstanding() == 0U);
+  BOOST_TEST(it.load().flows() == 0U);
+}
+
+// When hosts join or leave, the routers move nearly all flows: those that went
+// elsewhere were counted here and there until their idle timeout.
+BOOST_AUTO_TEST_CASE(MovedFlowsStopCounting) {
+  Fixture it;
+  it.open();
+  it.packet(100, 50, 200);
+  BOOST_TEST(it.load().flows() == 1U);
+  it.Flows.onRoutersChanged(it.Clock.now());
+  it.Clock.advance(FlowTable::MovedRequestTime + 1ms);
+  it.Flows.expire(it.Clock.now(), 15s);
+  BOOST_TEST(it.load().outstanding() == 0U);
+  BOOST_TEST(it.load().flows() == 1U);
+  it.Flows.onRoutersChanged(it.Clock.now());
+  it.Clock.advance(2500ms);
+  it.Flows.expire(it.Clock.now(), 15s);
+  BOOST_TEST(it.load().flows() == 0U);
+  BOOST_TEST(it.Health.activity(0).OpenFlows == 1U);
+  it.packet(300, 50, 200);
+  BOOST_TEST(it.load().flows() == 1U);
+  BOOST_TEST(it.load().outstanding() == 1U);
+}
+
+// The mean must follow the count over time and not over events: a host sees
+// few packets of a server.
+BOOST_AUTO_TEST_CASE(MeanIsWeightedByTime) {
+  routing::LoadMeter meter;
+  common::ManualClock clock;
+  meter.onRequest(clock.now());
+  clock.advance(routing::LoadMeter::TimeConstant);
+  BOOST_TEST(meter.meanOutstanding(clock.now()) == 0.632,
+             boost::test_tools::tolerance(0.01));
+  meter.onRequestEnd(clock.now());
+  clock.advance(10 * routing::LoadMeter::TimeConstant);
+  BOOST_TEST(meter.meanOutstanding(clock.now()) < 0.01);
+  for (int i = 0; i < 300; ++i) {
+    clock.advance(100ms);
+    meter.onRequest(clock.now());
+    meter.onRequestEnd(clock.now());
+  }
+  BOOST_TEST(meter.rate(clock.now()) == 10.,
+             boost::test_tools::tolerance(0.05));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
