Share the load of busy services between hosts

One of 66 hosts sees a sixtieth of the flows of a server, so at 0.5 and more busy slots it placed new flows blindly.

LoadExchange collects the load of each server at one host of the zone and answers each report with the load by the other hosts. Loads by zone and service go out with periodic gossip and to two hosts of each other zone. It runs while a service is busy and stretches its interval to stay within 2 KB/s. Off unless loadSharing is set. Metrics, a log line and the status show it. The emulator gets candidates with shared loads.

--- a/Source/Edge/EdgeMetrics.cpp
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -92,6 +92,10 @@
     return "evidence_messages_sent_total";
   case EdgeCounter::EvidenceBytesSent:
     return "evidence_bytes_sent_total";
+  case EdgeCounter::LoadsSent:
+    return "load_messages_sent_total";
+  case EdgeCounter::LoadBytesSent:
+    return "load_bytes_sent_total";
   case EdgeCounter::GossipReceived:
     return "gossip_messages_received_total";
   case EdgeCounter::GossipMalformed:
@@ -142,6 +146,10 @@
   appendSample(text, "flows", "gauge", gauges.Flows);
   appendSample(text, "peers", "gauge", gauges.Peers);
   appendSample(text, "evidence_cases", "gauge", gauges.EvidenceCases);
+  appendSample(text, "load_services_shared", "gauge", gauges.SharedServices);
+  appendSample(text, "load_totals_age_ms", "gauge",
+               gauges.LoadTotalsAge.count());
+  appendSample(text, "load_interval_ms", "gauge", gauges.LoadInterval.count());
   const auto name = absl::StrCat(common::toAbsl(Prefix), "answer_time_ms");
   absl::StrAppend(&text, "# TYPE ", name, " histogram\n");
   // Bin -1 is the underflow bin: values below the first bound.
--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -45,6 +45,8 @@
   GossipBytesSent,
   EvidenceSent,
   EvidenceBytesSent,
+  LoadsSent,
+  LoadBytesSent,
   GossipReceived,
   GossipMalformed,
   GossipServersSkipped,
@@ -69,6 +71,9 @@
   std::size_t Flows = 0;
   std::size_t Peers = 0;
   std::size_t EvidenceCases = 0;
+  std::size_t SharedServices = 0;
+  std::chrono::milliseconds LoadTotalsAge{0};
+  std::chrono::milliseconds LoadInterval{0};
 };
 
 /// Counters and the response time histogram of an edge daemon. Not thread-safe.
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -90,6 +90,7 @@
       Detector(Peers, Directory, Health, Recorder,
                verdictLimits(routing::HealthLimits::forHeartbeat(
                    Settings.ServerHeartbeat, Settings.ChangeBound))),
+      Loads(Peers, Directory, Health, randomSeed()),
       InitialView(fleet::InitialViewTiming::forBound(Settings.ChangeBound)),
       Placement(Directory, Health, Directory.zoneNames().idOf(Settings.Zone),
                 randomSeed()),
@@ -142,6 +143,10 @@
         updateReadiness();
         resetFlowsOfDeadServers();
       });
+  if (Settings.LoadSharing) {
+    Exchange->setLoadExchange(&Loads);
+    Placement.setParts({.Load = &Loads});
+  }
   Registry = std::make_unique<RegistryClient>(
       Loop, Settings.Registry, Reader, Clock, History, Log, Recorder, [this] {
         updateReadiness();
@@ -237,6 +242,7 @@
   Registry->poll();
   Router.checkOpeningFlows(now);
   Exchange->poll();
+  onLoadsPolled();
   resetFlowsOfDeadServers();
   if (StoppingSince && canExit(now)) {
     Loop.stop();
@@ -306,6 +312,35 @@
                          ",\"servers\":", Directory.readyCount()));
 }
 
+void EdgeNode::onLoadsPolled() {
+  for (const auto &it : Loads.takeSharingChanges())
+    if (Log.tryAdmit(LogEvent::LoadSharing))
+      Log.write(LogEvent::LoadSharing,
+                absl::StrCat("\"service\":\"",
+                             Directory.serviceNames().nameOf(it.Service),
+                             "\",\"shared\":", it.IsShared ? "true" : "false",
+                             ",\"utilization\":", it.Utilization));
+  if (Loads.takeZoneChanged())
+    Router.onRoutersChanged(Clock.now());
+}
+
+std::string EdgeNode::loadStatus() const {
+  const auto now = Clock.now();
+  std::string list;
+  const auto &services = Directory.serviceNames();
+  const auto &zones = Directory.zoneNames();
+  for (routing::NameTable::Id service = 0; service < services.size(); ++service)
+    for (routing::NameTable::Id zone = 0; zone < zones.size(); ++zone)
+      if (const auto load = Loads.zoneLoad(service, zone, now);
+          Loads.isShared(service) && load && load->Slots > 0)
+        absl::StrAppend(&list, list.empty() ? "" : ",", "{\"service\":\"",
+                        services.nameOf(service), "\",\"zone\":\"",
+                        zones.nameOf(zone),
+                        "\",\"utilization\":", load->utilization(),
+                        ",\"rate\":", load->Rate, "}");
+  return list;
+}
+
 void EdgeNode::resetFlowsOfDeadServers() {
   for (const auto id : Detector.takeDead())
     Forwarder->resetFlows(Router.abandonFlowsOf(id, Clock.now()));
@@ -368,7 +403,7 @@
       ",\"era\":", View.era(), ",\"view_age_ms\":", View.age(now).count(),
       ",\"servers\":", Directory.readyCount(),
       ",\"flows\":", Router.flowCount(), ",\"peers\":", alive.size(),
-      ",\"hosts\":[", hosts, "]}\n");
+      ",\"loads\":[", loadStatus(), "],\"hosts\":[", hosts, "]}\n");
 }
 
 std::string EdgeNode::metrics() const {
@@ -383,6 +418,9 @@
   gauges.Flows = Router.flowCount();
   gauges.Peers = Peers.aliveCount(now);
   gauges.EvidenceCases = Detector.caseCount();
+  gauges.SharedServices = Loads.sharedCount();
+  gauges.LoadTotalsAge = Loads.totalAge(now);
+  gauges.LoadInterval = Loads.interval();
   return Recorder.metrics().text(gauges);
 }
 
--- a/Source/Edge/EdgeNode.h
+++ b/Source/Edge/EdgeNode.h
@@ -44,6 +44,10 @@
   /// registry from the host that does so normally.
   bool shouldTakeOverReading(common::TimePoint now) const;
   void updateReadiness();
+  /// Logs which services are shared, and applies changes of the zone.
+  void onLoadsPolled();
+  /// Members "loads" of the status: utilization by service and zone.
+  std::string loadStatus() const;
   /// Resets the flows of servers that were found dead.
   void resetFlowsOfDeadServers();
   /// Discards evidence and queued input if the process did not run for a while.
@@ -75,6 +79,7 @@
   fleet::RegistryReader Reader;
   fleet::PeerTable Peers;
   fleet::SharedFailureDetector Detector;
+  fleet::LoadExchange Loads;
   fleet::InitialViewSource InitialView;
   routing::ServerPlacement Placement;
   routing::PacketRouter Router;
--- a/Source/Edge/EventLog.cpp
+++ b/Source/Edge/EventLog.cpp
@@ -98,6 +98,8 @@
     return "verdict_ended";
   case LogEvent::VerdictRejected:
     return "verdict_rejected";
+  case LogEvent::LoadSharing:
+    return "load_sharing";
   case LogEvent::Late:
     return "late";
   case LogEvent::LogDropped:
--- a/Source/Edge/EventLog.h
+++ b/Source/Edge/EventLog.h
@@ -37,6 +37,7 @@
   Verdict,
   VerdictEnded,
   VerdictRejected,
+  LoadSharing,
   Late,
   LogDropped,
   Count, ///< Number of kinds, not a kind itself.
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -84,6 +84,10 @@
   announceIfChanged();
   pollEvidence();
   fetchFirstView();
+  if (Loads != nullptr) {
+    Loads->poll(now);
+    sendLoads();
+  }
   if (now < NextRound)
     return;
   NextRound = now + RoundInterval;
@@ -211,6 +215,8 @@
   message.ViewAge = View.age(now);
   message.Suspects = localSuspects(now);
   message.WantsAnswer = wantsAnswer;
+  if (withHosts)
+    addZoneLoads(message);
   send(message, addresses);
 }
 
@@ -238,6 +244,24 @@
   }
 }
 
+void PeerExchange::addZoneLoads(GossipMessage &message) {
+  if (Loads == nullptr)
+    return;
+  message.ZoneLoads = Loads->ownZoneLoads(Clock.now());
+  if (!message.ZoneLoads.empty() &&
+      GossipCodec::encode(message).size() > GossipCodec::MaxDatagramBytes)
+    message.ZoneLoads.clear();
+}
+
+void PeerExchange::sendLoads() {
+  for (const auto &[message, to] : Loads->takeOutgoing()) {
+    const auto bytes = send(message, {to});
+    Loads->onSent(bytes);
+    Metrics.add(EdgeCounter::LoadsSent);
+    Metrics.add(EdgeCounter::LoadBytesSent, bytes);
+  }
+}
+
 std::vector<fleet::ReportedSuspect>
 PeerExchange::localSuspects(TimePoint now) const {
   std::vector<fleet::ReportedSuspect> list;
@@ -278,6 +302,8 @@
   }
   announceIfChanged();
   sendEvidence();
+  if (Loads != nullptr)
+    sendLoads();
   OnViewChanged();
 }
 
@@ -323,6 +349,8 @@
   mergeHosts(message);
   mergeSuspects(message);
   Detector.onMessage(message, now);
+  if (Loads != nullptr)
+    Loads->onMessage(message, now);
   History.merge(message.Causes);
   if (message.Changes.To != 0) {
     if (!View.applyPeerChanges(message.Changes, message.ViewAge, now))
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -5,6 +5,7 @@
 #include "Edge/EventRecorder.h"
 #include "Fleet/GossipMessage.h"
 #include "Fleet/InitialViewSource.h"
+#include "Fleet/LoadExchange.h"
 #include "Fleet/PeerTable.h"
 #include "Fleet/SharedFailureDetector.h"
 #include "Reactor/AsyncHttpClient.h"
@@ -59,6 +60,8 @@
                std::function<std::chrono::milliseconds()> onWakeUp,
                std::function<void()> onViewChanged);
 
+  /// Exchanges loads by \p loads from now on; it must outlive the object.
+  void setLoadExchange(fleet::LoadExchange *loads) { Loads = loads; }
   void start(const std::vector<common::Endpoint> &seeds, state::StartMode mode);
   void setSeeds(const std::vector<common::Endpoint> &seeds);
   /// Sends the messages that are due. Must be called at least every 100 ms.
@@ -103,6 +106,9 @@
   std::size_t send(const fleet::GossipMessage &message,
                    const std::vector<std::uint32_t> &addresses);
   void sendEvidence();
+  void sendLoads();
+  /// Adds the loads that this host causes, if they fit the datagram.
+  void addZoneLoads(fleet::GossipMessage &message);
   /// Announces the view if it changed or became more current since the last
   /// announcement.
   void announceIfChanged();
@@ -142,6 +148,7 @@
   routing::ServerDirectory &Directory;
   routing::ServerHealthTracker &Health;
   fleet::SharedFailureDetector &Detector;
+  fleet::LoadExchange *Loads = nullptr;
   fleet::InitialViewSource &InitialView;
   const common::Clock &Clock;
   fleet::CauseHistory &History;
--- a/Source/Emulator/CandidatePlacement.cpp
+++ b/Source/Emulator/CandidatePlacement.cpp
@@ -36,18 +36,20 @@
   return loadOf(first) <= loadOf(second) ? first : second;
 }
 
-std::unique_ptr<routing::Placement>
-CandidatePlacement::make(const Candidate &candidate,
-                         const routing::ServerDirectory &directory,
-                         const routing::ServerHealthTracker &health,
-                         routing::NameTable::Id zone, std::uint64_t seed) {
+std::unique_ptr<routing::Placement> CandidatePlacement::make(
+    const Candidate &candidate, const routing::ServerDirectory &directory,
+    const routing::ServerHealthTracker &health, routing::NameTable::Id zone,
+    std::uint64_t seed, const routing::SharedLoad *load) {
   if (candidate.Rule != PlacementRule::LeastLoad)
     return std::make_unique<CandidatePlacement>(candidate.Rule, directory,
                                                 health, seed);
-  return std::make_unique<routing::ServerPlacement>(
+  auto placement = std::make_unique<routing::ServerPlacement>(
       directory, health, zone, seed,
       routing::PlacementWeights{candidate.OtherZone, candidate.Cold,
-                                candidate.OpenFlow});
+                                candidate.OpenFlow, candidate.Margin,
+                                candidate.Choices});
+  placement->setParts({.Load = load});
+  return placement;
 }
 
 } // namespace auburnroute::emulator
--- a/Source/Emulator/CandidatePlacement.h
+++ b/Source/Emulator/CandidatePlacement.h
@@ -25,11 +25,12 @@
          std::span<const routing::ServerId> tried, bool useLapsed,
          common::TimePoint now) override;
 
-  /// Creates the placement of \p candidate for a host in \p zone.
+  /// Creates the placement of \p candidate for a host in \p zone. LeastLoad
+  /// uses \p load, unless it is null.
   static std::unique_ptr<routing::Placement>
   make(const Candidate &candidate, const routing::ServerDirectory &directory,
        const routing::ServerHealthTracker &health, routing::NameTable::Id zone,
-       std::uint64_t seed);
+       std::uint64_t seed, const routing::SharedLoad *load);
 
 private:
   PlacementRule Rule;
--- a/Source/Emulator/Deployment.cpp
+++ b/Source/Emulator/Deployment.cpp
@@ -132,6 +132,15 @@
       field<T, &T::SuspicionHold>(V::duration(
           "suspicionHold", 0ms, 10min,
           "How long a server stays suspect; 0 disables suspicion.")),
+      field<T, &T::ShareInterval>(V::duration(
+          "shareInterval", 0ms, 10min,
+          "Interval in which hosts learn the load by others; 0: never.")),
+      field<T, &T::Margin>(V::share("margin", 0, 100,
+                                    "Difference up to which loads are equal.")),
+      field<T, &T::Choices>(V::integer("choices", "", 0, 1000,
+                                       "Servers that are compared; 0: all.")),
+      field<T, &T::Subset>(
+          V::share("subset", 0, 1, "Share of the servers that a host uses.")),
   };
   return table;
 }
--- a/Source/Emulator/Deployment.h
+++ b/Source/Emulator/Deployment.h
@@ -88,6 +88,14 @@
   double OpenFlow = 0.02;
   /// How long a server stays suspect. 0 disables suspicion.
   std::chrono::milliseconds SuspicionHold{4000};
+  /// Interval in which hosts get the loads that the others caused up to the
+  /// interval before; 0: never.
+  std::chrono::milliseconds ShareInterval{0};
+  // Of routing::PlacementWeights, for shared loads.
+  double Margin = 0;
+  std::uint32_t Choices = 0;
+  /// Share of the servers to which a host sends new flows.
+  double Subset = 1;
 };
 
 /// A deployment with its traffic, its disruptions and the candidates to
--- a/Source/Emulator/EmulatedFleet.cpp
+++ b/Source/Emulator/EmulatedFleet.cpp
@@ -42,6 +42,26 @@
   HasStarted = true;
   updateRotation();
   tick();
+  if (CandidateConfig.ShareInterval.count() > 0)
+    exchangeLoads();
+}
+
+void EmulatedFleet::exchangeLoads() {
+  LoadByServer totals;
+  for (const auto &host : ReportedLoads)
+    for (const auto &[server, load] : host) {
+      totals[server].Outstanding += load.Outstanding;
+      totals[server].OpenFlows += load.OpenFlows;
+    }
+  ReportedLoads.resize(HostEntries.size());
+  for (std::size_t n = 0; n < HostEntries.size(); ++n) {
+    auto &host = HostEntries[n].Host;
+    if (host)
+      host->setTotals(totals, ReportedLoads[n]);
+    ReportedLoads[n] = host ? host->ownLoads(Queue.now()) : LoadByServer();
+  }
+  Queue.scheduleAfter(CandidateConfig.ShareInterval,
+                      [this] { exchangeLoads(); });
 }
 
 void EmulatedFleet::startHost(std::size_t n) {
--- a/Source/Emulator/EmulatedFleet.h
+++ b/Source/Emulator/EmulatedFleet.h
@@ -52,6 +52,9 @@
   /// PropagationTime. Hosts that stop or restart meanwhile are skipped.
   void propagate(const std::function<void(EmulatedHost &)> &change);
   void updateRotation();
+  /// Tells hosts the loads of the last exchange, collects those of the next one
+  /// and schedules itself again.
+  void exchangeLoads();
   std::chrono::nanoseconds randomDelay(std::chrono::milliseconds max);
 
   const Deployment &Config;
@@ -65,6 +68,8 @@
   std::vector<std::vector<std::size_t>> Rotation; ///< Hosts by zone.
   std::vector<std::size_t> AllInRotation;
   bool HasStarted = false;
+  /// Loads by host as of the last exchange.
+  std::vector<LoadByServer> ReportedLoads;
 };
 
 } // namespace auburnroute::emulator
--- a/Source/Emulator/EmulatedHost.cpp
+++ b/Source/Emulator/EmulatedHost.cpp
@@ -37,9 +37,28 @@
                            std::uint64_t seed)
     : Directory(Retention), Health(healthLimits(candidate)),
       Observer(std::make_unique<NullObserver>()),
-      Placement(CandidatePlacement::make(candidate, Directory, Health,
-                                         Directory.zoneNames().idOf(zone),
-                                         seed)),
+      Shared(Directory, candidate.Subset, seed),
+      Placement(CandidatePlacement::make(
+          candidate, Directory, Health, Directory.zoneNames().idOf(zone), seed,
+          candidate.ShareInterval.count() > 0 || candidate.Subset < 1
+              ? &Shared
+              : nullptr)),
       Router(Routes, Directory, Health, *Placement, *Observer) {}
 
+LoadByServer EmulatedHost::ownLoads(common::TimePoint now) const {
+  LoadByServer loads;
+  for (const auto &it : Directory.all()) {
+    const auto &load = Health.activity(Directory.idOf(it)).Load;
+    if (it.IsOccupied && load.flows() + load.outstanding() > 0)
+      loads[it.Registration.Identity] = {load.meanOutstanding(now),
+                                         static_cast<double>(load.flows())};
+  }
+  return loads;
+}
+
+void EmulatedHost::setTotals(const LoadByServer &totals,
+                             const LoadByServer &own) {
+  Shared.setTotals(totals, own);
+}
+
 } // namespace auburnroute::emulator
--- a/Source/Emulator/EmulatedHost.h
+++ b/Source/Emulator/EmulatedHost.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Emulator/Deployment.h"
+#include "Emulator/EmulatedSharedLoad.h"
 #include "Routing/PacketRouter.h"
 
 #include <memory>
@@ -35,6 +36,11 @@
     return Directory.at(id).Registration.Identity;
   }
 
+  /// What this host causes, by identity of the server.
+  LoadByServer ownLoads(common::TimePoint now) const;
+  /// Takes over the load by all hosts; \p own is this host's part of it.
+  void setTotals(const LoadByServer &totals, const LoadByServer &own);
+
 private:
   class NullObserver;
 
@@ -42,6 +48,7 @@
   routing::ServerDirectory Directory;
   routing::ServerHealthTracker Health;
   std::unique_ptr<routing::RoutingObserver> Observer;
+  EmulatedSharedLoad Shared;
   std::unique_ptr<routing::Placement> Placement;
   routing::PacketRouter Router;
 };
--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -6,6 +6,7 @@
 #include "Fleet.pb.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace auburnroute::fleet {
@@ -163,6 +164,58 @@
   return configuration;
 }
 
+/// \p value, limited to 0 to \p max, in hundredths.
+std::uint32_t toHundredths(double value, double max) {
+  return static_cast<std::uint32_t>(
+      std::lround(std::clamp(value, 0.0, max) * 100));
+}
+
+double fromHundredths(std::uint32_t value, double max) {
+  return std::min(value / 100.0, max);
+}
+
+void write(const ReportedServerLoad &load, wire::ServerLoad &out) {
+  out.set_identity(load.Identity);
+  out.set_outstanding_centi(
+      toHundredths(load.Outstanding, GossipCodec::MaxOutstanding));
+  out.set_open_flows(std::min(load.OpenFlows, GossipCodec::MaxOpenFlows));
+}
+
+void write(const ReportedZoneLoad &load, wire::ZoneLoad &out) {
+  out.set_zone(load.Zone);
+  out.set_service(load.Service);
+  out.set_outstanding_centi(
+      toHundredths(load.Outstanding, GossipCodec::MaxOutstanding));
+  out.set_rate_centi(toHundredths(load.Rate, GossipCodec::MaxRate));
+}
+
+/// Reads at most MaxServerLoads loads.
+void read(const google::protobuf::RepeatedPtrField<wire::ServerLoad> &in,
+          std::vector<ReportedServerLoad> &out) {
+  for (const auto &it : in) {
+    if (out.size() == GossipCodec::MaxServerLoads)
+      return;
+    out.push_back(
+        {it.identity(),
+         fromHundredths(it.outstanding_centi(), GossipCodec::MaxOutstanding),
+         std::min(it.open_flows(), GossipCodec::MaxOpenFlows)});
+  }
+}
+
+/// Reads at most MaxZoneLoads loads; those with invalid names are skipped.
+void read(const google::protobuf::RepeatedPtrField<wire::ZoneLoad> &in,
+          std::vector<ReportedZoneLoad> &out) {
+  for (const auto &it : in) {
+    if (out.size() == GossipCodec::MaxZoneLoads)
+      return;
+    if (routing::isValidName(it.zone()) && routing::isValidName(it.service()))
+      out.push_back(
+          {it.zone(), it.service(),
+           fromHundredths(it.outstanding_centi(), GossipCodec::MaxOutstanding),
+           fromHundredths(it.rate_centi(), GossipCodec::MaxRate)});
+  }
+}
+
 void write(const state::CauseEntry &from, wire::CauseEntry &to) {
   to.set_origin(from.Key.Origin);
   to.set_incarnation(from.Key.Incarnation);
@@ -252,6 +305,12 @@
     out.add_unknown_tags(tag);
   for (const auto &it : message.NamedServers)
     write(it, message.Changes.Era, *out.add_named_servers());
+  for (const auto &it : message.LoadReports)
+    write(it, *out.add_load_reports());
+  for (const auto &it : message.LoadTotals)
+    write(it, *out.add_load_totals());
+  for (const auto &it : message.ZoneLoads)
+    write(it, *out.add_zone_loads());
   out.set_wants_answer(message.WantsAnswer);
   return out.SerializeAsString();
 }
@@ -298,6 +357,9 @@
   for (const auto &it : in.named_servers())
     if (auto server = read(it, in.era()))
       message.NamedServers.push_back(*std::move(server));
+  read(in.load_reports(), message.LoadReports);
+  read(in.load_totals(), message.LoadTotals);
+  read(in.zone_loads(), message.ZoneLoads);
   message.WantsAnswer = in.wants_answer();
   return message;
 }
--- a/Source/Fleet/GossipCodec.h
+++ b/Source/Fleet/GossipCodec.h
@@ -24,6 +24,19 @@
   /// Maximum number of unknown tags in one datagram.
   static constexpr std::size_t MaxTags = 32;
 
+  /// Maximum number of servers in the reports, and in the totals, of one
+  /// datagram. Each takes up to 18 bytes.
+  static constexpr std::size_t MaxServerLoads = 64;
+  /// Maximum number of zone loads in one datagram, and the sum of the lengths
+  /// of their names.
+  static constexpr std::size_t MaxZoneLoads = 12;
+  static constexpr std::size_t MaxZoneLoadNameBytes = 400;
+  /// Larger loads are limited to these when they are read: requests without an
+  /// answer, requests a second, and flows.
+  static constexpr double MaxOutstanding = 100000;
+  static constexpr double MaxRate = 1000000;
+  static constexpr std::uint32_t MaxOpenFlows = 1000000;
+
   static std::string encode(const GossipMessage &message);
   /// Returns nullopt if \p bytes are not a valid message.
   static std::optional<GossipMessage> decode(std::string_view bytes);
--- a/Source/Fleet/GossipMessage.h
+++ b/Source/Fleet/GossipMessage.h
@@ -51,6 +51,21 @@
   std::chrono::milliseconds Age{0};
 };
 
+/// Load of one backend server.
+struct ReportedServerLoad {
+  std::uint64_t Identity = 0;
+  double Outstanding = 0; ///< Mean number of requests without an answer.
+  std::uint32_t OpenFlows = 0;
+};
+
+/// Load that one host causes on the servers of a service in a zone.
+struct ReportedZoneLoad {
+  std::string Zone;
+  std::string Service;
+  double Outstanding = 0; ///< Mean number of requests without an answer.
+  double Rate = 0;        ///< Requests a second.
+};
+
 /// Content of one gossip datagram.
 struct GossipMessage {
   PeerInfo Sender;
@@ -68,6 +83,13 @@
   /// Servers that the receiver asked for by their tags, of era Changes.Era and
   /// earlier ones.
   std::vector<routing::ServerRegistration> NamedServers;
+  /// What the sender causes on servers that the receiver collects the load of.
+  std::vector<ReportedServerLoad> LoadReports;
+  /// What the other hosts of the zone cause on the servers that the receiver
+  /// has reported.
+  std::vector<ReportedServerLoad> LoadTotals;
+  /// What the sender causes by zone and service.
+  std::vector<ReportedZoneLoad> ZoneLoads;
   /// Set by a host whose view is incomplete or outdated.
   bool WantsAnswer = false;
   /// Number of servers that were left out of a decoded message, since no server
--- a/Source/Fleet/PeerTable.cpp
+++ b/Source/Fleet/PeerTable.cpp
@@ -93,6 +93,18 @@
   return addresses;
 }
 
+std::map<std::string, std::vector<std::uint32_t>>
+PeerTable::hostsByZone(std::chrono::milliseconds timeout, TimePoint now) const {
+  std::map<std::string, std::vector<std::uint32_t>> zones;
+  zones[Self.Zone].push_back(Self.Address);
+  for (const auto &[address, peer] : Peers)
+    if (now - peer.HeartbeatRoseAt < timeout && !peer.Info.IsLeaving)
+      zones[peer.Info.Zone].push_back(address);
+  for (auto &[zone, hosts] : zones)
+    std::ranges::sort(hosts);
+  return zones;
+}
+
 std::size_t PeerTable::aliveCount(TimePoint now) const {
   return static_cast<std::size_t>(std::ranges::count_if(
       Peers, [&](const auto &it) { return isAlive(it.second, now); }));
--- a/Source/Fleet/PeerTable.h
+++ b/Source/Fleet/PeerTable.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -71,6 +72,10 @@
   /// Sorted addresses of the live hosts of the own zone that are not leaving,
   /// and of this host.
   std::vector<std::uint32_t> hostsInZone(common::TimePoint now) const;
+  /// Sorted addresses, by zone, of this host and of the hosts that are not
+  /// leaving and whose heartbeat increased within \p timeout.
+  std::map<std::string, std::vector<std::uint32_t>>
+  hostsByZone(std::chrono::milliseconds timeout, common::TimePoint now) const;
   /// Whether no other live host that is not leaving has a lower address.
   bool hasLowestAddress(common::TimePoint now) const;
   /// Removes hosts whose heartbeat has not increased for RemovalTimeout.
--- a/Source/Routing/NameTable.h
+++ b/Source/Routing/NameTable.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,11 @@
     Ids.emplace(std::string(name), id);
     return id;
   }
+  /// The id of \p name, or nullopt if it is unknown.
+  std::optional<Id> find(std::string_view name) const {
+    const auto it = Ids.find(name);
+    return it == Ids.end() ? std::nullopt : std::optional(it->second);
+  }
   bool contains(std::string_view name) const { return Ids.contains(name); }
   const std::string &nameOf(Id id) const { return Texts.at(id); }
   std::size_t size() const { return Texts.size(); }
--- a/Source/Routing/ServerPlacement.cpp
+++ b/Source/Routing/ServerPlacement.cpp
@@ -1,6 +1,7 @@
 #include "Routing/ServerPlacement.h"
 
 #include <algorithm>
+#include <array>
 
 namespace auburnroute::routing {
 
@@ -52,7 +53,9 @@
                 Weights.OpenFlow * activity.OpenFlows;
   if (Parts.Load != nullptr) {
     const auto remote = Parts.Load->elsewhere(id, now);
-    work += remote.Outstanding + Weights.OpenFlow * remote.OpenFlows;
+    work = 1.0 + activity.Load.outstanding() + activity.PendingSyns +
+           remote.Outstanding +
+           Weights.OpenFlow * (activity.Load.flows() + remote.OpenFlows);
   }
   double load = work / std::max(1U, server.Registration.Slots);
   if (server.Zone != zone.value_or(OwnZone))
@@ -62,6 +65,20 @@
   return load;
 }
 
+ServerId ServerPlacement::chooseShared() {
+  if (Weights.Choices > 0) {
+    std::ranges::shuffle(Rated, Random);
+    std::array<std::uint32_t, 2> counts{};
+    std::erase_if(Rated, [&](const auto &it) {
+      return ++counts[it.IsInZone] > Weights.Choices;
+    });
+  }
+  const double limit =
+      std::ranges::min(Rated, {}, &RatedServer::Load).Load + Weights.Margin;
+  std::erase_if(Rated, [&](const auto &it) { return it.Load > limit; });
+  return Rated[Random() % Rated.size()].Id;
+}
+
 std::optional<ServerId> ServerPlacement::choose(NameTable::Id service,
                                                 std::span<const ServerId> tried,
                                                 bool useLapsed, TimePoint now) {
@@ -72,11 +89,20 @@
   auto bestRank = Rank::Unusable;
   double bestLoad = 0;
   std::uint32_t equals = 0;
+  Rated.clear();
   for (const auto id : Directory.serversOf(service)) {
     const auto rank = rankOf(id, tried, useLapsed, now);
     if (rank == Rank::Unusable || rank > bestRank)
       continue;
     const double load = loadOf(id, zone, now);
+    if (Parts.Load != nullptr) {
+      if (rank < bestRank)
+        Rated.clear();
+      bestRank = rank;
+      Rated.push_back(
+          {id, load, Directory.at(id).Zone == zone.value_or(OwnZone)});
+      continue;
+    }
     const bool equal = rank == bestRank && load == bestLoad && best;
     if (equal) {
       // Reservoir sampling: each of n equals is chosen with probability 1/n.
@@ -91,6 +117,8 @@
       equals = 1;
     }
   }
+  if (!Rated.empty())
+    best = chooseShared();
   if (best && Parts.ColdStarts != nullptr)
     Parts.ColdStarts->onPlaced(Directory.at(*best), now);
   return best;
--- a/Source/Routing/ServerPlacement.h
+++ b/Source/Routing/ServerPlacement.h
@@ -26,6 +26,13 @@
   /// Load of an idle open flow relative to a request: a feed sends one request
   /// a second, which takes about 20 ms.
   double OpenFlow = 0.02;
+  // With shared loads, which are up to some seconds old, all hosts would choose
+  // the same least loaded server until the next update.
+  /// Servers whose load exceeds the least one by up to this are equal.
+  double Margin = 0;
+  /// If not 0, only this number of random servers is compared in the wanted
+  /// zone, and outside it.
+  std::uint32_t Choices = 0;
 };
 
 /// Optional parts of the placement; each may be null. They must outlive the
@@ -76,6 +83,13 @@
   /// \p zone: where the flow is to be served, if that is decided.
   double loadOf(ServerId id, std::optional<NameTable::Id> zone,
                 common::TimePoint now) const;
+  struct RatedServer {
+    ServerId Id = 0;
+    double Load = 0;
+    bool IsInZone = false; ///< In the zone where the flow is to be served.
+  };
+  /// Chooses among Rated, of which there is at least one, by shared loads.
+  ServerId chooseShared();
   void updateUnreachableZones(common::TimePoint now);
 
   const ServerDirectory &Directory;
@@ -84,6 +98,7 @@
   std::mt19937_64 Random;
   PlacementWeights Weights;
   PlacementParts Parts;
+  std::vector<RatedServer> Rated; ///< Of the best rank; valid in choose().
   std::vector<bool> UnreachableZones;
   common::TimePoint ZonesCheckedAt;
 };
--- a/Source/State/EdgeSettings.h
+++ b/Source/State/EdgeSettings.h
@@ -35,6 +35,8 @@
   std::chrono::milliseconds ChangeBound{3000};
   std::chrono::milliseconds FlowLifetime{60000};
   std::chrono::milliseconds StopTimeout{6000};
+  /// Hosts tell each other the load of busy services.
+  bool LoadSharing = false;
 };
 
 /// Reads and checks the settings of an edge daemon. Errors: InvalidArgument,
--- a/Source/State/ValueReader.cpp
+++ b/Source/State/ValueReader.cpp
@@ -101,6 +101,11 @@
 }
 
 std::optional<SettingValue> ValueReader::textValue(const JsonNode &node) {
+  // Settings that are on or off are choices between the words of JSON.
+  const auto &choices = Descriptor->Choices;
+  if (node.Value.is_boolean() &&
+      std::find(choices.begin(), choices.end(), "true") != choices.end())
+    return choice(node.Value.get<bool>() ? "true" : "false");
   if (!node.Value.is_string())
     return addError(absl::StrCat("is ", toAbsl(node.typeNameWithArticle())));
   const auto &text = node.Value.get_ref<const std::string &>();
--- a/Source/Tool/StatusCommand.cpp
+++ b/Source/Tool/StatusCommand.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <cstdint>
 
 namespace auburnroute::tool {
@@ -22,6 +23,12 @@
       << status.value("revision", std::uint64_t{0}) << ", view "
       << status.value("view_age_ms", std::int64_t{0}) << " ms old, "
       << status.value("servers", std::uint64_t{0}) << " backend servers\n";
+  // Only of services whose load the hosts exchange.
+  for (const auto &it : status.value("loads", Json::array()))
+    out << "  " << it.value("service", "") << " in " << it.value("zone", "")
+        << ": " << std::lround(it.value("utilization", 0.0) * 100)
+        << "% of the slots busy, " << std::lround(it.value("rate", 0.0))
+        << " requests/s\n";
 }
 
 void writeText(const std::string &name, const Json &status, std::ostream &out) {
