--- a/Source/Fleet/PeerTable.h
+++ b/Source/Fleet/PeerTable.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -77,6 +78,10 @@
   /// Addresses of the hosts of the own zone that announced a stop, in no
   /// particular order.
   std::vector<std::uint32_t> leavingInZone() const;
+  /// Sorted addresses, by zone, of this host and of the hosts that are not
+  /// leaving and whose heartbeat increased within \p timeout.
+  std::map<std::string, std::vector<std::uint32_t>>
+  hostsByZone(std::chrono::milliseconds timeout, common::TimePoint now) const;
   /// Whether no other live host that is not leaving has a lower address.
   bool hasLowestAddress(common::TimePoint now) const;
   /// Removes hosts whose heartbeat has not increased for RemovalTimeout.
--- a/Source/State/EdgeSettings.cpp
+++ b/Source/State/EdgeSettings.cpp
@@ -67,6 +67,10 @@
       field<E, &E::ColdStartSlack>(
           V::share("coldStartSlack", 0, 1e6,
                    "New flows a second that cold servers bear beyond that.")),
+      field<E, &E::LoadSharing>(
+          V::choice("loadSharing", {"false", "true"},
+                    "Whether hosts tell each other the load of busy "
+                    "services.")),
   };
   return table;
 }
--- a/Source/State/EdgeSettings.h
+++ b/Source/State/EdgeSettings.h
@@ -38,6 +38,8 @@
   std::chrono::milliseconds EvacuationBound{0};
   std::chrono::milliseconds FlowLifetime{60000};
   std::chrono::milliseconds StopTimeout{6000};
+  /// Hosts tell each other the load of busy services.
+  bool LoadSharing = false;
   /// A cold server gets at most rate x ColdStartOverage + ColdStartSlack new
   /// flows in any second, with the rate that its service states.
   double ColdStartOverage = 1;
