--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -242,9 +242,12 @@
   const bool wasBusy = known != nullptr && known->Phase == FlowPhase::Busy;
   const bool wasOpening =
       known != nullptr && known->Phase == FlowPhase::Opening;
+  const bool isHandshake = wasOpening && known->Server == serverId;
   switch (Flows.onPacket(id, serverId, packet, now)) {
   case FlowEvent::Answered:
     recordAnswer(serverId, wasBusy || wasOpening ? sentAt : TimePoint(), now);
+    if (isHandshake && Delays != nullptr)
+      Delays->onHandshake(server->Zone, now - sentAt);
     if (wasBusy)
       Observer.onAnswered(
           id, serverId, std::chrono::duration_cast<milliseconds>(now - sentAt),
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -7,6 +7,7 @@
 #include "Routing/RouteTable.h"
 #include "Routing/RoutingObserver.h"
 #include "Routing/RoutingOutcome.h"
+#include "Routing/ZoneDelays.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/inlined_vector.h"
@@ -32,6 +33,9 @@
   /// Sets what decides whether new flows are accepted; all are if it is null.
   /// It must outlive the object.
   void setAdmission(FlowAdmission *admission) { Admission = admission; }
+  /// Sets what measures the delay between zones, if anything. It must outlive
+  /// the object.
+  void setZoneDelays(ZoneDelays *delays) { Delays = delays; }
 
   RoutingOutcome onPacket(const FlowPacket &packet, common::TimePoint now);
   /// Gives up the flows with a pending request to \p server if it is dead:
@@ -112,6 +116,7 @@
   Placement &PlacementPolicy;
   RoutingObserver &Observer;
   FlowAdmission *Admission = nullptr;
+  ZoneDelays *Delays = nullptr;
   absl::flat_hash_map<FlowId, PendingSyn> PendingSyns;
   // Callers control tags and addresses, so both tables are bounded.
   static constexpr std::size_t MaxPendingSyns = 16384;
--- a/Source/Routing/ServerPlacement.cpp
+++ b/Source/Routing/ServerPlacement.cpp
@@ -1,6 +1,7 @@
 #include "Routing/ServerPlacement.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace auburnroute::routing {
 
@@ -44,7 +45,7 @@
                                                      : Rank::Preferred;
 }
 
-double ServerPlacement::loadOf(ServerId id, std::optional<NameTable::Id> zone,
+double ServerPlacement::loadOf(ServerId id, double otherZonePenalty,
                                TimePoint now) const {
   const auto &server = Directory.at(id);
   const auto &activity = Health.activity(id);
@@ -55,8 +56,8 @@
     work += remote.Outstanding + Weights.OpenFlow * remote.OpenFlows;
   }
   double load = work / std::max(1U, server.Registration.Slots);
-  if (server.Zone != zone.value_or(OwnZone))
-    load += Weights.OtherZone;
+  if (server.Zone != OwnZone)
+    load += otherZonePenalty;
   if (now < server.ColdUntil)
     load += Weights.Cold;
   return load;
@@ -71,22 +72,30 @@
   std::optional<ServerId> best;
   auto bestRank = Rank::Unusable;
   double bestLoad = 0;
+  // The selector has weighed the loads of the zones. A penalty would send flows
+  // back that it sent away from a crowded zone, and send others away on top.
+  const double otherZonePenalty = zone ? 0 : Weights.OtherZone;
+  bool isBestElsewhere = false;
   std::uint32_t equals = 0;
   for (const auto id : Directory.serversOf(service)) {
     const auto rank = rankOf(id, tried, useLapsed, now);
     if (rank == Rank::Unusable || rank > bestRank)
       continue;
-    const double load = loadOf(id, zone, now);
-    const bool equal = rank == bestRank && load == bestLoad && best;
+    const double load = loadOf(id, otherZonePenalty, now);
+    const bool isElsewhere = zone && Directory.at(id).Zone != *zone;
+    const auto order = std::tie(rank, isElsewhere, load);
+    const auto bestOrder = std::tie(bestRank, isBestElsewhere, bestLoad);
+    const bool equal = best && order == bestOrder;
     if (equal) {
       // Reservoir sampling: each of n equals is chosen with probability 1/n.
       if (Random() % ++equals == 0)
         best = id;
       continue;
     }
-    if (rank < bestRank || load < bestLoad || !best) {
+    if (!best || order < bestOrder) {
       best = id;
       bestRank = rank;
+      isBestElsewhere = isElsewhere;
       bestLoad = load;
       equals = 1;
     }
--- a/Source/Routing/ServerPlacement.h
+++ b/Source/Routing/ServerPlacement.h
@@ -56,7 +56,8 @@
   /// others; servers whose entry lapsed without draining are used only if \p
   /// useLapsed is set and none is registered. Draining servers, those of
   /// evacuated zones and those that the cold start limit excludes are never
-  /// used.
+  /// used. If the zone selector has chosen a zone, servers of other zones are
+  /// used only if it has none of the same rank, whatever their load.
   std::optional<ServerId> choose(NameTable::Id service,
                                  std::span<const ServerId> tried,
                                  bool useLapsed,
@@ -73,8 +74,8 @@
   };
   Rank rankOf(ServerId id, std::span<const ServerId> tried, bool useLapsed,
               common::TimePoint now) const;
-  /// \p zone: where the flow is to be served, if that is decided.
-  double loadOf(ServerId id, std::optional<NameTable::Id> zone,
+  /// \p otherZonePenalty: added for servers of other zones than the own one.
+  double loadOf(ServerId id, double otherZonePenalty,
                 common::TimePoint now) const;
   void updateUnreachableZones(common::TimePoint now);
 
