--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -112,8 +112,9 @@
       Router(Routes, Directory, Health, Placement, Recorder), ReadyServer(Loop),
       ControlServer(Loop), MetricsServer(Loop), PeerServer(Loop) {
   Recorder.setView(&View);
-  Placement.setParts(
-      {.Evacuations = &View.evacuations(), .ColdStarts = &ColdStarts});
+  Placement.setParts({.Evacuations = &View.evacuations(),
+                      .ColdStarts = &ColdStarts,
+                      .Load = Settings.LoadSharing ? &Loads : nullptr});
 }
 
 absl::Status EdgeNode::run() {
@@ -162,7 +163,6 @@
       });
   if (Settings.LoadSharing) {
     Exchange->setLoadExchange(&Loads);
-    Placement.setParts({.Load = &Loads});
   }
   Registry = std::make_unique<RegistryClient>(
       Loop, Settings.Registry, Reader, Clock, History, Log, Recorder, [this] {
@@ -426,8 +426,6 @@
       "],\"flows\":", Router.flowCount(), ",\"peers\":", alive.size(),
       ",\"loads\":[", loadStatus(), "],\"hosts\":[", hosts, "]}\n");
 }
-");
-}
 
 std::string EdgeNode::metrics() const {
   const auto now = Clock.now();
