Check routing configurations before they are sent

Cause: the registry's configuration was checked by hosts only, which skip what they cannot read, and nothing told of routes that never match or of limits that contradict each other.

The document's names stay in platform/ConfigurationCheck and ConfigurationDifference; Tool/ConfigurationFile finds the lines. The other commands reject the new flags.

--- a/Source/Programs/auburnctl.cpp
+++ b/Source/Programs/auburnctl.cpp
@@ -15,6 +15,9 @@
 ABSL_FLAG(bool, daemon, false, "check a daemon's local settings file");
 ABSL_FLAG(bool, edge, false,
           "check an edge daemon's settings file or its template");
+ABSL_FLAG(bool, configuration, false,
+          "check the routing configuration of the registry");
+ABSL_FLAG(std::string, against, "", "configuration in force, to compare with");
 ABSL_FLAG(std::string, flow, "", "flow to explain, as CALLER>SERVICE");
 ABSL_FLAG(bool, json, false, "write the report as JSON");
 ABSL_FLAG(std::vector<std::string>, hosts, {},
@@ -29,9 +32,9 @@
 
 /// Accepted flags. Abseil's own, such as --flagfile, which reads files, are
 /// rejected.
-constexpr std::array<std::string_view, 9> Flags{"settings", "daemon", "edge",
-                                                "flow",     "json",   "hosts",
-                                                "service",  "since",  "html"};
+constexpr std::array<std::string_view, 11> Flags{
+    "configuration", "against", "settings", "daemon", "edge", "flow",
+    "json",          "hosts",   "service",  "since",  "html"};
 
 /// Checks the flag at \p index and advances \p index over its value. Returns an
 /// error message, or nothing if the flag is valid. Flags are checked before
@@ -84,6 +87,8 @@
   arguments.SettingsFile = absl::GetFlag(FLAGS_settings);
   arguments.IsDaemonFile = absl::GetFlag(FLAGS_daemon);
   arguments.IsEdgeFile = absl::GetFlag(FLAGS_edge);
+  arguments.IsConfiguration = absl::GetFlag(FLAGS_configuration);
+  arguments.AgainstFile = absl::GetFlag(FLAGS_against);
   arguments.Flow = absl::GetFlag(FLAGS_flow);
   arguments.WritesJson = absl::GetFlag(FLAGS_json);
   arguments.Hosts = absl::GetFlag(FLAGS_hosts);
--- a/Source/Tool/BurnCommand.cpp
+++ b/Source/Tool/BurnCommand.cpp
@@ -118,10 +118,10 @@
 } // namespace
 
 bool BurnCommand::accepts(const Arguments &arguments) const {
-  return arguments.Flow.empty() && !arguments.IsEdgeFile &&
+  return arguments.Flow.empty() && !arguments.hasCheckFlags() &&
          arguments.Operands.empty() && !arguments.Hosts.empty() &&
-         arguments.SettingsFile.empty() && !arguments.IsDaemonFile &&
-         arguments.Service.empty() && arguments.Since.empty();
+         arguments.SettingsFile.empty() && arguments.Service.empty() &&
+         arguments.Since.empty();
 }
 
 int BurnCommand::run(const Arguments &arguments, Output &output) const {
--- a/Source/Tool/CauseCommand.cpp
+++ b/Source/Tool/CauseCommand.cpp
@@ -83,10 +83,9 @@
 } // namespace
 
 bool CauseCommand::accepts(const Arguments &arguments) const {
-  return arguments.Flow.empty() && !arguments.IsEdgeFile &&
+  return arguments.Flow.empty() && !arguments.hasCheckFlags() &&
          arguments.Operands.empty() && !arguments.Hosts.empty() &&
-         arguments.SettingsFile.empty() && !arguments.IsDaemonFile &&
-         arguments.HtmlFile.empty();
+         arguments.SettingsFile.empty() && arguments.HtmlFile.empty();
 }
 
 int CauseCommand::run(const Arguments &arguments, Output &output) const {
--- a/Source/Tool/CheckCommand.cpp
+++ b/Source/Tool/CheckCommand.cpp
@@ -2,7 +2,10 @@
 
 #include "State/DaemonSettingsLoader.h"
 #include "State/EdgeSettings.h"
+#include "Tool/ConfigurationFile.h"
 #include "Tool/SettingsFile.h"
+#include "platform/ConfigurationCheck.h"
+#include "platform/ConfigurationDifference.h"
 #include "platform/SettingsTemplate.h"
 
 #include "absl/strings/str_format.h"
@@ -13,11 +16,16 @@
   return arguments.Flow.empty() && !arguments.hasLiveDaemonFlags() &&
          arguments.Operands.size() == 1 && arguments.SettingsFile.empty() &&
          !arguments.WritesJson &&
-         !(arguments.IsDaemonFile && arguments.IsEdgeFile);
+         arguments.IsDaemonFile + arguments.IsEdgeFile +
+                 arguments.IsConfiguration <=
+             1 &&
+         (arguments.IsConfiguration || arguments.AgainstFile.empty());
 }
 
 int CheckCommand::run(const Arguments &arguments, Output &output) const {
   const auto &fileName = arguments.Operands.front();
+  if (arguments.IsConfiguration)
+    return checkConfiguration(fileName, arguments.AgainstFile, output);
   if (arguments.IsEdgeFile)
     return checkEdge(fileName, output);
   return arguments.IsDaemonFile ? checkDaemon(fileName, output)
@@ -78,4 +86,40 @@
   return ExitSuccess;
 }
 
+int CheckCommand::checkConfiguration(const std::string &fileName,
+                                     const std::string &against,
+                                     Output &output) {
+  state::ErrorList findings(fileName);
+  const auto file = ConfigurationFile::read(fileName, findings, output);
+  std::optional<ConfigurationFile> former;
+  if (!against.empty()) {
+    state::ErrorList ignored(against);
+    former = ConfigurationFile::read(against, ignored, output);
+  }
+  if (!file || (!against.empty() && !former))
+    return ExitFailure;
+  auto found = platform::ConfigurationCheck::findings(file->document());
+  if (former)
+    for (auto &it : platform::ConfigurationDifference::findings(
+             former->document(), file->document()))
+      found.push_back(std::move(it));
+  for (const auto &it : found)
+    findings.add(file->lineOf(it.Path), it.Path,
+                 (it.IsError ? "" : "warning: ") + it.What, it.Expected);
+  if (former)
+    for (const auto &it : platform::ConfigurationDifference::changes(
+             former->document(), file->document()))
+      output.Out << (it.IsRemoved ? against : fileName) << ":"
+                 << (it.IsRemoved ? *former : *file).lineOf(it.Path) << ": "
+                 << it.Path << ": " << it.What << "\n";
+  if (!findings.empty()) {
+    output.Err << findings.status().message() << "\n";
+    return ExitFailure;
+  }
+  output.Out << fileName << ": no errors, version "
+             << file->document()["version"] << ", "
+             << file->document()["routes"].size() << " routes\n";
+  return ExitSuccess;
+}
+
 } // namespace auburnroute::tool
--- a/Source/Tool/Command.h
+++ b/Source/Tool/Command.h
@@ -19,6 +19,8 @@
   std::string SettingsFile;          ///< --settings; empty if absent.
   bool IsDaemonFile = false;         ///< --daemon
   bool IsEdgeFile = false;           ///< --edge
+  bool IsConfiguration = false;      ///< --configuration
+  std::string AgainstFile;           ///< --against; empty if absent.
   bool WritesJson = false;           ///< --json
   std::string Flow;                  ///< --flow, as CALLER>SERVICE.
   std::vector<std::string> Hosts;    ///< --hosts: operator endpoints.
@@ -26,6 +28,11 @@
   std::string Since;                 ///< --since, such as "60m"; may be empty.
   std::string HtmlFile;              ///< --html; empty if absent.
 
+  /// Whether a flag is set that only "check" accepts.
+  bool hasCheckFlags() const {
+    return IsDaemonFile || IsEdgeFile || IsConfiguration ||
+           !AgainstFile.empty();
+  }
   /// Whether a flag is set that only commands for running daemons accept.
   bool hasLiveDaemonFlags() const {
     return !Hosts.empty() || !Service.empty() || !Since.empty() ||
--- a/Source/Tool/DiffCommand.cpp
+++ b/Source/Tool/DiffCommand.cpp
@@ -6,9 +6,9 @@
 namespace auburnroute::tool {
 
 bool DiffCommand::accepts(const Arguments &arguments) const {
-  return arguments.Flow.empty() && !arguments.IsEdgeFile &&
+  return arguments.Flow.empty() && !arguments.hasCheckFlags() &&
          !arguments.hasLiveDaemonFlags() && arguments.Operands.size() == 2 &&
-         arguments.SettingsFile.empty() && !arguments.IsDaemonFile;
+         arguments.SettingsFile.empty();
 }
 
 int DiffCommand::run(const Arguments &arguments, Output &output) const {
--- a/Source/Tool/ExplainCommand.cpp
+++ b/Source/Tool/ExplainCommand.cpp
@@ -6,8 +6,8 @@
 
 bool ExplainCommand::accepts(const Arguments &arguments) const {
   return !arguments.Operands.empty() && !arguments.Flow.empty() &&
-         arguments.SettingsFile.empty() && !arguments.IsDaemonFile &&
-         !arguments.IsEdgeFile && !arguments.hasLiveDaemonFlags();
+         arguments.SettingsFile.empty() && !arguments.hasCheckFlags() &&
+         !arguments.hasLiveDaemonFlags();
 }
 
 int ExplainCommand::run(const Arguments &arguments, Output &output) const {
--- a/Source/Tool/ShowCommand.cpp
+++ b/Source/Tool/ShowCommand.cpp
@@ -6,9 +6,9 @@
 namespace auburnroute::tool {
 
 bool ShowCommand::accepts(const Arguments &arguments) const {
-  return arguments.Flow.empty() && !arguments.IsEdgeFile &&
+  return arguments.Flow.empty() && !arguments.hasCheckFlags() &&
          !arguments.hasLiveDaemonFlags() && arguments.Operands.size() == 1 &&
-         !arguments.SettingsFile.empty() && !arguments.IsDaemonFile;
+         !arguments.SettingsFile.empty();
 }
 
 int ShowCommand::run(const Arguments &arguments, Output &output) const {
--- a/Source/Tool/StatusCommand.cpp
+++ b/Source/Tool/StatusCommand.cpp
@@ -50,11 +50,10 @@
 } // namespace
 
 bool StatusCommand::accepts(const Arguments &arguments) const {
-  return arguments.Flow.empty() && !arguments.IsEdgeFile &&
+  return arguments.Flow.empty() && !arguments.hasCheckFlags() &&
          arguments.Operands.empty() && !arguments.Hosts.empty() &&
-         arguments.SettingsFile.empty() && !arguments.IsDaemonFile &&
-         arguments.Service.empty() && arguments.Since.empty() &&
-         arguments.HtmlFile.empty();
+         arguments.SettingsFile.empty() && arguments.Service.empty() &&
+         arguments.Since.empty() && arguments.HtmlFile.empty();
 }
 
 int StatusCommand::run(const Arguments &arguments, Output &output) const {
--- a/Source/platform/StoreCodec.cpp
+++ b/Source/platform/StoreCodec.cpp
@@ -204,13 +204,13 @@
 /// The limit that \p object, an element of "services", states for cold
 /// servers. A rate of 0 is the platform's word for none.
 std::optional<routing::ColdStartLimit> decodeColdStart(const json &object) {
-  constexpr double MaxSeconds = 3600;
-  constexpr double MaxRate = 1e6;
   if (!object.is_object())
     return std::nullopt;
   const auto name = member<std::string>(object, "name");
-  const auto seconds = numberMember(object, "cold_start_s", MaxSeconds);
-  const auto rate = numberMember(object, "cold_per_s", MaxRate);
+  const auto seconds =
+      numberMember(object, "cold_start_s", StoreCodec::MaxColdStartSeconds);
+  const auto rate =
+      numberMember(object, "cold_per_s", StoreCodec::MaxColdStartRate);
   if (!name || !seconds || !rate || *seconds == 0 || *rate == 0)
     return std::nullopt;
   return routing::ColdStartLimit{*name,
--- a/Source/platform/StoreCodec.h
+++ b/Source/platform/StoreCodec.h
@@ -19,6 +19,11 @@
 /// platform's metadata store.
 class StoreCodec {
 public:
+  /// Larger values in the limit for cold servers are taken as these, in seconds
+  /// and in flows a second.
+  static constexpr double MaxColdStartSeconds = 3600;
+  static constexpr double MaxColdStartRate = 1e6;
+
   /// The HTTP request target, path and query, of \p call.
   static std::string requestTarget(const fleet::RegistryCall &call);
   /// The era of the store that sent \p response, see RegistryPage::Era; 0 if
