Accept the configuration in force when it is compared with itself

Hosts that have it need nothing.

Change: no finding on the version if both documents are equal; a local variable of a test can be moved.

--- a/Source/UnitTests/Tool/CheckConfigurationTest.cpp
+++ b/Source/UnitTests/Tool/CheckConfigurationTest.cpp
@@ -42,7 +42,7 @@
     const auto at = text.find(from);
     BOOST_REQUIRE(at != std::string::npos);
     text.replace(at, from.size(), to);
-    const auto path = (Folder / name).string();
+    auto path = (Folder / name).string();
     std::ofstream(path) << text;
     return path;
   }
--- a/Source/UnitTests/platform/ConfigurationCheckTest.cpp
+++ b/Source/UnitTests/platform/ConfigurationCheckTest.cpp
@@ -147,6 +147,7 @@
   BOOST_TEST(lines == expected, boost::test_tools::per_element());
   BOOST_TEST(ConfigurationDifference::findings(good(), after).empty());
   BOOST_TEST(ConfigurationDifference::findings(after, good()).size() == 1U);
+  BOOST_TEST(ConfigurationDifference::findings(after, after).empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/platform/ConfigurationDifference.cpp
+++ b/Source/platform/ConfigurationDifference.cpp
@@ -129,7 +129,7 @@
   };
   const auto old = versionOf(before);
   const auto now = versionOf(after);
-  if (now == 0 || now > old)
+  if (now == 0 || now > old || before == after)
     return {};
   return {{true, "version",
            absl::StrCat(now, " is not above ", old,
