Prepare the edge daemon for zone balancing and admission

Cause: ZoneBalancer and OverloadControl had no owner in the daemon, and a rising load below the target made OverloadControl refuse a few SYNs. Change: LoadControl owns both, logs where leaving the zone or refusing begins and ends, and keeps counters and gauges. EdgeNode::useSharedLoad() is the one place that joins it with a SharedLoad, null for now. New setting crossZoneCost. OverloadControl begins to refuse only above its target.

--- a/Source/Edge/EdgeMetrics.cpp
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -50,6 +50,16 @@
     return "open_flows_reset_verdict_total";
   case EdgeCounter::PacketsDropped:
     return "packets_dropped_total";
+  case EdgeCounter::FlowsSentToOtherZones:
+    return "flows_sent_to_other_zones_total";
+  case EdgeCounter::OverloadRefusals0:
+    return "overload_refusals_priority_0_total";
+  case EdgeCounter::OverloadRefusals1:
+    return "overload_refusals_priority_1_total";
+  case EdgeCounter::OverloadRefusals2:
+    return "overload_refusals_priority_2_total";
+  case EdgeCounter::OverloadRefusalsRest:
+    return "overload_refusals_priority_rest_total";
   case EdgeCounter::Suspicions:
     return "suspicions_total";
   case EdgeCounter::SuspectedVerdicts:
@@ -142,6 +152,8 @@
   appendSample(text, "flows", "gauge", gauges.Flows);
   appendSample(text, "peers", "gauge", gauges.Peers);
   appendSample(text, "evidence_cases", "gauge", gauges.EvidenceCases);
+  appendSample(text, "leaving_share", "gauge", gauges.LeavingShare);
+  appendSample(text, "refused_share", "gauge", gauges.RefusedShare);
   const auto name = absl::StrCat(common::toAbsl(Prefix), "answer_time_ms");
   absl::StrAppend(&text, "# TYPE ", name, " histogram\n");
   // Bin -1 is the underflow bin: values below the first bound.
--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -23,6 +23,12 @@
   ResetsLapsedAndSilent,
   ResetsVerdict,
   PacketsDropped,
+  FlowsSentToOtherZones,
+  // SYNs refused for overload, by the priority of their route.
+  OverloadRefusals0,
+  OverloadRefusals1,
+  OverloadRefusals2,
+  OverloadRefusalsRest,
   Suspicions,
   SuspectedVerdicts,
   DeadVerdicts,
@@ -69,6 +75,9 @@
   std::size_t Flows = 0;
   std::size_t Peers = 0;
   std::size_t EvidenceCases = 0;
+  /// The largest of all services, 0 to 1.
+  double LeavingShare = 0;
+  double RefusedShare = 0;
 };
 
 /// Counters and the response time histogram of an edge daemon. Not thread-safe.
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -151,9 +151,23 @@
         updateRegistryRole(Clock.now());
         Registry->poll();
       });
+  // No part of the daemon implements SharedLoad yet.
+  useSharedLoad(nullptr);
   return serveHttp();
 }
 
+void EdgeNode::useSharedLoad(const routing::SharedLoad *load) {
+  if (load == nullptr)
+    return;
+  Control = std::make_unique<LoadControl>(
+      Directory, Health, /*evacuations=*/nullptr,
+      Directory.zoneNames().idOf(Settings.Zone), *load, Settings.CrossZoneCost,
+      randomSeed(), Log, Recorder.metrics());
+  Placement.setParts({.Load = load, .Zones = &Control->zones()});
+  Router.setAdmission(&Control->admission());
+  Router.setZoneDelays(&Control->delays());
+}
+
 absl::Status EdgeNode::serveHttp() {
   ReadyServer.serve("/readiness", "application/json", [this](std::string_view) {
     return HttpResponse{Ready ? HttpResponse::Ok : HttpResponse::Unavailable,
@@ -223,6 +237,8 @@
     View.reconcileEra(now);
     View.discardExpired(now);
     History.expire();
+    if (Control != nullptr)
+      Control->poll(now);
     Log.flush();
     Recorder.metrics().set(EdgeCounter::EntriesUnreadable, View.unreadable());
     Recorder.metrics().set(EdgeCounter::EntriesRefused, View.refused());
@@ -383,6 +399,8 @@
   gauges.Flows = Router.flowCount();
   gauges.Peers = Peers.aliveCount(now);
   gauges.EvidenceCases = Detector.caseCount();
+  if (Control != nullptr)
+    Control->sample(gauges);
   return Recorder.metrics().text(gauges);
 }
 
--- a/Source/Edge/EdgeNode.h
+++ b/Source/Edge/EdgeNode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Clock.h"
+#include "Edge/LoadControl.h"
 #include "Edge/PacketForwarder.h"
 #include "Edge/PeerExchange.h"
 #include "Edge/RegistryClient.h"
@@ -35,6 +36,9 @@
 private:
   absl::Status open();
   absl::Status serveHttp();
+  /// Starts zone balancing and admission control by \p load, which must outlive
+  /// the object. No effect if it is null.
+  void useSharedLoad(const routing::SharedLoad *load);
   void waitForSignal();
   void onSignal(int signal);
   void tick();
@@ -78,6 +82,7 @@
   fleet::InitialViewSource InitialView;
   routing::ServerPlacement Placement;
   routing::PacketRouter Router;
+  std::unique_ptr<LoadControl> Control; ///< Null without shared load.
   std::unique_ptr<PacketForwarder> Forwarder;
   std::unique_ptr<PeerExchange> Exchange;
   std::unique_ptr<RegistryClient> Registry;
--- a/Source/Edge/EventLog.cpp
+++ b/Source/Edge/EventLog.cpp
@@ -100,6 +100,10 @@
     return "verdict_rejected";
   case LogEvent::Late:
     return "late";
+  case LogEvent::ZoneShare:
+    return "zone_share";
+  case LogEvent::Overload:
+    return "overload";
   case LogEvent::LogDropped:
     return "log_dropped";
   case LogEvent::Count:
--- a/Source/Edge/EventLog.h
+++ b/Source/Edge/EventLog.h
@@ -38,6 +38,8 @@
   VerdictEnded,
   VerdictRejected,
   Late,
+  ZoneShare,
+  Overload,
   LogDropped,
   Count, ///< Number of kinds, not a kind itself.
 };
--- a/Source/Routing/OverloadControl.cpp
+++ b/Source/Routing/OverloadControl.cpp
@@ -160,6 +160,9 @@
     speed = (error > 0 ? Limits.MaxRise : Limits.MaxFall) * error *
                 std::abs(error) +
             Limits.Damping * excess;
+  // A rising load that the target allows for is no reason to begin.
+  if (service.LostShare <= 0 && error <= 0)
+    speed = 0;
   service.LostShare = std::clamp(service.LostShare + speed * elapsed.count(),
                                  0.0, 1 - Limits.Floor);
   const double open =
--- a/Source/State/EdgeSettings.cpp
+++ b/Source/State/EdgeSettings.cpp
@@ -56,6 +56,10 @@
           "flowLifetime", 1s, 1000min, "Age up to which a flow must be kept.")),
       field<E, &E::StopTimeout>(V::duration("stopTimeout", 100ms, 60min,
                                             "Time from SIGTERM to SIGKILL.")),
+      field<E, &E::CrossZoneCost>(
+          V::duration("crossZoneCost", 0ms, 10s,
+                      "Waiting time that callers should accept before their "
+                      "flows are sent to another zone.")),
   };
   return table;
 }
--- a/Source/State/EdgeSettings.h
+++ b/Source/State/EdgeSettings.h
@@ -35,6 +35,9 @@
   std::chrono::milliseconds ChangeBound{3000};
   std::chrono::milliseconds FlowLifetime{60000};
   std::chrono::milliseconds StopTimeout{6000};
+  /// Waiting time that callers should accept before their flows are sent to
+  /// another zone.
+  std::chrono::milliseconds CrossZoneCost{5};
 };
 
 /// Reads and checks the settings of an edge daemon. Errors: InvalidArgument,
