--- a/Source/UnitTests/Routing/HardLoadModel.cpp
+++ b/Source/UnitTests/Routing/HardLoadModel.cpp
@@ -94,7 +94,7 @@
 void HardLoadModel::arrive(unsigned zone) {
   const auto &it = Params.Zones[zone];
   const double phase = Now / Params.SwingPeriod +
-                       static_cast<double>(zone) / Params.Zones.size();
+                       zone / static_cast<double>(Params.Zones.size());
   const double rate =
       it.Servers * Slots / Params.ServiceTime.count() * it.Load *
       (1 + Params.Swing * std::sin(2 * std::numbers::pi * phase));
--- a/Source/UnitTests/Routing/OverloadControlTest.cpp
+++ b/Source/UnitTests/Routing/OverloadControlTest.cpp
@@ -150,7 +150,10 @@
       const auto model = run(load);
       BOOST_TEST_CONTEXT("load " << load) {
         BOOST_TEST(model.mean(&Second::Value, 60) > 0.9 * best);
-        BOOST_TEST(model.mean(&Second::InTime, 60) > 0.85 * bestInTime);
+        // At twice the capacity most requests are on long flows, which do not
+        // spread evenly over the servers.
+        BOOST_TEST(model.mean(&Second::InTime, 60) >
+                   (load < 2 ? 0.9 : 0.85) * bestInTime);
       }
     }
   }
