--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -24,6 +24,12 @@
   ResetsLapsedAndSilent,
   ResetsVerdict,
   PacketsDropped,
+  FlowsSentToOtherZones,
+  // SYNs refused for overload, by the priority of their route.
+  OverloadRefusals0,
+  OverloadRefusals1,
+  OverloadRefusals2,
+  OverloadRefusalsRest,
   Suspicions,
   SuspectedVerdicts,
   DeadVerdicts,
@@ -78,6 +84,9 @@
   std::size_t SharedServices = 0;
   std::chrono::milliseconds LoadTotalsAge{0};
   std::chrono::milliseconds LoadInterval{0};
+  /// The largest of all services, 0 to 1.
+  double LeavingShare = 0;
+  double RefusedShare = 0;
 };
 
 /// Counters and the response time histogram of an edge daemon. Not thread-safe.
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -173,9 +173,23 @@
         updateRegistryRole(Clock.now());
         Registry->poll();
       });
+  // No part of the daemon implements SharedLoad yet.
+  useSharedLoad(nullptr);
   return serveHttp();
 }
 
+void EdgeNode::useSharedLoad(const routing::SharedLoad *load) {
+  if (load == nullptr)
+    return;
+  Control = std::make_unique<LoadControl>(
+      Directory, Health, /*evacuations=*/nullptr,
+      Directory.zoneNames().idOf(Settings.Zone), *load, Settings.CrossZoneCost,
+      randomSeed(), Log, Recorder.metrics());
+  Placement.setParts({.Load = load, .Zones = &Control->zones()});
+  Router.setAdmission(&Control->admission());
+  Router.setZoneDelays(&Control->delays());
+}
+
 absl::Status EdgeNode::serveHttp() {
   ReadyServer.serve("/readiness", "application/json", [this](std::string_view) {
     return HttpResponse{Ready ? HttpResponse::Ok : HttpResponse::Unavailable,
@@ -246,6 +260,8 @@
     View.reconcileEra(now);
     View.discardExpired(now);
     History.expire();
+    if (Control != nullptr)
+      Control->poll(now);
     Log.flush();
     Recorder.metrics().set(EdgeCounter::EntriesUnreadable, View.unreadable());
     Recorder.metrics().set(EdgeCounter::EntriesRefused, View.refused());
@@ -444,6 +460,8 @@
   gauges.SharedServices = Loads.sharedCount();
   gauges.LoadTotalsAge = Loads.totalAge(now);
   gauges.LoadInterval = Loads.interval();
+  if (Control != nullptr)
+    Control->sample(gauges);
   return Recorder.metrics().text(gauges);
 }
 
--- a/Source/Edge/EventLog.cpp
+++ b/Source/Edge/EventLog.cpp
@@ -108,6 +108,10 @@
     return "load_sharing";
   case LogEvent::Late:
     return "late";
+  case LogEvent::ZoneShare:
+    return "zone_share";
+  case LogEvent::Overload:
+    return "overload";
   case LogEvent::LogDropped:
     return "log_dropped";
   case LogEvent::Count:
--- a/Source/Edge/EventLog.h
+++ b/Source/Edge/EventLog.h
@@ -42,6 +42,8 @@
   VerdictRejected,
   LoadSharing,
   Late,
+  ZoneShare,
+  Overload,
   LogDropped,
   Count, ///< Number of kinds, not a kind itself.
 };
--- a/Source/State/EdgeSettings.h
+++ b/Source/State/EdgeSettings.h
@@ -38,6 +38,9 @@
   std::chrono::milliseconds EvacuationBound{0};
   std::chrono::milliseconds FlowLifetime{60000};
   std::chrono::milliseconds StopTimeout{6000};
+  /// Waiting time that callers should accept before their flows are sent to
+  /// another zone.
+  std::chrono::milliseconds CrossZoneCost{5};
   /// Hosts tell each other the load of busy services.
   bool LoadSharing = false;
   /// A cold server gets at most rate x ColdStartOverage + ColdStartSlack new
