--- a/Source/UnitTests/Process/edge_fleet.py
+++ b/Source/UnitTests/Process/edge_fleet.py
@@ -339,6 +339,8 @@
         self.fleet, self.number, self.zone = fleet, number, zone
         self.ip = fleet.address(1, number)
         self.name = f"front-{zone}-{number}"
+        # The programs of --odd-bin-dir may be of an earlier version.
+        self.knows_evacuations = fleet.bin_dir_of(number) == fleet.bin_dir
         self.process, self.in_rotation, self.misses = None, False, 0
         self.proxy = RegistryProxy((fleet.address(4, number), 8169), (fleet.address(4, 0), 8169))
         self.disturbed_at = -100.0
@@ -351,7 +353,8 @@
                        "ready": f"{self.ip}:{READY_PORT}", "control": f"{self.ip}:{CONTROL_PORT}",
                        "peers": f"{self.ip}:{PEER_PORT}", "registry": f"{self.fleet.address(4, self.number)}:8169",
                        "seeds": [f"{self.fleet.address(1, n)}:{CONTROL_PORT}" for n in range(1, 4)],
-                       "serverHeartbeat": "700ms", "changeBound": "3s", "evacuationBound": "5s", "stopTimeout": "6s"}, out)
+                       "serverHeartbeat": "700ms", "changeBound": "3s", "stopTimeout": "6s",
+                       **({"evacuationBound": "5s"} if self.knows_evacuations else {})}, out)
         log = open(os.path.join(self.fleet.folder, f"{self.name}.log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
             os.path.join(self.fleet.bin_dir_of(self.number), "auburnedge"), "--settings", file, stdout=log, stderr=log)
@@ -590,7 +593,7 @@
 
     def check_evacuation(self, server, host):
         """Reports a new flow in a zone that has been evacuated for longer than the bound."""
-        if host is None or self.registry.mode != "up" or not self.evacuated \
+        if host is None or not host.knows_evacuations or self.registry.mode != "up" or not self.evacuated \
                 or now() - max(host.disturbed_at, self.registry.disturbed_at) < EVACUATION_BOUND_SECONDS:
             return
         over = {zone for zone, since in self.evacuated.items() if now() - since > EVACUATION_BOUND_SECONDS}
@@ -1181,8 +1184,8 @@
         for host in self.hosts:
             metrics = await host.metrics()
             for name, value in expected.items():
-                if metrics[name] != value:
-                    self.report_failure(f"{host.name}: {name} is {metrics[name]:.0f}, expected {value}")
+                if metrics.get(name, value if not host.knows_evacuations else None) != value:
+                    self.report_failure(f"{host.name}: {name} is {metrics.get(name)}, expected {value}")
         status = await asyncio.create_subprocess_exec(
             os.path.join(self.bin_dir, "auburnctl"), "status", "--hosts", f"{self.hosts[0].ip}:{CONTROL_PORT}",
             stdout=asyncio.subprocess.PIPE)
@@ -1192,8 +1195,8 @@
                                 f"{text!r}")
 
         zones = ", evacuated zones: " + " ".join(sorted(self.evacuated)) if self.evacuated else " backend servers"
-        if text.count(zones + "\n") != len(self.hosts):
-            self.report_failure(f"auburnctl status does not show {zones!r} of {len(self.hosts)} hosts: {text!r}")
+        if text.count(zones + "\n") < sum(it.knows_evacuations for it in self.hosts):
+            self.report_failure(f"auburnctl status does not show {zones!r} of all hosts: {text!r}")
 
     async def check_causes_outlive_host(self):
         """Checks that the other hosts report the causes of a host that was killed."""
--- a/Source/UnitTests/Process/edge_fleet_check.py
+++ b/Source/UnitTests/Process/edge_fleet_check.py
@@ -68,7 +68,7 @@
     def failures_of_syn(self, seconds_after_evacuation, zone, host_disturbed_at=0.0):
         self.fleet.evacuated["a"] = 100.0
         self.time = 100.0 + seconds_after_evacuation
-        host = types.SimpleNamespace(name="host", disturbed_at=host_disturbed_at)
+        host = types.SimpleNamespace(name="host", disturbed_at=host_disturbed_at, knows_evacuations=True)
         self.fleet.check_evacuation(types.SimpleNamespace(name="s", zone=zone), host)
         return len(self.fleet.failures)
 
