--- a/Source/UnitTests/Edge/DocumentationTest.cpp
+++ b/Source/UnitTests/Edge/DocumentationTest.cpp
@@ -124,6 +124,7 @@
     recorder.onLimited(id);
     recorder.onLimited(std::nullopt);
     recorder.recordConfiguration(1);
+    recorder.recordEvacuation({});
     recorder.recordEra({});
     recorder.recordReconciliation({});
     recorder.recordRejectedEntry({});
@@ -139,7 +140,7 @@
     for (const auto &[name, value] : fields.items())
       BOOST_TEST(hasCodeSpan(page, name), name);
   }
-  BOOST_TEST(count == 17);
+  BOOST_TEST(count == 18);
 }
 
 BOOST_AUTO_TEST_CASE(EachMetricIsDocumented) {
