Give fewer new flows to servers that fail more often than others

Cause: a server whose registry entry is good may accept requests and never answer, answer with errors, reset flows, be several times slower than the others, or go down and up by turns. Only retransmissions raised suspicion, and servers acknowledge requests before they answer.

Change: OutcomeTracker counts how requests end, OutlierRule compares a server with the others of its service and zone, OutlierDetector pools the counts at the evidence owners and announces verdicts, DegradedServers limits new flows to a share that rises step by step. Open flows are not affected.

FleetTests beside OutlierDetectorTest not run yet.

--- a/Source/Edge/EdgeMetrics.cpp
+++ b/Source/Edge/EdgeMetrics.cpp
@@ -68,6 +68,12 @@
     return "dead_verdicts_refuted_total";
   case EdgeCounter::VerdictsRejected:
     return "verdicts_rejected_total";
+  case EdgeCounter::DegradedVerdicts:
+    return "verdicts_degraded_total";
+  case EdgeCounter::DegradedEnds:
+    return "verdicts_degraded_ended_total";
+  case EdgeCounter::OutcomesDiscarded:
+    return "outcomes_discarded_total";
   case EdgeCounter::FlowsAbandoned:
     return "flows_abandoned_total";
   case EdgeCounter::RegistryCalls:
@@ -142,6 +148,7 @@
   appendSample(text, "flows", "gauge", gauges.Flows);
   appendSample(text, "peers", "gauge", gauges.Peers);
   appendSample(text, "evidence_cases", "gauge", gauges.EvidenceCases);
+  appendSample(text, "degraded_servers", "gauge", gauges.DegradedServers);
   const auto name = absl::StrCat(common::toAbsl(Prefix), "answer_time_ms");
   absl::StrAppend(&text, "# TYPE ", name, " histogram\n");
   // Bin -1 is the underflow bin: values below the first bound.
--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -33,6 +33,9 @@
   VerdictsEndedByTime,
   DeadVerdictsRefuted, ///< Verdicts "dead" among them that an answer ended.
   VerdictsRejected,
+  DegradedVerdicts,
+  DegradedEnds,
+  OutcomesDiscarded,
   FlowsAbandoned,
   RegistryCalls,
   RegistryFailures,
@@ -69,6 +72,7 @@
   std::size_t Flows = 0;
   std::size_t Peers = 0;
   std::size_t EvidenceCases = 0;
+  std::size_t DegradedServers = 0;
 };
 
 /// Counters and the response time histogram of an edge daemon. Not thread-safe.
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -90,6 +90,8 @@
       Detector(Peers, Directory, Health, Recorder,
                verdictLimits(routing::HealthLimits::forHeartbeat(
                    Settings.ServerHeartbeat, Settings.ChangeBound))),
+      Outcomes(Directory), Degraded(Directory, randomSeed()),
+      Outliers(Peers, Directory, Outcomes, Degraded, Recorder),
       InitialView(fleet::InitialViewTiming::forBound(Settings.ChangeBound)),
       Placement(Directory, Health, Directory.zoneNames().idOf(Settings.Zone),
                 randomSeed()),
@@ -151,9 +153,19 @@
         updateRegistryRole(Clock.now());
         Registry->poll();
       });
+  if (Settings.Outliers == state::OutlierDetection::On)
+    useOutliers();
   return serveHttp();
 }
 
+void EdgeNode::useOutliers() {
+  Router.setOutcomes(&Outcomes);
+  auto parts = Placement.parts();
+  parts.Degraded = &Degraded;
+  Placement.setParts(parts);
+  Exchange->setOutliers(&Outliers);
+}
+
 absl::Status EdgeNode::serveHttp() {
   ReadyServer.serve("/readiness", "application/json", [this](std::string_view) {
     return HttpResponse{Ready ? HttpResponse::Ok : HttpResponse::Unavailable,
@@ -227,6 +239,8 @@
     Recorder.metrics().set(EdgeCounter::EntriesUnreadable, View.unreadable());
     Recorder.metrics().set(EdgeCounter::EntriesRefused, View.refused());
     Recorder.metrics().set(EdgeCounter::EntriesOutdated, View.outdated());
+    Recorder.metrics().set(EdgeCounter::OutcomesDiscarded,
+                           Outcomes.discardCount());
     Recorder.metrics().set(EdgeCounter::LogLinesDropped, Log.dropped());
   }
   if (now >= NextFileCheck) {
@@ -280,6 +294,7 @@
   LastStall = gap;
   Recorder.metrics().add(EdgeCounter::Stalls);
   Router.discardEvidence(now);
+  Outliers.discard();
   if (gap < MinPauseGap)
     return gap;
   Recorder.metrics().add(EdgeCounter::Pauses);
@@ -367,6 +382,7 @@
       ",\"version\":", Routes.version(), ",\"revision\":", View.revision(),
       ",\"era\":", View.era(), ",\"view_age_ms\":", View.age(now).count(),
       ",\"servers\":", Directory.readyCount(),
+      ",\"degraded\":", Outliers.degradedCount(now),
       ",\"flows\":", Router.flowCount(), ",\"peers\":", alive.size(),
       ",\"hosts\":[", hosts, "]}\n");
 }
@@ -383,6 +399,7 @@
   gauges.Flows = Router.flowCount();
   gauges.Peers = Peers.aliveCount(now);
   gauges.EvidenceCases = Detector.caseCount();
+  gauges.DegradedServers = Outliers.degradedCount(now);
   return Recorder.metrics().text(gauges);
 }
 
--- a/Source/Edge/EdgeNode.h
+++ b/Source/Edge/EdgeNode.h
@@ -44,6 +44,8 @@
   /// registry from the host that does so normally.
   bool shouldTakeOverReading(common::TimePoint now) const;
   void updateReadiness();
+  /// Switches outlier detection on.
+  void useOutliers();
   /// Resets the flows of servers that were found dead.
   void resetFlowsOfDeadServers();
   /// Discards evidence and queued input if the process did not run for a while.
@@ -75,6 +77,9 @@
   fleet::RegistryReader Reader;
   fleet::PeerTable Peers;
   fleet::SharedFailureDetector Detector;
+  routing::OutcomeTracker Outcomes;
+  routing::DegradedServers Degraded;
+  fleet::OutlierDetector Outliers;
   fleet::InitialViewSource InitialView;
   routing::ServerPlacement Placement;
   routing::PacketRouter Router;
--- a/Source/Edge/EventLog.cpp
+++ b/Source/Edge/EventLog.cpp
@@ -98,6 +98,10 @@
     return "verdict_ended";
   case LogEvent::VerdictRejected:
     return "verdict_rejected";
+  case LogEvent::Degraded:
+    return "degraded";
+  case LogEvent::DegradedEnded:
+    return "degraded_ended";
   case LogEvent::Late:
     return "late";
   case LogEvent::LogDropped:
--- a/Source/Edge/EventLog.h
+++ b/Source/Edge/EventLog.h
@@ -37,6 +37,8 @@
   Verdict,
   VerdictEnded,
   VerdictRejected,
+  Degraded,
+  DegradedEnded,
   Late,
   LogDropped,
   Count, ///< Number of kinds, not a kind itself.
--- a/Source/Edge/EventRecorder.cpp
+++ b/Source/Edge/EventRecorder.cpp
@@ -122,6 +122,20 @@
       quality.HasManyRetransmissions ? "true" : "false");
 }
 
+/// \p prefix goes before each name.
+std::string outcomeFields(std::string_view prefix,
+                          const routing::OutcomeCounts &counts) {
+  const auto name = [&](std::string_view field) {
+    return absl::StrCat(",\"", toAbsl(prefix), toAbsl(field), "\":");
+  };
+  return absl::StrCat(
+      name("requests"), counts.requests(), name("unanswered"),
+      counts.Unanswered, name("slow"), counts.Slow, name("handshakes"),
+      counts.Syns, name("failed_handshakes"), counts.FailedSyns, name("flows"),
+      counts.Flows, name("ended_flows"), counts.EndedFlows,
+      name("mean_answer_ms"), counts.meanTime().count());
+}
+
 std::string flowField(const FlowId &flow) {
   return absl::StrCat("\"flow\":\"", routing::toString(flow), "\"");
 }
@@ -277,6 +291,37 @@
                            hostField("answer_seen_by", end.AnswerSeenBy)));
 }
 
+void EventRecorder::onDegraded(const fleet::OutlierEvent &event) {
+  if (event.IsNew) {
+    Metrics.add(EdgeCounter::DegradedVerdicts);
+    recordCause(state::Cause::BackendServerEjected, event.Server);
+  }
+  if ((event.IsNew || event.Evidence) && Log.tryAdmit(LogEvent::Degraded))
+    Log.write(
+        LogEvent::Degraded,
+        absl::StrCat(
+            serverField(event.Server), ",\"reason\":\"",
+            toAbsl(routing::toString(event.Kind)), "\",\"level\":", event.Level,
+            ",\"hold_ms\":", event.Hold.count(),
+            hostField("decided_by", event.DecidedBy),
+            event.Evidence
+                ? absl::StrCat(
+                      outcomeFields("", event.Evidence->Outcomes.All),
+                      outcomeFields("others_", event.Evidence->Outcomes.Others),
+                      ",\"reporters\":", event.Evidence->Hosts,
+                      ",\"callers\":", event.Evidence->Callers)
+                : std::string()));
+}
+
+void EventRecorder::onDegradedEnd(ServerId server,
+                                  std::chrono::milliseconds duration) {
+  Metrics.add(EdgeCounter::DegradedEnds);
+  if (Log.tryAdmit(LogEvent::DegradedEnded))
+    Log.write(
+        LogEvent::DegradedEnded,
+        absl::StrCat(serverField(server), ",\"stood_ms\":", duration.count()));
+}
+
 void EventRecorder::onRejected(fleet::EvidenceRejection why,
                                std::uint64_t identity, std::uint32_t sender) {
   Metrics.add(EdgeCounter::VerdictsRejected);
--- a/Source/Edge/EventRecorder.h
+++ b/Source/Edge/EventRecorder.h
@@ -4,6 +4,7 @@
 #include "Edge/EventLog.h"
 #include "Fleet/CauseHistory.h"
 #include "Fleet/FleetView.h"
+#include "Fleet/OutlierDetector.h"
 #include "Fleet/SharedFailureDetector.h"
 #include "Routing/RoutingObserver.h"
 
@@ -14,7 +15,8 @@
 
 /// Records routing decisions as log lines, metrics and causes.
 class EventRecorder final : public routing::RoutingObserver,
-                            public fleet::VerdictObserver {
+                            public fleet::VerdictObserver,
+                            public fleet::OutlierObserver {
 public:
   /// References must outlive the object.
   EventRecorder(EventLog &log, const common::Clock &clock,
@@ -36,6 +38,9 @@
                   std::chrono::milliseconds objective) override;
   void onVerdict(const fleet::VerdictEvent &verdict) override;
   void onVerdictEnd(const fleet::VerdictEnd &end) override;
+  void onDegraded(const fleet::OutlierEvent &event) override;
+  void onDegradedEnd(routing::ServerId server,
+                     std::chrono::milliseconds duration) override;
   void onRejected(fleet::EvidenceRejection why, std::uint64_t identity,
                   std::uint32_t sender) override;
   void recordConfiguration(std::uint64_t version);
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -228,11 +228,20 @@
 
 void PeerExchange::pollEvidence() {
   Detector.poll(Clock.now());
+  if (Outliers != nullptr)
+    Outliers->poll(Clock.now());
   sendEvidence();
 }
 
 void PeerExchange::sendEvidence() {
-  for (const auto &[message, to] : Detector.takeOutgoing()) {
+  sendEvidence(Detector.takeOutgoing());
+  if (Outliers != nullptr)
+    sendEvidence(Outliers->takeOutgoing());
+}
+
+void PeerExchange::sendEvidence(
+    const std::vector<fleet::SharedFailureDetector::Outgoing> &list) {
+  for (const auto &[message, to] : list) {
     Metrics.add(EdgeCounter::EvidenceSent, to.size());
     Metrics.add(EdgeCounter::EvidenceBytesSent, send(message, to));
   }
@@ -287,6 +296,8 @@
   message.ViewAge += waited;
   // Their ages would be too low, so that answers since would not refute them.
   message.Suspects.clear();
+  message.OutcomeReports.clear();
+  message.OutlierVerdicts.clear();
   std::erase_if(message.Verdicts, [](const auto &it) {
     return it.Kind != fleet::VerdictKind::Answering;
   });
@@ -323,6 +334,8 @@
   mergeHosts(message);
   mergeSuspects(message);
   Detector.onMessage(message, now);
+  if (Outliers != nullptr)
+    Outliers->onMessage(message, now);
   History.merge(message.Causes);
   if (message.Changes.To != 0) {
     if (!View.applyPeerChanges(message.Changes, message.ViewAge, now))
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -5,6 +5,7 @@
 #include "Edge/EventRecorder.h"
 #include "Fleet/GossipMessage.h"
 #include "Fleet/InitialViewSource.h"
+#include "Fleet/OutlierDetector.h"
 #include "Fleet/PeerTable.h"
 #include "Fleet/SharedFailureDetector.h"
 #include "Reactor/AsyncHttpClient.h"
@@ -59,6 +60,9 @@
                std::function<std::chrono::milliseconds()> onWakeUp,
                std::function<void()> onViewChanged);
 
+  /// Sets what detects outliers; nothing does if it is null. It must outlive
+  /// the object.
+  void setOutliers(fleet::OutlierDetector *outliers) { Outliers = outliers; }
   void start(const std::vector<common::Endpoint> &seeds, state::StartMode mode);
   void setSeeds(const std::vector<common::Endpoint> &seeds);
   /// Sends the messages that are due. Must be called at least every 100 ms.
@@ -103,6 +107,8 @@
   std::size_t send(const fleet::GossipMessage &message,
                    const std::vector<std::uint32_t> &addresses);
   void sendEvidence();
+  void
+  sendEvidence(const std::vector<fleet::SharedFailureDetector::Outgoing> &list);
   /// Announces the view if it changed or became more current since the last
   /// announcement.
   void announceIfChanged();
@@ -142,6 +148,7 @@
   routing::ServerDirectory &Directory;
   routing::ServerHealthTracker &Health;
   fleet::SharedFailureDetector &Detector;
+  fleet::OutlierDetector *Outliers = nullptr;
   fleet::InitialViewSource &InitialView;
   const common::Clock &Clock;
   fleet::CauseHistory &History;
--- a/Source/Fleet/GossipCodec.cpp
+++ b/Source/Fleet/GossipCodec.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/GossipCodec.h"
 
 #include "Common/EpochTime.h"
+#include "Routing/DegradedServers.h"
 #include "Routing/NameTable.h"
 
 #include "Fleet.pb.h"
@@ -198,6 +199,66 @@
                            common::fromEpochMilliseconds(from.last_ms())};
 }
 
+void write(const routing::OutcomeCounts &from, wire::OutcomeCounts &to) {
+  to.set_sent(from.Sent);
+  to.set_answered(from.Answered);
+  to.set_unanswered(from.Unanswered);
+  to.set_slow(from.Slow);
+  to.set_syns(from.Syns);
+  to.set_failed_syns(from.FailedSyns);
+  to.set_flows(from.Flows);
+  to.set_ended_flows(from.EndedFlows);
+  to.set_answer_time_ms(clampedMilliseconds(from.AnswerTime));
+}
+
+/// Counts are limited, and no part exceeds the whole: the sender may be faulty.
+routing::OutcomeCounts read(const wire::OutcomeCounts &from) {
+  const auto count = [](std::uint32_t n) {
+    return std::min(n, GossipCodec::MaxOutcomes);
+  };
+  routing::OutcomeCounts to;
+  to.Sent = count(from.sent());
+  to.Answered = count(from.answered());
+  to.Unanswered = count(from.unanswered());
+  to.Slow = std::min(from.slow(), to.Answered);
+  to.Syns = count(from.syns());
+  to.FailedSyns = std::min(from.failed_syns(), to.Syns);
+  to.Flows = count(from.flows());
+  to.EndedFlows = std::min(from.ended_flows(), to.Flows);
+  to.AnswerTime = milliseconds(from.answer_time_ms());
+  return to;
+}
+
+void write(const OutcomeReport &from, wire::OutcomeReport &to) {
+  to.set_identity(from.Identity);
+  to.set_lifetime(from.StartTimeMs);
+  write(from.Outcomes.Recent, *to.mutable_recent());
+  write(from.Outcomes.All, *to.mutable_all());
+  write(from.Outcomes.Others, *to.mutable_others());
+  to.set_caller(from.Outcomes.Caller);
+  to.set_several_callers(from.Outcomes.HasSeveralCallers);
+}
+
+OutcomeReport read(const wire::OutcomeReport &from) {
+  return {from.identity(),
+          from.lifetime(),
+          {read(from.recent()), read(from.all()), read(from.others()),
+           from.caller(), from.several_callers()}};
+}
+
+/// Returns nullopt for a level or kind of a newer version.
+std::optional<OutlierVerdict> read(const wire::OutlierVerdict &from) {
+  // Slow is the highest value of OutlierKind.
+  if (from.level() > routing::DegradedServers::MaxLevel ||
+      from.kind() > static_cast<std::uint32_t>(routing::OutlierKind::Slow))
+    return std::nullopt;
+  return OutlierVerdict{
+      from.identity(), from.lifetime(), static_cast<int>(from.level()),
+      std::min<milliseconds>(milliseconds(from.hold_ms()),
+                             routing::DegradedServers::MaxHold),
+      static_cast<routing::OutlierKind>(from.kind())};
+}
+
 } // namespace
 
 std::string_view toString(VerdictKind kind) {
@@ -246,6 +307,16 @@
     answer.set_identity(it.Identity);
     answer.set_age_ms(clampedMilliseconds(it.Age));
   }
+  for (const auto &it : message.OutcomeReports)
+    write(it, *out.add_outcome_reports());
+  for (const auto &it : message.OutlierVerdicts) {
+    auto &verdict = *out.add_outlier_verdicts();
+    verdict.set_identity(it.Identity);
+    verdict.set_lifetime(it.StartTimeMs);
+    verdict.set_level(static_cast<std::uint32_t>(it.Level));
+    verdict.set_hold_ms(clampedMilliseconds(it.Hold));
+    verdict.set_kind(static_cast<std::uint32_t>(it.Kind));
+  }
   for (const auto &it : message.Causes)
     write(it, *out.add_causes());
   for (const auto tag : message.UnknownTags)
@@ -288,6 +359,11 @@
                                   milliseconds(it.age_ms())});
   for (const auto &it : in.answers())
     message.Answers.push_back({it.identity(), milliseconds(it.age_ms())});
+  for (const auto &it : in.outcome_reports())
+    message.OutcomeReports.push_back(read(it));
+  for (const auto &it : in.outlier_verdicts())
+    if (const auto verdict = read(it))
+      message.OutlierVerdicts.push_back(*verdict);
   // Invalid causes are skipped: a newer version may have causes that are
   // unknown here.
   for (const auto &it : in.causes())
--- a/Source/Fleet/GossipCodec.h
+++ b/Source/Fleet/GossipCodec.h
@@ -21,6 +21,11 @@
   /// Maximum number of verdicts, and of answers, in one datagram. A verdict
   /// takes 24 bytes.
   static constexpr std::size_t MaxVerdicts = 24;
+  /// Maximum number of outcome reports, and of outlier verdicts, in one
+  /// datagram. A report takes up to 110 bytes.
+  static constexpr std::size_t MaxReports = 8;
+  /// Limit of each count in a report.
+  static constexpr std::uint32_t MaxOutcomes = 1'000'000;
   /// Maximum number of unknown tags in one datagram.
   static constexpr std::size_t MaxTags = 32;
 
--- a/Source/Fleet/GossipMessage.h
+++ b/Source/Fleet/GossipMessage.h
@@ -2,6 +2,8 @@
 
 #include "Fleet/FleetView.h"
 #include "Fleet/PeerTable.h"
+#include "Routing/OutcomeTracker.h"
+#include "Routing/OutlierRule.h"
 #include "State/CauseStore.h"
 
 #include <chrono>
@@ -51,6 +53,23 @@
   std::chrono::milliseconds Age{0};
 };
 
+/// What one host saw of a run of a backend server that may be an outlier.
+struct OutcomeReport {
+  std::uint64_t Identity = 0;
+  std::int64_t StartTimeMs = 0;
+  routing::ServerOutcomes Outcomes;
+};
+
+/// A run of a backend server is an outlier, or may be one.
+struct OutlierVerdict {
+  std::uint64_t Identity = 0;
+  std::int64_t StartTimeMs = 0;
+  /// See routing::DegradedServers. 0 asks the hosts of the zone for reports.
+  int Level = 0;
+  std::chrono::milliseconds Hold{0};
+  routing::OutlierKind Kind = routing::OutlierKind::None;
+};
+
 /// Content of one gossip datagram.
 struct GossipMessage {
   PeerInfo Sender;
@@ -60,6 +79,8 @@
   std::vector<ReportedSuspect> Suspects;
   std::vector<ServerVerdict> Verdicts;
   std::vector<ReportedAnswer> Answers;
+  std::vector<OutcomeReport> OutcomeReports;
+  std::vector<OutlierVerdict> OutlierVerdicts;
   /// Causes that the sender recorded. Copies keep the last hour available after
   /// the sender is gone.
   std::vector<state::CauseEntry> Causes;
--- a/Source/Fleet/SharedFailureDetector.cpp
+++ b/Source/Fleet/SharedFailureDetector.cpp
@@ -41,6 +41,8 @@
     return "other_zone";
   case EvidenceRejection::Refuted:
     return "refuted";
+  case EvidenceRejection::TooMany:
+    return "too_many";
   }
   return "invalid";
 }
--- a/Source/Fleet/SharedFailureDetector.h
+++ b/Source/Fleet/SharedFailureDetector.h
@@ -26,6 +26,7 @@
   NotOwner,      ///< The sender does not collect evidence on the server.
   OtherZone,     ///< The sender is in another zone.
   Refuted,       ///< This host has seen a later answer.
+  TooMany,       ///< Too many servers of the service are avoided already.
 };
 
 std::string_view toString(EvidenceRejection why);
--- a/Source/Routing/PacketRouter.cpp
+++ b/Source/Routing/PacketRouter.cpp
@@ -183,6 +183,8 @@
   pending.TriedServers.push_back(*server);
   pending.LastSent = now;
   Flows.onSyn(id, *server, packet, now);
+  if (Outcomes != nullptr)
+    Outcomes->onSyn(id, *server, packet, now);
   Observer.onPlaced(id, *server, packet.Acknowledgement);
   return ForwardPacket{*server, Directory.at(*server).Tag};
 }
@@ -237,6 +239,8 @@
     return onUnknownTag(id, service, packet, now);
   const auto serverId = Directory.idOf(*server);
   PendingSyns.erase(id);
+  if (Outcomes != nullptr)
+    Outcomes->onPacket(id, serverId, packet, now);
   const auto *known = Flows.find(id);
   const auto sentAt = known == nullptr ? now : known->PhaseSince;
   const bool wasBusy = known != nullptr && known->Phase == FlowPhase::Busy;
@@ -350,6 +354,8 @@
 
 void PacketRouter::discardEvidence(TimePoint now) {
   Flows.discardPending(now);
+  if (Outcomes != nullptr)
+    Outcomes->discard(now);
   Health.discardEvidence();
 }
 
--- a/Source/Routing/PacketRouter.h
+++ b/Source/Routing/PacketRouter.h
@@ -3,6 +3,7 @@
 #include "Common/Clock.h"
 #include "Routing/FlowAdmission.h"
 #include "Routing/FlowTable.h"
+#include "Routing/OutcomeTracker.h"
 #include "Routing/Placement.h"
 #include "Routing/RouteTable.h"
 #include "Routing/RoutingObserver.h"
@@ -33,6 +34,10 @@
   /// It must outlive the object.
   void setAdmission(FlowAdmission *admission) { Admission = admission; }
 
+  /// Sets what counts the outcomes of requests; none are if it is null. It must
+  /// outlive the object.
+  void setOutcomes(OutcomeTracker *outcomes) { Outcomes = outcomes; }
+
   RoutingOutcome onPacket(const FlowPacket &packet, common::TimePoint now);
   /// Gives up the flows with a pending request to \p server if it is dead:
   /// its callers would otherwise wait for a retransmission or their timeout.
@@ -112,6 +117,7 @@
   Placement &PlacementPolicy;
   RoutingObserver &Observer;
   FlowAdmission *Admission = nullptr;
+  OutcomeTracker *Outcomes = nullptr;
   absl::flat_hash_map<FlowId, PendingSyn> PendingSyns;
   // Callers control tags and addresses, so both tables are bounded.
   static constexpr std::size_t MaxPendingSyns = 16384;
--- a/Source/Routing/ServerPlacement.cpp
+++ b/Source/Routing/ServerPlacement.cpp
@@ -40,6 +40,8 @@
   if (Health.isSuspect(id, now) ||
       (server.Zone < UnreachableZones.size() && UnreachableZones[server.Zone]))
     return Rank::Suspected;
+  if (Parts.Degraded != nullptr && !Parts.Degraded->admits(id, now))
+    return Rank::Degraded;
   return std::ranges::find(tried, id) != tried.end() ? Rank::Tried
                                                      : Rank::Preferred;
 }
@@ -93,6 +95,8 @@
   }
   if (best && Parts.ColdStarts != nullptr)
     Parts.ColdStarts->onPlaced(Directory.at(*best), now);
+  if (best && Parts.Degraded != nullptr)
+    Parts.Degraded->onPlaced(service, *best, now);
   return best;
 }
 
--- a/Source/Routing/ServerPlacement.h
+++ b/Source/Routing/ServerPlacement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Routing/ColdStartLimiter.h"
+#include "Routing/DegradedServers.h"
 #include "Routing/Placement.h"
 #include "Routing/ServerHealthTracker.h"
 #include "Routing/SharedLoad.h"
@@ -35,6 +36,7 @@
   ColdStartLimiter *ColdStarts = nullptr;
   const SharedLoad *Load = nullptr;
   ZoneSelector *Zones = nullptr;
+  DegradedServers *Degraded = nullptr;
 };
 
 /// Chooses the least loaded backend server from this host's own view of load
@@ -50,6 +52,7 @@
         Weights(weights) {}
 
   void setParts(const PlacementParts &parts) { Parts = parts; }
+  const PlacementParts &parts() const { return Parts; }
 
   /// The least loaded server of \p service that is not in \p tried. Suspected
   /// servers and those of unreachable zones are used only if there are no
@@ -67,6 +70,7 @@
   enum class Rank : std::uint8_t {
     Preferred,
     Tried,
+    Degraded,
     Suspected,
     Lapsed,
     Unusable
--- a/Source/State/EdgeSettings.cpp
+++ b/Source/State/EdgeSettings.cpp
@@ -56,6 +56,10 @@
           "flowLifetime", 1s, 1000min, "Age up to which a flow must be kept.")),
       field<E, &E::StopTimeout>(V::duration("stopTimeout", 100ms, 60min,
                                             "Time from SIGTERM to SIGKILL.")),
+      field<E, &E::Outliers>(
+          V::choice("outlierDetection", {"on", "off"},
+                    "Whether servers that fail more often than the others of "
+                    "their service get fewer new flows.")),
   };
   return table;
 }
--- a/Source/State/EdgeSettings.h
+++ b/Source/State/EdgeSettings.h
@@ -18,6 +18,10 @@
   First,   ///< The whole fleet starts for the first time.
 };
 
+/// Whether servers that fail more often than the others of their service get
+/// fewer new flows.
+enum class OutlierDetection : std::uint8_t { On, Off };
+
 /// Settings of one edge daemon, from a local file.
 struct EdgeSettings {
   std::string Host;
@@ -35,6 +39,7 @@
   std::chrono::milliseconds ChangeBound{3000};
   std::chrono::milliseconds FlowLifetime{60000};
   std::chrono::milliseconds StopTimeout{6000};
+  OutlierDetection Outliers = OutlierDetection::On;
 };
 
 /// Reads and checks the settings of an edge daemon. Errors: InvalidArgument,
--- a/Source/UnitTests/Edge/DocumentationTest.cpp
+++ b/Source/UnitTests/Edge/DocumentationTest.cpp
@@ -76,7 +76,11 @@
   for (const auto it :
        {EvidenceRejection::UnknownServer, EvidenceRejection::OtherRun,
         EvidenceRejection::NotOwner, EvidenceRejection::OtherZone,
-        EvidenceRejection::Refuted})
+        EvidenceRejection::Refuted, EvidenceRejection::TooMany})
+    check(toString(it));
+  using routing::OutlierKind;
+  for (const auto it : {OutlierKind::Unanswered, OutlierKind::FailedSyns,
+                        OutlierKind::EndedFlows, OutlierKind::Slow})
     check(toString(it));
 }
 
@@ -116,6 +120,9 @@
                         .AnswerSeenBy = 1});
     recorder.onVerdictEnd(
         {.Server = id, .DecidedBy = 1, .ToldBy = 1, .AnswerSeenBy = 1});
+    recorder.onDegraded(
+        {.Server = id, .DecidedBy = 1, .Evidence = routing::OutlierEvidence()});
+    recorder.onDegradedEnd(id, std::chrono::milliseconds(1));
     recorder.onRejected(fleet::EvidenceRejection::Refuted, 1, 1);
     recorder.onAnswered(flow, id, std::chrono::milliseconds(200),
                         std::chrono::milliseconds(100));
@@ -135,7 +142,7 @@
     for (const auto &[name, value] : fields.items())
       BOOST_TEST(hasCodeSpan(page, name), name);
   }
-  BOOST_TEST(count == 13);
+  BOOST_TEST(count == 15);
 }
 
 BOOST_AUTO_TEST_CASE(EachMetricIsDocumented) {
