Renew verdicts on outliers only for unlikely failures

Cause: a degraded server gets few requests, so that one slow answer among three renewed its verdict; after a hang it was held for good.

--- a/Source/Routing/OutlierRule.cpp
+++ b/Source/Routing/OutlierRule.cpp
@@ -143,17 +143,10 @@
 }
 
 bool OutlierRule::isStillFailing(const OutlierEvidence &evidence) const {
-  const auto fails = [&](Trials (*trialsOf)(const OutcomeCounts &),
-                         double margin) {
-    const auto trials = trialsOf(evidence.Outcomes.Recent);
-    return trials.Failures > 0 &&
-           trials.share() >=
-               trialsOf(evidence.Outcomes.Others).usualShare(MinUsualShare) +
-                   margin;
-  };
-  return fails(unanswered, UnansweredMargin) ||
-         fails(failedSyns, FailedSynsMargin) ||
-         fails(endedFlows, EndedFlowsMargin) || fails(late, SlowMargin);
+  auto outcomes = evidence.Outcomes;
+  // Older ones may be from before the verdict.
+  outcomes.All = outcomes.Recent;
+  return differenceIn(outcomes, Renewal) != OutlierKind::None;
 }
 
 } // namespace auburnroute::routing
--- a/Source/Routing/OutlierRule.h
+++ b/Source/Routing/OutlierRule.h
@@ -59,6 +59,9 @@
   /// wrong verdict in three hours, if all were judged all the time; only those
   /// with failures at several hosts are.
   Criteria Verdict{1e-7, 4, 30, 1, 1};
+  /// Of a verdict that stands and is to be renewed: the server gets few
+  /// requests.
+  Criteria Renewal{0.02, 1, 30, 1, 1};
   std::uint32_t MinCallers = 2;
   /// Hosts that must have seen failures, in a zone of MinZoneHosts or more.
   std::uint32_t MinHosts = 2;
