Ask for reports on outliers less often and keep bytes for verdicts

Cause: with lost packets, two failures of a server within 2.5 s are common. Questions for reports used up the byte limit, and in zones of 100 hosts a question left no bytes for the verdict.

Change: an owner asks after three failures; questions and reminders leave the bytes for one verdict, whatever the size of the zone. The message test covers outcomes and verdicts on outliers.

--- a/Source/Fleet/OutlierDetector.cpp
+++ b/Source/Fleet/OutlierDetector.cpp
@@ -111,15 +111,18 @@
 }
 
 bool OutlierDetector::sendToZone(const std::vector<OutlierVerdict> &verdicts,
-                                 double reserve, TimePoint now) {
+                                 bool isUrgent, TimePoint now) {
   Outgoing out;
   out.Message.Sender = Peers.self();
   out.Message.OutlierVerdicts = verdicts;
   out.To = zoneHosts(now);
   std::erase(out.To, Peers.self().Address);
   const auto bytes = GossipCodec::encode(out.Message).size() * out.To.size();
-  if (!ZoneBytes.tryTake(bytes, Messages.ZoneBytesPerSecond, Messages.ZoneBurst,
-                         reserve, now))
+  const auto cost = static_cast<double>(bytes);
+  if (!ZoneBytes.tryTake(
+          bytes, Messages.ZoneBytesPerSecond,
+          std::max(Messages.ZoneBurst, Messages.MinZoneBurst * cost),
+          isUrgent ? 0 : cost, now))
     return false;
   if (!out.To.empty())
     Out.push_back(std::move(out));
@@ -130,7 +133,8 @@
   const auto hostCount = static_cast<std::uint32_t>(zoneHosts(now).size());
   std::vector<OutlierCases::Decision> verdicts;
   std::vector<OutlierCases::Decision> others;
-  for (auto &it : Cases.decisions(hostCount, Messages.WatchInterval, now)) {
+  for (const auto &it :
+       Cases.decisions(hostCount, Messages.WatchInterval, now)) {
     const auto *server = Directory.findByIdentity(it.Identity);
     if (server == nullptr ||
         server->Registration.StartTimeMs != it.StartTimeMs ||
@@ -143,20 +147,21 @@
     auto &list = isVerdict ? verdicts : others;
     // The rest follows at the next call.
     if (list.size() < GossipCodec::MaxReports)
-      list.push_back(std::move(it));
+      list.push_back(it);
   }
-  announce(verdicts, 0, now);
-  announce(others, Messages.ZoneReserve, now);
+  announce(verdicts, /*isUrgent=*/true, now);
+  announce(others, /*isUrgent=*/false, now);
 }
 
 void OutlierDetector::announce(
-    const std::vector<OutlierCases::Decision> &decisions, double reserve,
+    const std::vector<OutlierCases::Decision> &decisions, bool isUrgent,
     TimePoint now) {
   std::vector<OutlierVerdict> verdicts;
+  verdicts.reserve(decisions.size());
   for (const auto &it : decisions)
     verdicts.push_back(
         {it.Identity, it.StartTimeMs, it.Level, it.Hold, it.Kind});
-  if (verdicts.empty() || !sendToZone(verdicts, reserve, now))
+  if (verdicts.empty() || !sendToZone(verdicts, isUrgent, now))
     return;
   for (std::size_t n = 0; n < decisions.size(); ++n) {
     Cases.onDone(decisions[n], now);
--- a/Source/Fleet/OutlierDetector.h
+++ b/Source/Fleet/OutlierDetector.h
@@ -57,10 +57,11 @@
   double ReportBytesPerSecond = 350;
   double ZoneBytesPerSecond = 200;
   double ReportBurst = 2000;
-  /// A verdict takes some 70 bytes for each host of the zone.
+  /// A verdict takes some 70 bytes for each host of the zone. Questions and
+  /// reminders leave the bytes for one.
   double ZoneBurst = 12000;
-  /// What questions and reminders leave for verdicts.
-  double ZoneReserve = 8000;
+  /// At least this many announcements at once, in zones of any size.
+  double MinZoneBurst = 3;
 };
 
 /// Outlier detection by all hosts of a zone together.
@@ -112,11 +113,11 @@
   void decide(common::TimePoint now);
   /// Announces \p decisions and applies them to this host.
   void announce(const std::vector<OutlierCases::Decision> &decisions,
-                double reserve, common::TimePoint now);
+                bool isUrgent, common::TimePoint now);
   void sendReports(std::uint32_t to, GossipMessage message,
                    common::TimePoint now);
   /// Returns whether the byte limit allowed it.
-  bool sendToZone(const std::vector<OutlierVerdict> &verdicts, double reserve,
+  bool sendToZone(const std::vector<OutlierVerdict> &verdicts, bool isUrgent,
                   common::TimePoint now);
   void onReport(const OutcomeReport &report, std::uint32_t reporter,
                 common::TimePoint now);
--- a/Source/Routing/OutlierRule.h
+++ b/Source/Routing/OutlierRule.h
@@ -54,7 +54,7 @@
   /// Of a host that reports a server: one failure, where others rarely fail.
   Criteria Report{0.04, 1, 8, 0.5, 0};
   /// Of an owner that asks all hosts for reports.
-  Criteria Question{1e-3, 2, 30, 1, 0.5};
+  Criteria Question{1e-3, 3, 30, 1, 0.5};
   /// Of a verdict. At 600 servers that are judged twice a second this is one
   /// wrong verdict in three hours, if all were judged all the time; only those
   /// with failures at several hosts are.
--- a/Source/UnitTests/Fleet/GossipCodecTest.cpp
+++ b/Source/UnitTests/Fleet/GossipCodecTest.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/GossipCodec.h"
 #include "Common/EpochTime.h"
 #include "Common/ManualClock.h"
+#include "Routing/DegradedServers.h"
 #include "UnitTests/Fleet/FleetFixture.h"
 #include "UnitTests/Seeds.h"
 
@@ -103,6 +104,43 @@
 // Causes must survive encoding. Entries with an unknown cause of a newer
 // version, a name that would break a log line, or a time that overflows the
 // clock are skipped.
+// Counts of a faulty sender must not become shares above one, and a level of a
+// newer version must not become another one.
+BOOST_AUTO_TEST_CASE(OutcomesSurviveTheirEncodingAndAreLimited) {
+  fleet::GossipMessage message;
+  message.Sender = {0x0a010001, "a", 1, 1};
+  routing::ServerOutcomes outcomes;
+  outcomes.All.Sent = 9;
+  outcomes.All.Answered = 5;
+  outcomes.All.Unanswered = 4;
+  outcomes.All.Slow = 7; // More than were answered.
+  outcomes.All.AnswerTime = std::chrono::milliseconds(120);
+  outcomes.Others.Syns = 3;
+  outcomes.Others.FailedSyns = 2;
+  outcomes.Caller = 0x64400001;
+  outcomes.HasSeveralCallers = true;
+  message.OutcomeReports.push_back({1, 77, outcomes});
+  message.OutlierVerdicts.push_back(
+      {1, 77, 4, std::chrono::milliseconds(4000), routing::OutlierKind::Slow});
+  message.OutlierVerdicts.push_back(
+      {2, 77, routing::DegradedServers::MaxLevel + 1, {}, {}});
+  const auto copy = GossipCodec::decode(GossipCodec::encode(message));
+  BOOST_REQUIRE(copy);
+  BOOST_REQUIRE(copy->OutcomeReports.size() == 1U);
+  const auto &report = copy->OutcomeReports.front();
+  BOOST_TEST(report.Identity == 1U);
+  BOOST_TEST(report.StartTimeMs == 77);
+  BOOST_TEST(report.Outcomes.All.requests() == 9U);
+  BOOST_TEST(report.Outcomes.All.Slow == 5U);
+  BOOST_TEST(report.Outcomes.All.meanTime().count() == 24);
+  BOOST_TEST(report.Outcomes.Others.FailedSyns == 2U);
+  BOOST_TEST(report.Outcomes.Caller == 0x64400001U);
+  BOOST_TEST(report.Outcomes.HasSeveralCallers);
+  BOOST_REQUIRE(copy->OutlierVerdicts.size() == 1U);
+  BOOST_TEST(copy->OutlierVerdicts.front().Level == 4);
+  BOOST_TEST(copy->OutlierVerdicts.front().Hold.count() == 4000);
+}
+
 BOOST_AUTO_TEST_CASE(CausesSurviveTheirEncoding) {
   common::ManualClock clock;
   state::CauseEntry entry;
