--- a/Source/Edge/EdgeMetrics.h
+++ b/Source/Edge/EdgeMetrics.h
@@ -40,6 +40,9 @@
   VerdictsEndedByTime,
   DeadVerdictsRefuted, ///< Verdicts "dead" among them that an answer ended.
   VerdictsRejected,
+  DegradedVerdicts,
+  DegradedEnds,
+  OutcomesDiscarded,
   FlowsAbandoned,
   RegistryCalls,
   RegistryFailures,
@@ -87,6 +90,7 @@
   /// The largest of all services, 0 to 1.
   double LeavingShare = 0;
   double RefusedShare = 0;
+  std::size_t DegradedServers = 0;
 };
 
 /// Counters and the response time histogram of an edge daemon. Not thread-safe.
--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -101,7 +101,9 @@
       Detector(Peers, Directory, Health, Recorder,
                verdictLimits(routing::HealthLimits::forHeartbeat(
                    Settings.ServerHeartbeat, Settings.ChangeBound))),
-      Loads(Peers, Directory, Health, randomSeed()),
+      Loads(Peers, Directory, Health, randomSeed()), Outcomes(Directory),
+      Degraded(Directory, randomSeed()),
+      Outliers(Peers, Directory, Outcomes, Degraded, Recorder),
       InitialView(fleet::InitialViewTiming::forBound(Settings.ChangeBound)),
       ColdStarts(Peers, fleetStartOf(Settings), Routes, Directory, Recorder,
                  {.Overage = Settings.ColdStartOverage,
@@ -112,9 +114,8 @@
       Router(Routes, Directory, Health, Placement, Recorder), ReadyServer(Loop),
       ControlServer(Loop), MetricsServer(Loop), PeerServer(Loop) {
   Recorder.setView(&View);
-  Placement.setParts({.Evacuations = &View.evacuations(),
-                      .ColdStarts = &ColdStarts,
-                      .Load = Settings.LoadSharing ? &Loads : nullptr});
+  Placement.setParts(
+      {.Evacuations = &View.evacuations(), .ColdStarts = &ColdStarts});
 }
 
 absl::Status EdgeNode::run() {
@@ -161,9 +162,6 @@
         updateReadiness();
         resetFlowsOfDeadServers();
       });
-  if (Settings.LoadSharing) {
-    Exchange->setLoadExchange(&Loads);
-  }
   Registry = std::make_unique<RegistryClient>(
       Loop, Settings.Registry, Reader, Clock, History, Log, Recorder, [this] {
         updateReadiness();
@@ -173,23 +171,35 @@
         updateRegistryRole(Clock.now());
         Registry->poll();
       });
-  // No part of the daemon implements SharedLoad yet.
-  useSharedLoad(nullptr);
+  if (Settings.LoadSharing)
+    useLoadSharing();
+  if (Settings.Outliers == state::OutlierDetection::On)
+    useOutliers();
   return serveHttp();
 }
 
-void EdgeNode::useSharedLoad(const routing::SharedLoad *load) {
-  if (load == nullptr)
-    return;
+void EdgeNode::useLoadSharing() {
+  Exchange->setLoadExchange(&Loads);
   Control = std::make_unique<LoadControl>(
-      Directory, Health, /*evacuations=*/nullptr,
-      Directory.zoneNames().idOf(Settings.Zone), *load, Settings.CrossZoneCost,
+      Directory, Health, &View.evacuations(),
+      Directory.zoneNames().idOf(Settings.Zone), Loads, Settings.CrossZoneCost,
       randomSeed(), Log, Recorder.metrics());
-  Placement.setParts({.Load = load, .Zones = &Control->zones()});
+  auto parts = Placement.parts();
+  parts.Load = &Loads;
+  parts.Zones = &Control->zones();
+  Placement.setParts(parts);
   Router.setAdmission(&Control->admission());
   Router.setZoneDelays(&Control->delays());
 }
 
+void EdgeNode::useOutliers() {
+  Router.setOutcomes(&Outcomes);
+  auto parts = Placement.parts();
+  parts.Degraded = &Degraded;
+  Placement.setParts(parts);
+  Exchange->setOutliers(&Outliers);
+}
+
 absl::Status EdgeNode::serveHttp() {
   ReadyServer.serve("/readiness", "application/json", [this](std::string_view) {
     return HttpResponse{Ready ? HttpResponse::Ok : HttpResponse::Unavailable,
@@ -266,6 +276,8 @@
     Recorder.metrics().set(EdgeCounter::EntriesUnreadable, View.unreadable());
     Recorder.metrics().set(EdgeCounter::EntriesRefused, View.refused());
     Recorder.metrics().set(EdgeCounter::EntriesOutdated, View.outdated());
+    Recorder.metrics().set(EdgeCounter::OutcomesDiscarded,
+                           Outcomes.discardCount());
     Recorder.metrics().set(EdgeCounter::LogLinesDropped, Log.dropped());
   }
   if (now >= NextFileCheck) {
@@ -320,6 +332,7 @@
   LastStall = gap;
   Recorder.metrics().add(EdgeCounter::Stalls);
   Router.discardEvidence(now);
+  Outliers.discard();
   if (gap < MinPauseGap)
     return gap;
   Recorder.metrics().add(EdgeCounter::Pauses);
@@ -439,7 +452,8 @@
       ",\"version\":", Routes.version(), ",\"revision\":", View.revision(),
       ",\"era\":", View.era(), ",\"view_age_ms\":", View.age(now).count(),
       ",\"servers\":", Directory.readyCount(), ",\"evacuated_zones\":[", zones,
-      "],\"flows\":", Router.flowCount(), ",\"peers\":", alive.size(),
+      "],\"degraded\":", Outliers.degradedCount(now),
+      ",\"flows\":", Router.flowCount(), ",\"peers\":", alive.size(),
       ",\"loads\":[", loadStatus(), "],\"hosts\":[", hosts, "]}\n");
 }
 
@@ -462,6 +476,7 @@
   gauges.LoadInterval = Loads.interval();
   if (Control != nullptr)
     Control->sample(gauges);
+  gauges.DegradedServers = Outliers.degradedCount(now);
   return Recorder.metrics().text(gauges);
 }
 
--- a/Source/Edge/EdgeNode.h
+++ b/Source/Edge/EdgeNode.h
@@ -37,9 +37,8 @@
 private:
   absl::Status open();
   absl::Status serveHttp();
-  /// Starts zone balancing and admission control by \p load, which must outlive
-  /// the object. No effect if it is null.
-  void useSharedLoad(const routing::SharedLoad *load);
+  /// Switches load sharing, zone balancing and admission control on.
+  void useLoadSharing();
   void waitForSignal();
   void onSignal(int signal);
   void tick();
@@ -53,6 +52,8 @@
   void onLoadsPolled();
   /// Members "loads" of the status: utilization by service and zone.
   std::string loadStatus() const;
+  /// Switches outlier detection on.
+  void useOutliers();
   /// Resets the flows of servers that were found dead.
   void resetFlowsOfDeadServers();
   /// Discards evidence and queued input if the process did not run for a while.
@@ -85,6 +86,9 @@
   fleet::PeerTable Peers;
   fleet::SharedFailureDetector Detector;
   fleet::LoadExchange Loads;
+  routing::OutcomeTracker Outcomes;
+  routing::DegradedServers Degraded;
+  fleet::OutlierDetector Outliers;
   fleet::InitialViewSource InitialView;
   fleet::SharedColdStartLimiter ColdStarts;
   routing::ServerPlacement Placement;
--- a/Source/Edge/EventLog.cpp
+++ b/Source/Edge/EventLog.cpp
@@ -106,6 +106,10 @@
     return "verdict_rejected";
   case LogEvent::LoadSharing:
     return "load_sharing";
+  case LogEvent::Degraded:
+    return "degraded";
+  case LogEvent::DegradedEnded:
+    return "degraded_ended";
   case LogEvent::Late:
     return "late";
   case LogEvent::ZoneShare:
--- a/Source/Edge/EventLog.h
+++ b/Source/Edge/EventLog.h
@@ -41,6 +41,8 @@
   VerdictEnded,
   VerdictRejected,
   LoadSharing,
+  Degraded,
+  DegradedEnded,
   Late,
   ZoneShare,
   Overload,
--- a/Source/Edge/PeerExchange.h
+++ b/Source/Edge/PeerExchange.h
@@ -6,6 +6,7 @@
 #include "Fleet/GossipMessage.h"
 #include "Fleet/InitialViewSource.h"
 #include "Fleet/LoadExchange.h"
+#include "Fleet/OutlierDetector.h"
 #include "Fleet/PeerTable.h"
 #include "Fleet/SharedFailureDetector.h"
 #include "Reactor/AsyncHttpClient.h"
@@ -62,6 +63,9 @@
 
   /// Exchanges loads by \p loads from now on; it must outlive the object.
   void setLoadExchange(fleet::LoadExchange *loads) { Loads = loads; }
+  /// Sets what detects outliers; nothing does if it is null. It must outlive
+  /// the object.
+  void setOutliers(fleet::OutlierDetector *outliers) { Outliers = outliers; }
   void start(const std::vector<common::Endpoint> &seeds, state::StartMode mode);
   void setSeeds(const std::vector<common::Endpoint> &seeds);
   /// Sends the messages that are due. Must be called at least every 100 ms.
@@ -109,6 +113,8 @@
   void sendLoads();
   /// Adds the loads that this host causes, if they fit the datagram.
   void addZoneLoads(fleet::GossipMessage &message);
+  void
+  sendEvidence(const std::vector<fleet::SharedFailureDetector::Outgoing> &list);
   /// Announces the view if it changed or became more current since the last
   /// announcement.
   void announceIfChanged();
@@ -149,6 +155,7 @@
   routing::ServerHealthTracker &Health;
   fleet::SharedFailureDetector &Detector;
   fleet::LoadExchange *Loads = nullptr;
+  fleet::OutlierDetector *Outliers = nullptr;
   fleet::InitialViewSource &InitialView;
   const common::Clock &Clock;
   fleet::CauseHistory &History;
--- a/Source/State/EdgeSettings.cpp
+++ b/Source/State/EdgeSettings.cpp
@@ -75,6 +75,10 @@
           V::duration("crossZoneCost", 0ms, 10s,
                       "Waiting time that callers should accept before their "
                       "flows are sent to another zone.")),
+      field<E, &E::Outliers>(
+          V::choice("outlierDetection", {"on", "off"},
+                    "Whether servers that fail more often than the others of "
+                    "their service get fewer new flows.")),
   };
   return table;
 }
--- a/Source/State/EdgeSettings.h
+++ b/Source/State/EdgeSettings.h
@@ -19,6 +19,10 @@
   First,   ///< The whole fleet starts for the first time.
 };
 
+/// Whether servers that fail more often than the others of their service get
+/// fewer new flows.
+enum class OutlierDetection : std::uint8_t { On, Off };
+
 /// Settings of one edge daemon, from a local file.
 struct EdgeSettings {
   std::string Host;
@@ -38,6 +42,7 @@
   std::chrono::milliseconds EvacuationBound{0};
   std::chrono::milliseconds FlowLifetime{60000};
   std::chrono::milliseconds StopTimeout{6000};
+  OutlierDetection Outliers = OutlierDetection::Off;
   /// Waiting time that callers should accept before their flows are sent to
   /// another zone.
   std::chrono::milliseconds CrossZoneCost{5};
