--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -369,7 +369,10 @@
       if (it.Era == Era)
         evacuated.insert(it.Zone);
     endMissingEvacuations(evacuated, snapshot.Revision, now);
-    // The sender may have discarded removals.
+    // The sender may have discarded removals, so the changes up to its revision
+    // are not all known here.
+    if (snapshot.Revision > Revision)
+      HistoryStart = std::max(HistoryStart, snapshot.Revision);
     RemovalsUnknownUpTo = std::max(RemovalsUnknownUpTo, snapshot.Revision);
   }
   advance(snapshot.Revision, now - peerViewAge - TransitTime);
--- a/Source/UnitTests/Fleet/EvacuationTest.cpp
+++ b/Source/UnitTests/Fleet/EvacuationTest.cpp
@@ -153,6 +153,31 @@
   BOOST_TEST(it.zones() == Zones{});
 }
 
+// A full snapshot does not tell what ended before it, so its receiver must not
+// claim to know all changes: a third host would miss the end (model seed 2180).
+BOOST_AUTO_TEST_CASE(HostsWithAFullSnapshotDoNotPassOnGaps) {
+  EvacuationFixture it;
+  it.list(10, {}, 1);
+  it.fetch();
+  ViewFixture third;
+  const auto snapshot = it.Host.View.snapshotSince(0, 0);
+  third.View.applySnapshot(snapshot, 0ms, it.Clock.now());
+  fleet::ViewChanges begun{10, 11, {}, 1, 1, {{"b", true, 1, 11}}, true};
+  third.View.applyPeerChanges(begun, 0ms, it.Clock.now());
+  BOOST_TEST(third.View.evacuations().isEvacuated("b"));
+  // The host reads a list after the end, and the peer takes its snapshot.
+  it.list(12, {}, 1);
+  it.fetch();
+  BOOST_TEST(it.Peer.View.revision() == 12U);
+  BOOST_TEST(!third.View.applyPeerChanges(
+      it.Peer.View.recentChanges(GossipCodec::MaxChanges), 0ms,
+      it.Clock.now()));
+  third.View.applySnapshot(
+      it.Peer.View.snapshotSince(third.View.revision(), 1, 1), 0ms,
+      it.Clock.now());
+  BOOST_TEST(!third.View.evacuations().isEvacuated("b"));
+}
+
 // A restored registry may lack a request that was accepted. Until it has been
 // written again, hosts must not use the zone.
 BOOST_AUTO_TEST_CASE(EitherEraEvacuatesUntilTheViewIsReconciled) {
--- a/Source/UnitTests/Fleet/FleetModel.cpp
+++ b/Source/UnitTests/Fleet/FleetModel.cpp
@@ -255,12 +255,12 @@
     ++EvacuationChecks;
     // A view keeps what a restore removed, until it is reconciled. A host that
     // learns of the restore late, or starts then, may get it from a late peer.
-    constexpr auto rewriteTime = fleet::FleetView::MinRewriteTime;
+    constexpr auto RewriteTime = fleet::FleetView::MinRewriteTime;
     const auto endedAt = std::max(Registry.lastEvacuated(zone),
-                                  Registry.downUntil() + rewriteTime);
+                                  Registry.downUntil() + RewriteTime);
     if (isEvacuated && !isRequested && now - endedAt > EvacuationBound &&
         now - std::max(contactSince(host), host.StartedAt) >
-            ContactTime + rewriteTime)
+            ContactTime + RewriteTime)
       report(n, "keeps zone " + zone + " evacuated");
   }
 }
