--- a/Source/Emulator/CandidatePlacement.cpp
+++ b/Source/Emulator/CandidatePlacement.cpp
@@ -47,7 +47,8 @@
       directory, health, zone, seed,
       routing::PlacementWeights{candidate.OtherZone, candidate.Cold,
                                 candidate.OpenFlow, candidate.Margin,
-                                candidate.Choices});
+                                candidate.Choices, candidate.RemoteRequests,
+                                candidate.RemoteFlows});
   placement->setParts({.Load = load});
   return placement;
 }
--- a/Source/Emulator/Deployment.cpp
+++ b/Source/Emulator/Deployment.cpp
@@ -68,6 +68,12 @@
       field<T, &T::ReusesFlow>(
           V::integer("feed", "", 0, 1,
                      "1: requests share open flows; 0: one flow per request.")),
+      field<T, &T::Flows>(
+          V::integer("flows", "", 0, 1000000,
+                     "Flows that stay open; 0: as few as are needed.")),
+      field<T, &T::RequestsPerFlow>(
+          V::share("requestsPerFlow", 1, MaxNumber,
+                   "Mean number of requests until such a flow ends.")),
       field<T, &T::RatePerSecond>(V::share("perSecond", 0, MaxNumber,
                                            "Mean rate of all zones together.")),
       field<T, &T::MeanWorkMs>(
@@ -139,6 +145,10 @@
                                     "Difference up to which loads are equal.")),
       field<T, &T::Choices>(V::integer("choices", "", 0, 1000,
                                        "Servers that are compared; 0: all.")),
+      field<T, &T::RemoteRequests>(V::share(
+          "remoteRequests", 0, 100, "Factor on the requests by others.")),
+      field<T, &T::RemoteFlows>(V::share(
+          "remoteFlows", 0, 100, "Factor on the open flows by others.")),
       field<T, &T::Subset>(
           V::share("subset", 0, 1, "Share of the servers that a host uses.")),
   };
@@ -154,6 +164,9 @@
           V::share("crossZoneMs", 0, 1000, "One-way delay between zones, ms.")),
       field<T, &T::CallerDelayMs>(V::share(
           "callerMs", 0, 1000, "One-way delay to and from callers, ms.")),
+      field<T, &T::AcknowledgesAtOnce>(V::integer(
+          "acksAtOnce", "", 0, 1,
+          "1: servers acknowledge requests before they answer them.")),
       field<T, &T::HeartbeatInterval>(
           V::duration("heartbeat", 1ms, 10min,
                       "Interval in which servers renew their registration.")),
--- a/Source/Emulator/Deployment.h
+++ b/Source/Emulator/Deployment.h
@@ -39,6 +39,11 @@
   routing::RequestKind Kind = routing::RequestKind::Idempotent;
   /// Requests share flows that stay open, instead of one flow per request.
   bool ReusesFlow = false;
+  /// With ReusesFlow: open flows of all zones together, of which a request
+  /// takes a random one; 0: as few as are needed.
+  std::uint32_t Flows = 0;
+  /// With Flows: mean number of requests on a flow until it ends.
+  double RequestsPerFlow = 10;
   double RatePerSecond = 1; ///< Mean over the run, all zones together.
   double MeanWorkMs = 10;   ///< Mean processing time on a warm server.
   /// Standard deviation of the logarithm of the processing time.
@@ -94,6 +99,8 @@
   // Of routing::PlacementWeights, for shared loads.
   double Margin = 0;
   std::uint32_t Choices = 0;
+  double RemoteRequests = 1;
+  double RemoteFlows = 1;
   /// Share of the servers to which a host sends new flows.
   double Subset = 1;
 };
@@ -110,6 +117,9 @@
   double InZoneDelayMs = 0.2;
   double CrossZoneDelayMs = 1.4;
   double CallerDelayMs = 1.0; ///< Between callers and hosts or servers.
+  /// Whether servers acknowledge a request before they answer it, so that
+  /// callers do not retransmit it.
+  bool AcknowledgesAtOnce = false;
   /// Interval in which servers renew their registration.
   std::chrono::milliseconds HeartbeatInterval{1000};
   /// Longest time until a host learns of a registry change.
--- a/Source/Emulator/EmulatedCallers.cpp
+++ b/Source/Emulator/EmulatedCallers.cpp
@@ -33,20 +33,22 @@
                                  EventQueue &queue, EmulationResult &result,
                                  std::uint64_t seed, SendToHost sendToHost)
     : Config(deployment), Queue(queue), Result(result),
-      Send(std::move(sendToHost)) {
+      Send(std::move(sendToHost)), Random(seed) {
   double totalWeight = 0;
   for (const auto &it : Config.Zones)
     totalWeight += it.TrafficWeight;
   for (std::size_t kind = 0; kind < Config.Requests.size(); ++kind)
     for (std::size_t zone = 0; zone < Config.Zones.size(); ++zone) {
       std::seed_seq seeds{seed, std::uint64_t{kind}, std::uint64_t{zone}};
-      Streams.push_back({kind,
-                         zone,
-                         Config.Requests[kind].RatePerSecond *
-                             Config.Zones[zone].TrafficWeight /
-                             std::max(totalWeight, 1e-9),
-                         std::mt19937_64(seeds),
-                         {}});
+      Streams.push_back(
+          {kind,
+           zone,
+           Config.Requests[kind].RatePerSecond *
+               Config.Zones[zone].TrafficWeight / std::max(totalWeight, 1e-9),
+           std::mt19937_64(seeds),
+           {},
+           Config.Requests[kind].Flows * Config.Zones[zone].TrafficWeight /
+               std::max(totalWeight, 1e-9)});
     }
 }
 
@@ -111,10 +113,13 @@
     auto &request = Requests[number];
     if (request.IsDone)
       return;
-    Flows[request.Flow].State = FlowState::Closed;
+    closeFlow(request.Flow);
     complete(number, RequestOutcome::Failed);
   });
-  if (!it.IdleFlows.empty()) {
+  if (!it.IdleFlows.empty() && it.OpenFlows >= it.MaxFlows) {
+    if (spec.Flows > 0)
+      std::swap(it.IdleFlows[Random() % it.IdleFlows.size()],
+                it.IdleFlows.back());
     const auto flow = it.IdleFlows.back();
     it.IdleFlows.pop_back();
     Flows[flow].CurrentRequest = number;
@@ -149,6 +154,7 @@
       CallerNetwork + static_cast<std::uint32_t>(flow / PortsPerCaller),
       static_cast<std::uint16_t>(FirstCallerPort + flow % PortsPerCaller)};
   it.CurrentRequest = number;
+  ++streamOf(it).OpenFlows;
   request.Flow = flow;
   request.WasSent = false;
   sendSyn(flow, 0);
@@ -188,6 +194,7 @@
   auto &it = Flows[flow];
   const auto number = it.CurrentRequest;
   it.State = FlowState::Busy;
+  it.IsAcknowledged = false;
   Requests[number].WasSent = true;
   auto packet = makePacket(it);
   packet.PayloadSize = RequestBytes;
@@ -196,7 +203,9 @@
       RetransmitDelays[std::min<std::size_t>(retransmissions, 2)],
       [this, flow, number, retransmissions] {
         const auto &later = Flows[flow];
-        if (later.State == FlowState::Busy && later.CurrentRequest == number)
+        // Only a lost request is repeated if servers acknowledge at once.
+        if (later.State == FlowState::Busy && later.CurrentRequest == number &&
+            !later.IsAcknowledged)
           sendRequest(flow, retransmissions + 1);
       });
 }
@@ -210,6 +219,10 @@
     it.Echo = reply.Echo;
     sendRequest(flow, 0);
     return;
+  case ReplyKind::Acknowledgement:
+    if (reply.Sequence == it.Sequence)
+      it.IsAcknowledged = true;
+    return;
   case ReplyKind::Answer:
     if (it.State == FlowState::Busy && reply.Sequence == it.Sequence)
       onAnswer(flow);
@@ -233,24 +246,35 @@
   it.Sequence += RequestBytes;
   it.Acknowledgement += AnswerBytes;
   it.CurrentRequest = NoRequest;
-  it.State = spec.ReusesFlow ? FlowState::Idle : FlowState::Closed;
+  const bool isLast =
+      !spec.ReusesFlow ||
+      (spec.Flows > 0 &&
+       std::uniform_real_distribution<double>()(Random) * spec.RequestsPerFlow <
+           1);
+  it.State = FlowState::Idle;
   auto packet = makePacket(it);
-  packet.Fin = !spec.ReusesFlow;
+  packet.Fin = isLast;
   Send(it.Zone, flow, packet);
-  if (spec.ReusesFlow)
-    Streams[it.SpecIndex * Config.Zones.size() + it.Zone].IdleFlows.push_back(
-        flow);
+  if (isLast)
+    closeFlow(flow);
+  else
+    streamOf(it).IdleFlows.push_back(flow);
   const auto responseTime = Queue.now() - Requests[number].IssuedAt;
   complete(number, responseTime <= spec.Objective ? RequestOutcome::OnTime
                                                   : RequestOutcome::Late);
 }
 
+void EmulatedCallers::closeFlow(FlowNumber flow) {
+  if (std::exchange(Flows[flow].State, FlowState::Closed) != FlowState::Closed)
+    --streamOf(Flows[flow]).OpenFlows;
+}
+
 void EmulatedCallers::onFailure(FlowNumber flow, bool mayHaveRun) {
   auto &it = Flows[flow];
   if (it.State == FlowState::Closed || it.CurrentRequest == NoRequest)
     return;
   const auto number = std::exchange(it.CurrentRequest, NoRequest);
-  it.State = FlowState::Closed;
+  closeFlow(flow);
   const auto &request = Requests[number];
   if (mayHaveRun && request.WasSent &&
       Config.Requests[it.SpecIndex].Kind == routing::RequestKind::NonIdempotent)
--- a/Source/Emulator/EmulatedCallers.h
+++ b/Source/Emulator/EmulatedCallers.h
@@ -54,6 +54,7 @@
     std::uint32_t Acknowledgement = 1;
     std::uint32_t Echo = 0;
     RequestIndex CurrentRequest = NoRequest;
+    bool IsAcknowledged = false; ///< The request has reached the server.
   };
   struct Request {
     std::size_t SpecIndex = 0;
@@ -72,6 +73,8 @@
     double RatePerSecond = 0;
     std::mt19937_64 Random;
     std::vector<FlowNumber> IdleFlows;
+    double MaxFlows = 0; ///< Part of RequestSpec::Flows.
+    std::uint32_t OpenFlows = 0;
   };
 
   void scheduleNext(std::size_t stream);
@@ -83,6 +86,10 @@
   void sendRequest(FlowNumber flow, std::uint32_t retransmissions);
   void onAnswer(FlowNumber flow);
   void onFailure(FlowNumber flow, bool mayHaveRun);
+  void closeFlow(FlowNumber flow);
+  Stream &streamOf(const Flow &flow) {
+    return Streams[flow.SpecIndex * Config.Zones.size() + flow.Zone];
+  }
   void complete(RequestIndex number, RequestOutcome outcome);
   routing::FlowPacket makePacket(const Flow &flow) const;
 
@@ -93,6 +100,8 @@
   common::TimePoint Start;
   common::TimePoint End;
   double RateFactor = 1;
+  /// For draws that depend on answers.
+  std::mt19937_64 Random;
   std::vector<Stream> Streams;
   std::vector<Flow> Flows;
   std::vector<Request> Requests;
--- a/Source/Emulator/EmulatedServer.cpp
+++ b/Source/Emulator/EmulatedServer.cpp
@@ -42,6 +42,8 @@
     return;
   }
   flow.Sequence = packet.Sequence;
+  if (AcknowledgesAtOnce)
+    Send(number, {ReplyKind::Acknowledgement, packet.Echo, packet.Sequence});
   flow.LastReply = {ReplyKind::Answer, packet.Echo, packet.Sequence};
   if (RunningJobs < Spec.Slots) {
     flow.Busy = true;
--- a/Source/Emulator/EmulatedServer.h
+++ b/Source/Emulator/EmulatedServer.h
@@ -15,10 +15,11 @@
 using FlowNumber = std::uint64_t;
 
 enum class ReplyKind : std::uint8_t {
-  SynAck,      ///< The flow is open.
-  Answer,      ///< The whole answer to a request.
-  Shed,        ///< Not run: all slots and the queue are full.
-  UnknownFlow, ///< RST: the server has no such flow.
+  SynAck,          ///< The flow is open.
+  Acknowledgement, ///< The request has arrived.
+  Answer,          ///< The whole answer to a request.
+  Shed,            ///< Not run: all slots and the queue are full.
+  UnknownFlow,     ///< RST: the server has no such flow.
 };
 
 /// A packet that a backend server sends directly to the caller, bypassing the
@@ -46,6 +47,8 @@
   /// Stops for good: later packets and running requests stay unanswered.
   void stop() { Alive = false; }
   bool isAlive() const { return Alive; }
+  /// Whether it acknowledges requests before it answers them.
+  void setAcknowledgesAtOnce(bool does) { AcknowledgesAtOnce = does; }
   void setSlowdownFactor(double factor) { SlowdownFactor = factor; }
   /// Number of flows accepted since the start.
   std::uint64_t acceptedFlowCount() const { return AcceptedFlows; }
@@ -72,6 +75,7 @@
   absl::flat_hash_map<FlowNumber, Flow> Flows;
   std::deque<Job> WaitingJobs;
   std::uint32_t RunningJobs = 0;
+  bool AcknowledgesAtOnce = false;
   double SlowdownFactor = 1;
   bool Alive = true;
   std::uint64_t AcceptedFlows = 0;
--- a/Source/Emulator/Emulation.cpp
+++ b/Source/Emulator/Emulation.cpp
@@ -97,6 +97,7 @@
             [this, flow, reply] { Callers.onReply(flow, reply); });
       },
       cold);
+  model->setAcknowledgesAtOnce(Config.AcknowledgesAtOnce);
   Servers.push_back({it, service, zone, std::move(model)});
   ServerByIdentity.emplace(it.Identity, number);
   Fleet.publish(it);
--- a/Source/Routing/ServerPlacement.cpp
+++ b/Source/Routing/ServerPlacement.cpp
@@ -54,8 +54,9 @@
   if (Parts.Load != nullptr) {
     const auto remote = Parts.Load->elsewhere(id, now);
     work = 1.0 + activity.Load.outstanding() + activity.PendingSyns +
-           remote.Outstanding +
-           Weights.OpenFlow * (activity.Load.flows() + remote.OpenFlows);
+           Weights.RemoteRequests * remote.Outstanding +
+           Weights.OpenFlow *
+               (activity.Load.flows() + Weights.RemoteFlows * remote.OpenFlows);
   }
   double load = work / std::max(1U, server.Registration.Slots);
   if (server.Zone != zone.value_or(OwnZone))
--- a/Source/Routing/ServerPlacement.h
+++ b/Source/Routing/ServerPlacement.h
@@ -33,6 +33,10 @@
   /// If not 0, only this number of random servers is compared in the wanted
   /// zone, and outside it.
   std::uint32_t Choices = 0;
+  // Factors on the load by other hosts. At totals 2 to 4 s old, full factors
+  // make hosts choose the same servers: see docs/design/load-sharing.md.
+  double RemoteRequests = 0;
+  double RemoteFlows = 0;
 };
 
 /// Optional parts of the placement; each may be null. They must outlive the
