--- a/Source/Routing/ServerPlacement.cpp
+++ b/Source/Routing/ServerPlacement.cpp
@@ -57,8 +57,9 @@
   if (Parts.Load != nullptr) {
     const auto remote = Parts.Load->elsewhere(id, now);
     work = 1.0 + activity.Load.outstanding() + activity.PendingSyns +
-           remote.Outstanding +
-           Weights.OpenFlow * (activity.Load.flows() + remote.OpenFlows);
+           Weights.RemoteRequests * remote.Outstanding +
+           Weights.OpenFlow *
+               (activity.Load.flows() + Weights.RemoteFlows * remote.OpenFlows);
   }
   double load = work / std::max(1U, server.Registration.Slots);
   if (server.Zone != OwnZone)
@@ -88,6 +89,7 @@
   updateUnreachableZones(now);
   const auto zone = Parts.Zones == nullptr ? std::nullopt
                                            : Parts.Zones->zoneFor(service, now);
+  const auto preferredZone = zone.value_or(OwnZone);
   std::optional<ServerId> best;
   auto bestRank = Rank::Unusable;
   double bestLoad = 0;
@@ -102,7 +104,8 @@
     if (rank == Rank::Unusable || rank > bestRank)
       continue;
     const double load = loadOf(id, otherZonePenalty, now);
-    const bool isElsewhere = zone && Directory.at(id).Zone != *zone;
+    const bool isElsewhere =
+        zone.has_value() && Directory.at(id).Zone != preferredZone;
     if (Parts.Load != nullptr) {
       const auto group = std::tie(rank, isElsewhere);
       const auto bestGroup = std::tie(bestRank, isBestElsewhere);
@@ -112,8 +115,7 @@
         Rated.clear();
       bestRank = rank;
       isBestElsewhere = isElsewhere;
-      Rated.push_back(
-          {id, load, Directory.at(id).Zone == zone.value_or(OwnZone)});
+      Rated.push_back({id, load, Directory.at(id).Zone == preferredZone});
       continue;
     }
     const auto order = std::tie(rank, isElsewhere, load);
