Apply the findings of the review to the merged parts

Cause: two reviews of the merged parts found that 64 evacuations of zones without servers keep a real one out of a view, that views dated in one era count in the next, that loads are summed over different servers and hosts, that outliers may take more than a fifth of a zone's servers, and that a route without a timeout has no outstanding requests.

Change: zones with servers always have room for an evacuation, entries are limited otherwise, and a refused one is listed again; the age of a view is limited by its era; load counts ready servers and hosts that share the service, and is unknown without a report of the zone itself; a fifth holds for each zone. Admission control gets a switch of its own, admissionControl. Totals of single servers are not exchanged, as the placement does not use them. The targets of admission control are a test of their own, in KNOWN-RED.txt: at twice the capacity and at 0.9 of it the model misses them.

--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -101,10 +101,12 @@
       Detector(Peers, Directory, Health, Recorder,
                verdictLimits(routing::HealthLimits::forHeartbeat(
                    Settings.ServerHeartbeat, Settings.ChangeBound))),
-      Loads(Peers, Directory, Health, randomSeed()), Outcomes(Directory),
-      Degraded(Directory, randomSeed()),
+      // The placement goes by this host's own counts: totals of single servers
+      // are too old to place by (docs/design/load-sharing.md).
+      Loads(Peers, Directory, Health, randomSeed(), {.SharesServers = false}),
+      Outcomes(Directory), Degraded(Directory, randomSeed()),
       Outliers(Peers, Directory, Outcomes, Degraded, Recorder),
-      InitialView(fleet::InitialViewTiming::forBound(Settings.ChangeBound)),
+      InitialView(fleet::InitialViewTiming::forBound(Settings.registryBound())),
       ColdStarts(Peers, fleetStartOf(Settings), Routes, Directory, Recorder,
                  {.Overage = Settings.ColdStartOverage,
                   .Slack = Settings.ColdStartSlack,
@@ -188,7 +190,8 @@
   parts.Load = &Loads;
   parts.Zones = &Control->zones();
   Placement.setParts(parts);
-  Router.setAdmission(&Control->admission());
+  if (Settings.AdmissionControl)
+    Router.setAdmission(&Control->admission());
   Router.setZoneDelays(&Control->delays());
 }
 
--- a/Source/Edge/EdgeNode.h
+++ b/Source/Edge/EdgeNode.h
@@ -37,7 +37,8 @@
 private:
   absl::Status open();
   absl::Status serveHttp();
-  /// Switches load sharing, zone balancing and admission control on.
+  /// Switches load sharing and zone balancing on, and admission control if the
+  /// settings ask for it.
   void useLoadSharing();
   void waitForSignal();
   void onSignal(int signal);
--- a/Source/Edge/PeerExchange.cpp
+++ b/Source/Edge/PeerExchange.cpp
@@ -322,6 +322,9 @@
   message.ViewAge += waited;
   // Their ages would be too low, so that answers since would not refute them.
   message.Suspects.clear();
+  message.LoadReports.clear();
+  message.LoadTotals.clear();
+  message.ZoneLoads.clear();
   message.OutcomeReports.clear();
   message.OutlierVerdicts.clear();
   std::erase_if(message.Verdicts, [](const auto &it) {
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -47,7 +47,13 @@
   const auto *known = Directory.findByName(server.Name);
   // Copied, as the directory changes it.
   const auto before = known == nullptr ? server : known->Registration;
+  const auto zoneCount = Directory.zoneNames().size();
   const auto change = Directory.apply(server, now);
+  // The evacuation of the new zone may be among the refused ones.
+  if (HasRefusedEvacuations && Directory.zoneNames().size() > zoneCount) {
+    HasRefusedEvacuations = false;
+    IsListDue = true;
+  }
   const bool isApplied = change != DirectoryChange::None;
   withhold(server, before, isApplied, now);
   if (isApplied)
@@ -165,12 +171,14 @@
   const auto *known = Evacuations.find(evacuation.Zone, evacuation.Era);
   if (known != nullptr && known->Revision >= evacuation.Revision)
     return known->Revision == evacuation.Revision;
-  if (!Evacuations.hasRoomFor(evacuation)) {
+  const bool hasServers = Directory.zoneNames().contains(evacuation.Zone);
+  if (!Evacuations.hasRoomFor(evacuation, hasServers)) {
     ++Refused;
+    HasRefusedEvacuations = true;
     Observer.onEvacuationRefused(evacuation);
     return true;
   }
-  const bool changed = Evacuations.apply(evacuation, now);
+  const bool changed = Evacuations.apply(evacuation, now, hasServers);
   if (evacuation.Era == Era)
     History.push_back({evacuation.Revision, now, evacuation.Zone,
                        /*IsEvacuation=*/true});
@@ -244,6 +252,9 @@
   Era = era;
   Revision = revision;
   EraEnteredAt = enteredAt;
+  // What was known of the previous era does not show that the view is current
+  // in this one.
+  FreshAt = std::min(FreshAt, enteredAt);
   IsReconciled = false;
   // Peers of the previous era need a full snapshot.
   History.clear();
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -299,6 +299,8 @@
   std::uint64_t Outdated = 0;
   std::uint64_t Refused = 0;
   bool IsListDue = false;
+  /// Evacuations were refused whose zones may get servers later.
+  bool HasRefusedEvacuations = false;
   std::deque<Change> History;
   /// History contains all changes after this revision.
   std::uint64_t HistoryStart = 0;
--- a/Source/Fleet/LoadExchange.cpp
+++ b/Source/Fleet/LoadExchange.cpp
@@ -94,9 +94,11 @@
   double busiest = 0;
   const auto ownZone = Directory.zoneNames().find(Peers.self().Zone);
   for (const auto &it : ownLoads(service, now)) {
-    outstanding += it.Outstanding;
-    slots += it.Zone == ownZone ? slotsOf(service, it.Zone) : 0;
-    if (const auto load = zoneLoad(service, it.Zone, now))
+    if (it.Zone == ownZone) {
+      outstanding = it.Outstanding;
+      slots = slotsOf(service, it.Zone);
+    }
+    if (const auto load = reportedLoad(service, it.Zone, now))
       busiest = std::max(busiest, load->utilization());
   }
   if (slots > 0) {
@@ -122,6 +124,8 @@
 }
 
 void LoadExchange::sendReports(TimePoint now) {
+  if (!Limits.SharesServers)
+    return;
   for (auto &[host, collector] : Collectors)
     if (collector.Unanswered >= Limits.MaxUnanswered)
       collector = {0, now + Limits.RetryTime};
@@ -310,6 +314,9 @@
   std::vector<ServiceInZone> loads;
   for (const auto id : Directory.serversOf(service)) {
     const auto &server = Directory.at(id);
+    // The slots of others are not counted either.
+    if (server.Registration.State != ServerState::Ready)
+      continue;
     auto it = std::ranges::find(loads, server.Zone, &ServiceInZone::Zone);
     if (it == loads.end())
       it = loads.insert(it, {service, server.Zone, 0, 0});
@@ -362,6 +369,10 @@
   ServiceInZone sum{service, zone, 0, 0};
   std::size_t count = 0;
   const auto add = [&](const std::vector<ServiceInZone> &loads) {
+    // A host that does not share the service yet tells nothing about it.
+    if (std::ranges::find(loads, service, &ServiceInZone::Service) ==
+        loads.end())
+      return;
     ++count;
     for (const auto &it : loads) {
       if (it.Service != service || it.Zone != zone)
@@ -398,11 +409,21 @@
 std::optional<routing::ZoneLoad> LoadExchange::zoneLoad(NameTable::Id service,
                                                         NameTable::Id zone,
                                                         TimePoint now) const {
+  return isShared(service) ? reportedLoad(service, zone, now) : std::nullopt;
+}
+
+std::optional<routing::ZoneLoad>
+LoadExchange::reportedLoad(NameTable::Id service, NameTable::Id zone,
+                           TimePoint now) const {
   std::optional<routing::ZoneLoad> load;
   for (const auto &[senderZone, hosts] : Zones) {
     const auto part = loadBy(senderZone, service, zone, now);
-    if (!part)
+    if (!part) {
+      // Most of the load of a zone is caused by its own hosts.
+      if (senderZone == Directory.zoneNames().nameOf(zone))
+        return std::nullopt;
       continue;
+    }
     if (!load)
       load.emplace();
     load->Outstanding += part->Outstanding;
--- a/Source/Fleet/LoadExchange.h
+++ b/Source/Fleet/LoadExchange.h
@@ -22,6 +22,8 @@
 
 /// Limits of the exchange of loads. The defaults are those of the daemon.
 struct LoadExchangeLimits {
+  /// Whether the load of single servers is exchanged, beside that of zones.
+  bool SharesServers = true;
   /// Shortest time between two rounds of reports.
   std::chrono::milliseconds MinInterval{1000};
   /// Longest time between two rounds, for zones with many hosts and servers.
@@ -163,6 +165,10 @@
   /// of the own zone if its other hosts cause as much load as this one.
   double utilizationOf(routing::NameTable::Id service,
                        common::TimePoint now) const;
+  /// The load of a service in a zone, whether it is shared here or not.
+  std::optional<routing::ZoneLoad> reportedLoad(routing::NameTable::Id service,
+                                                routing::NameTable::Id zone,
+                                                common::TimePoint now) const;
   /// Hosts of the own zone that may collect, with this host.
   std::vector<std::uint32_t> collectors(common::TimePoint now) const;
   /// The load that all other hosts but \p excluded reported.
--- a/Source/Fleet/OutlierDetector.cpp
+++ b/Source/Fleet/OutlierDetector.cpp
@@ -142,7 +142,7 @@
       continue;
     const bool isVerdict = it.Level > 0 && !it.IsReminder;
     if (isVerdict && Degraded.levelOf(Directory.idOf(*server), now) == 0 &&
-        !Degraded.hasRoom(server->Service, now))
+        !Degraded.hasRoom(*server, now))
       continue;
     auto &list = isVerdict ? verdicts : others;
     // The rest follows at the next call.
--- a/Source/Fleet/RegistryReader.cpp
+++ b/Source/Fleet/RegistryReader.cpp
@@ -114,7 +114,8 @@
     if (View.contains(it.Name))
       ListedNames.insert(it.Name);
   for (const auto &it : page.Evacuations)
-    ListedZones.insert(it.Zone);
+    if (View.evacuations().find(it.Zone, page.Era) != nullptr)
+      ListedZones.insert(it.Zone);
   After = page.LastKey;
   NextStep = Step::NextPage;
   if (!page.HasMore)
--- a/Source/Routing/DegradedServers.cpp
+++ b/Source/Routing/DegradedServers.cpp
@@ -51,12 +51,19 @@
       }));
 }
 
-bool DegradedServers::hasRoom(NameTable::Id service, TimePoint now) const {
-  std::size_t degraded = 0;
-  for (const auto &[id, entry] : Entries)
-    degraded +=
-        Directory.at(id).Service == service && levelOf(id, entry, now) > 0;
-  return (degraded + 1) * ServersPerVerdict <= usableServers(service);
+bool DegradedServers::hasRoom(const KnownServer &server, TimePoint now) const {
+  std::size_t inService = 0;
+  std::size_t inZone = 0;
+  for (const auto &[id, entry] : Entries) {
+    const auto &other = Directory.at(id);
+    if (other.Service != server.Service || levelOf(id, entry, now) == 0)
+      continue;
+    ++inService;
+    inZone += other.Zone == server.Zone;
+  }
+  return (inService + 1) * ServersPerVerdict <= usableServers(server.Service) &&
+         (inZone + 1) * ServersPerVerdict <=
+             usableServers(server.Service, server.Zone);
 }
 
 DegradedServers::Outcome DegradedServers::apply(ServerId id,
@@ -65,7 +72,7 @@
                                                 TimePoint now) {
   const auto &server = Directory.at(id);
   const bool isNew = levelOf(id, now) == 0;
-  if (isNew && !hasRoom(server.Service, now))
+  if (isNew && !hasRoom(server, now))
     return Outcome::TooMany;
   auto &entry = Entries[id];
   if (isNew) {
--- a/Source/Routing/DegradedServers.h
+++ b/Source/Routing/DegradedServers.h
@@ -49,8 +49,9 @@
                 std::chrono::milliseconds hold, common::TimePoint now);
   /// 0 if it is not degraded.
   int levelOf(ServerId id, common::TimePoint now) const;
-  /// Whether another server of \p service may be degraded.
-  bool hasRoom(NameTable::Id service, common::TimePoint now) const;
+  /// Whether \p server may be degraded, too: at most one in ServersPerVerdict
+  /// of its service, and of its service in its zone.
+  bool hasRoom(const KnownServer &server, common::TimePoint now) const;
   /// Whether \p id may get the next new flow like the other servers.
   bool admits(ServerId id, common::TimePoint now) const;
   /// A new flow of \p service was placed on \p chosen. Each degraded server of
--- a/Source/Routing/FlowTable.cpp
+++ b/Source/Routing/FlowTable.cpp
@@ -55,7 +55,9 @@
                                  TimePoint now) {
   if (flow.OutstandingUntil == TimePoint())
     Health.load(flow.Server).onRequest(now);
-  timeout = std::min(timeout, MaxOutstandingTime);
+  // Routes may state no timeout.
+  timeout = timeout.count() == 0 ? MaxOutstandingTime
+                                 : std::min(timeout, MaxOutstandingTime);
   flow.OutstandingUntil =
       now + (mayHaveMoved(now) ? std::min(timeout, MovedRequestTime) : timeout);
 }
--- a/Source/Routing/ZoneEvacuations.cpp
+++ b/Source/Routing/ZoneEvacuations.cpp
@@ -19,13 +19,30 @@
   return changed;
 }
 
-bool ZoneEvacuations::hasRoomFor(const ZoneEvacuation &evacuation) const {
-  return !evacuation.IsActive || Active.size() < MaxZones ||
-         Active.contains(evacuation.Zone);
+bool ZoneEvacuations::hasRoomFor(const ZoneEvacuation &evacuation,
+                                 bool hasServers) const {
+  return !evacuation.IsActive || hasServers ||
+         ((Active.size() < MaxZones || Active.contains(evacuation.Zone)) &&
+          Entries.size() < MaxEntries);
 }
 
-bool ZoneEvacuations::apply(const ZoneEvacuation &evacuation, TimePoint now) {
-  if (!hasRoomFor(evacuation))
+void ZoneEvacuations::discardOldestEra(const std::string &zone) {
+  auto oldest = Entries.end();
+  std::size_t count = 0;
+  for (auto it = Entries.begin(); it != Entries.end(); ++it) {
+    if (it->Evacuation.Zone != zone)
+      continue;
+    ++count;
+    if (oldest == Entries.end() || it->Evacuation.Era < oldest->Evacuation.Era)
+      oldest = it;
+  }
+  if (count > MaxErasPerZone)
+    Entries.erase(oldest);
+}
+
+bool ZoneEvacuations::apply(const ZoneEvacuation &evacuation, TimePoint now,
+                            bool hasServers) {
+  if (!hasRoomFor(evacuation, hasServers))
     return false;
   const auto known = std::ranges::find_if(Entries, [&](const Entry &it) {
     return it.Evacuation.Zone == evacuation.Zone &&
@@ -37,6 +54,7 @@
     Entries.erase(known);
   }
   Entries.push_back({evacuation, now});
+  discardOldestEra(evacuation.Zone);
   return updateState(evacuation.Zone);
 }
 
--- a/Source/Routing/ZoneEvacuations.h
+++ b/Source/Routing/ZoneEvacuations.h
@@ -34,11 +34,20 @@
   /// for other hosts. Deployments have at most ten zones.
   static constexpr std::size_t MaxZones = 64;
 
-  /// Stores \p evacuation, which became known at \p now. Returns whether the
-  /// state of the zone changed; not if there is no room for it.
-  bool apply(const ZoneEvacuation &evacuation, common::TimePoint now = {});
+  /// Limit of all entries of zones without servers.
+  static constexpr std::size_t MaxEntries = 4 * MaxZones;
+  /// Entries of one zone that are kept, of the latest eras. Peers state eras,
+  /// so their number is limited.
+  static constexpr std::size_t MaxErasPerZone = 8;
+
+  /// Stores \p evacuation, which became known at \p now. Zones that have
+  /// servers, by \p hasServers, are not limited: entries of another writer must
+  /// not displace them. Returns whether the state of the zone changed; not if
+  /// there is no room for it.
+  bool apply(const ZoneEvacuation &evacuation, common::TimePoint now = {},
+             bool hasServers = false);
   /// Whether the zone of \p evacuation is evacuated already or can be.
-  bool hasRoomFor(const ZoneEvacuation &evacuation) const;
+  bool hasRoomFor(const ZoneEvacuation &evacuation, bool hasServers) const;
   /// The entry of \p zone in \p era, or nullptr.
   const ZoneEvacuation *find(std::string_view zone, std::uint64_t era) const;
   /// All entries, ended ones included.
@@ -66,6 +75,7 @@
     ZoneEvacuation Evacuation;
     common::TimePoint AppliedAt;
   };
+  void discardOldestEra(const std::string &zone);
   /// Updates Active. Returns whether the state of \p zone changed.
   bool updateState(const std::string &zone);
 
--- a/Source/State/EdgeSettings.cpp
+++ b/Source/State/EdgeSettings.cpp
@@ -71,6 +71,10 @@
           V::choice("loadSharing", {"false", "true"},
                     "Whether hosts tell each other the load of busy "
                     "services.")),
+      field<E, &E::AdmissionControl>(
+          V::choice("admissionControl", {"false", "true"},
+                    "Whether hosts that share loads refuse flows that cannot "
+                    "be served in time.")),
       field<E, &E::CrossZoneCost>(
           V::duration("crossZoneCost", 0ms, 10s,
                       "Waiting time that callers should accept before their "
--- a/Source/State/EdgeSettings.h
+++ b/Source/State/EdgeSettings.h
@@ -48,6 +48,8 @@
   std::chrono::milliseconds CrossZoneCost{5};
   /// Hosts tell each other the load of busy services.
   bool LoadSharing = false;
+  /// With LoadSharing: flows that cannot be served in time are refused.
+  bool AdmissionControl = false;
   /// A cold server gets at most rate x ColdStartOverage + ColdStartSlack new
   /// flows in any second, with the rate that its service states.
   double ColdStartOverage = 1;
--- a/Source/UnitTests/Edge/DocumentationTest.cpp
+++ b/Source/UnitTests/Edge/DocumentationTest.cpp
@@ -147,7 +147,7 @@
     for (const auto &[name, value] : fields.items())
       BOOST_TEST(hasCodeSpan(page, name), name);
   }
-  BOOST_TEST(count == 19);
+  BOOST_TEST(count == 20);
 }
 
 BOOST_AUTO_TEST_CASE(EachMetricIsDocumented) {
--- a/Source/UnitTests/Routing/OverloadControlTest.cpp
+++ b/Source/UnitTests/Routing/OverloadControlTest.cpp
@@ -160,3 +160,33 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// The full targets of admission control, at which the model misses them on some
+// seeds; see KNOWN-RED.txt.
+BOOST_AUTO_TEST_SUITE(OverloadTargetsTest)
+
+// Guards against refusals at 0.9 of the capacity, and against requests in time
+// at twice the capacity below 0.9 of the most at lower loads.
+BOOST_AUTO_TEST_CASE(NothingIsRefusedBelowAndMostIsServedAboveCapacity) {
+  using Second = HardLoadModel::Second;
+  for (const auto seed : unittests::seeds({1, 2, 3})) {
+    const auto run = [seed](double load) {
+      HardLoadModel::Parameters parameters;
+      parameters.Seed = seed;
+      parameters.Zones.assign(3, {10, 20, load});
+      parameters.HasAdmission = true;
+      HardLoadModel model(parameters);
+      model.run(180s);
+      return model;
+    };
+    double best = 0;
+    for (const double load : {0.7, 0.8, 0.9}) {
+      const auto model = run(load);
+      best = std::max(best, model.mean(&Second::InTime, 60));
+      BOOST_TEST(model.mean(&Second::Lost, 60) == 0);
+    }
+    BOOST_TEST(run(2.0).mean(&Second::InTime, 60) > 0.9 * best);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
