--- a/Source/UnitTests/Fleet/EvacuationTest.cpp
+++ b/Source/UnitTests/Fleet/EvacuationTest.cpp
@@ -225,6 +225,53 @@
   BOOST_TEST(it.zones() == Zones{"b"});
 }
 
+// Evacuations of zones that do not exist, by another writer, must not keep the
+// one of a zone with servers out of the view.
+BOOST_AUTO_TEST_CASE(ZonesWithServersAlwaysHaveRoom) {
+  EvacuationFixture it;
+  it.list(1, {}, 1);
+  for (std::uint64_t n = 2; n <= 80; ++n)
+    it.change(n, {{"z" + std::to_string(n), true, 0, n}});
+  BOOST_TEST(!it.Host.View.evacuations().isEvacuated("a"));
+  const auto listDue = it.Host.View.isListDue();
+  BOOST_TEST(!listDue);
+  auto page = samplePage(100, {sampleServer(1, 100)});
+  it.Host.View.applyChanges(page, it.Clock.now(), it.Clock.now());
+  // The evacuation of the zone may be among those that were refused.
+  BOOST_TEST(it.Host.View.isListDue());
+  it.change(101, {{"a", true, 0, 101}});
+  BOOST_TEST(it.Host.View.evacuations().isEvacuated("a"));
+}
+
+// Peers state the eras of evacuations, which must not add up without a limit.
+BOOST_AUTO_TEST_CASE(ErasOfAZoneAreLimited) {
+  routing::ZoneEvacuations evacuations;
+  for (std::uint64_t era = 1; era <= 100; ++era)
+    evacuations.apply({"a", true, era, 1}, {}, /*hasServers=*/true);
+  BOOST_TEST(evacuations.entries().size() ==
+             routing::ZoneEvacuations::MaxErasPerZone);
+  BOOST_TEST(evacuations.isEvacuated("a"));
+}
+
+// A view that was current in the previous era is not so in the next one, and
+// must not be reconciled before the registry was read again.
+BOOST_AUTO_TEST_CASE(AgeOfThePreviousEraDoesNotReconcile) {
+  EvacuationFixture it;
+  it.list(10, {"b"}, 1);
+  const auto enteredAt = it.Clock.now();
+  it.Clock.advance(5s);
+  it.change(11, {});
+  fleet::ViewSnapshot snapshot;
+  snapshot.Era = 2;
+  snapshot.Revision = 5;
+  snapshot.EraAge = std::chrono::duration_cast<std::chrono::milliseconds>(
+      it.Clock.now() - enteredAt);
+  // The peer has not been current since it entered the era.
+  it.Host.View.applySnapshot(snapshot, snapshot.EraAge, it.Clock.now());
+  it.Host.View.reconcileEra(it.Clock.now());
+  BOOST_TEST(it.zones() == Zones{"b"});
+}
+
 // Hosts of the previous version do not tell of evacuations, so their messages
 // must not advance a view past one.
 BOOST_AUTO_TEST_CASE(MessagesOfThePreviousVersionDoNotAdvanceTheView) {
--- a/Source/UnitTests/Routing/FlowTableTest.cpp
+++ b/Source/UnitTests/Routing/FlowTableTest.cpp
@@ -150,6 +150,21 @@
   BOOST_TEST(it.load().outstanding() == 1U);
 }
 
+// Requests of a route that states no timeout must count until their answer.
+BOOST_AUTO_TEST_CASE(RequestsWithoutATimeoutAreCounted) {
+  Fixture it;
+  it.open();
+  FlowPacket request;
+  request.Ack = true;
+  request.Sequence = 100;
+  request.Acknowledgement = 50;
+  request.PayloadSize = 200;
+  it.Flows.onPacket(it.Id, 0, request, it.Clock.now(), 0ms);
+  it.Clock.advance(900ms);
+  it.Flows.expire(it.Clock.now(), 15s);
+  BOOST_TEST(it.load().outstanding() == 1U);
+}
+
 // The mean must follow the count over time and not over events: a host sees
 // few packets of a server.
 BOOST_AUTO_TEST_CASE(MeanIsWeightedByTime) {
