--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -44,6 +44,10 @@
 /// The daemon exits this long before the stop timeout, at which the process is
 /// killed.
 constexpr milliseconds ShutdownMargin{500};
+/// Outcomes of requests are not counted for this long after the start: when all
+/// hosts lost power, callers give up what was sent before, and living servers
+/// looked unresponsive.
+constexpr std::chrono::seconds OutcomeStartDelay{10};
 /// Removed backend servers are kept for the lifetime of a flow and this margin,
 /// since the view may lag behind.
 constexpr std::chrono::seconds RetentionMargin{5};
@@ -195,8 +199,15 @@
   Router.setZoneDelays(&Control->delays());
 }
 
-void EdgeNode::useOutliers() {
+void EdgeNode::startCountingOutcomes(TimePoint now) {
+  if (IsCountingOutcomes || Settings.Outliers == state::OutlierDetection::Off ||
+      now - StartedAt < OutcomeStartDelay)
+    return;
+  IsCountingOutcomes = true;
   Router.setOutcomes(&Outcomes);
+}
+
+void EdgeNode::useOutliers() {
   auto parts = Placement.parts();
   parts.Degraded = &Degraded;
   Placement.setParts(parts);
@@ -270,6 +281,7 @@
     NextHousekeeping = now + HousekeepingInterval;
     Router.onTick(now);
     ColdStarts.update(now);
+    startCountingOutcomes(now);
     View.reconcileEra(now);
     View.discardExpired(now);
     History.expire();
--- a/Source/Edge/EdgeNode.h
+++ b/Source/Edge/EdgeNode.h
@@ -55,6 +55,7 @@
   std::string loadStatus() const;
   /// Switches outlier detection on.
   void useOutliers();
+  void startCountingOutcomes(common::TimePoint now);
   /// Resets the flows of servers that were found dead.
   void resetFlowsOfDeadServers();
   /// Discards evidence and queued input if the process did not run for a while.
@@ -105,6 +106,7 @@
   bool Ready = false;
   std::optional<common::TimePoint> StoppingSince;
   common::TimePoint StartedAt;
+  bool IsCountingOutcomes = false;
   common::TimePoint LastWakeUp;
   common::TimePoint LastStallAt; ///< Its end.
   std::chrono::milliseconds LastStall{0};
--- a/Source/UnitTests/Routing/OverloadControlTest.cpp
+++ b/Source/UnitTests/Routing/OverloadControlTest.cpp
@@ -61,6 +61,17 @@
   routing::OverloadControl Control{Usable, Load, 1};
 };
 
+/// Three zones at \p load of their capacity, with admission control.
+HardLoadModel runFor3Minutes(std::uint64_t seed, double load) {
+  HardLoadModel::Parameters parameters;
+  parameters.Seed = seed;
+  parameters.Zones.assign(3, {10, 20, load});
+  parameters.HasAdmission = true;
+  HardLoadModel model(parameters);
+  model.run(180s);
+  return model;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(OverloadControlTest)
@@ -128,15 +139,7 @@
 BOOST_AUTO_TEST_CASE(ValueInTimeHoldsUnderOverload) {
   using Second = HardLoadModel::Second;
   for (const auto seed : unittests::seeds({1, 2, 3})) {
-    const auto run = [seed](double load) {
-      HardLoadModel::Parameters parameters;
-      parameters.Seed = seed;
-      parameters.Zones.assign(3, {10, 20, load});
-      parameters.HasAdmission = true;
-      HardLoadModel model(parameters);
-      model.run(180s);
-      return model;
-    };
+    const auto run = [seed](double load) { return runFor3Minutes(seed, load); };
     double best = 0;
     double bestInTime = 0;
     for (const double load : {0.7, 0.8, 0.9}) {
@@ -170,15 +173,7 @@
 BOOST_AUTO_TEST_CASE(NothingIsRefusedBelowAndMostIsServedAboveCapacity) {
   using Second = HardLoadModel::Second;
   for (const auto seed : unittests::seeds({1, 2, 3})) {
-    const auto run = [seed](double load) {
-      HardLoadModel::Parameters parameters;
-      parameters.Seed = seed;
-      parameters.Zones.assign(3, {10, 20, load});
-      parameters.HasAdmission = true;
-      HardLoadModel model(parameters);
-      model.run(180s);
-      return model;
-    };
+    const auto run = [seed](double load) { return runFor3Minutes(seed, load); };
     double best = 0;
     for (const double load : {0.7, 0.8, 0.9}) {
       const auto model = run(load);
