--- a/Source/UnitTests/Fleet/OutlierDetectorTest.cpp
+++ b/Source/UnitTests/Fleet/OutlierDetectorTest.cpp
@@ -9,7 +9,6 @@
 
 using namespace auburnroute;
 using namespace std::chrono_literals;
-using routing::OutlierKind;
 using unittests::OutlierZone;
 using unittests::ServerFault;
 
--- a/Source/UnitTests/Fleet/OutlierZone.cpp
+++ b/Source/UnitTests/Fleet/OutlierZone.cpp
@@ -201,8 +201,8 @@
       flow.Tag = to->Tag;
       request(number);
     });
-  constexpr std::array<int, 3> delays{200, 400, 800};
-  after(milliseconds(delays[copy]),
+  constexpr std::array<int, 3> Delays{200, 400, 800};
+  after(milliseconds(Delays[copy]),
         [this, number, copy] { sendSyn(number, copy + 1); });
 }
 
