Skip unused look-ups of shared load in the placement

Cause: with the default factors of 0 the placement looked up the load by other hosts for each server at each SYN and multiplied it by 0; the work was computed twice where loads are shared; the status asked isShared(), which zoneLoad() checks itself.

Change: the look-up only with a factor above 0, one computation of the work, one check. Behaviour is unchanged.

Result: RoutingTests without OverloadTargetsTest, EmulatorTests, EdgeTests, LoadExchangeTest and OpenFlowTest pass; clang-tidy of both files is clean. FleetTests as a whole and the process tests were not run again.

--- a/Source/Edge/EdgeNode.cpp
+++ b/Source/Edge/EdgeNode.cpp
@@ -394,7 +394,7 @@
   for (routing::NameTable::Id service = 0; service < services.size(); ++service)
     for (routing::NameTable::Id zone = 0; zone < zones.size(); ++zone)
       if (const auto load = Loads.zoneLoad(service, zone, now);
-          Loads.isShared(service) && load && load->Slots > 0)
+          load && load->Slots > 0)
         absl::StrAppend(&list, list.empty() ? "" : ",", "{\"service\":\"",
                         services.nameOf(service), "\",\"zone\":\"",
                         zones.nameOf(zone),
--- a/Source/Routing/ServerPlacement.cpp
+++ b/Source/Routing/ServerPlacement.cpp
@@ -52,15 +52,20 @@
                                TimePoint now) const {
   const auto &server = Directory.at(id);
   const auto &activity = Health.activity(id);
-  double work = 1.0 + activity.PendingRequests + activity.PendingSyns +
-                Weights.OpenFlow * activity.OpenFlows;
+  double requests = activity.PendingRequests;
+  double flows = activity.OpenFlows;
   if (Parts.Load != nullptr) {
-    const auto remote = Parts.Load->elsewhere(id, now);
-    work = 1.0 + activity.Load.outstanding() + activity.PendingSyns +
-           Weights.RemoteRequests * remote.Outstanding +
-           Weights.OpenFlow *
-               (activity.Load.flows() + Weights.RemoteFlows * remote.OpenFlows);
+    requests = activity.Load.outstanding();
+    flows = activity.Load.flows();
+    // A look-up for each server at each SYN.
+    if (Weights.RemoteRequests > 0 || Weights.RemoteFlows > 0) {
+      const auto remote = Parts.Load->elsewhere(id, now);
+      requests += Weights.RemoteRequests * remote.Outstanding;
+      flows += Weights.RemoteFlows * remote.OpenFlows;
+    }
   }
+  const double work =
+      1.0 + requests + activity.PendingSyns + Weights.OpenFlow * flows;
   double load = work / std::max(1U, server.Registration.Slots);
   if (server.Zone != OwnZone)
     load += otherZonePenalty;
