--- a/Source/UnitTests/Edge/LoadControlTest.cpp
+++ b/Source/UnitTests/Edge/LoadControlTest.cpp
@@ -45,7 +45,7 @@
   for (const std::string zone : {"a", "b"}) {
     routing::ServerRegistration server;
     server.Name = server.Zone = zone;
-    server.Identity = zone[0];
+    server.Identity = static_cast<unsigned char>(zone[0]);
     server.Service = "orders";
     server.Slots = 2;
     server.Revision = 1;
