--- a/review/8/case.py
+++ b/review/8/case.py
@@ -8,8 +8,8 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib2"))
 import fleet as lib
 
-ROUTES = {"submit": ("198.18.0.1", 8080, "catalogo", "unsafe", 4000),
-          "sheet": ("198.18.0.2", 8443, "pliegos", "download", 8000)}
+ROUTES = {"submit": ("127.198.18.1", 8080, "catalogo", "unsafe", 4000),
+          "sheet": ("127.198.18.2", 8443, "pliegos", "download", 8000)}
 CALLERS = 16
 OUTAGE = 4.5  # for_s of platform_down in lomoclaro-edge
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -7,8 +7,8 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib2"))
 import fleet as lib
 
-FEED = {"feed": ("198.18.0.1", 8443, "catalogo", "safe", 3000)}
-ROUTES = {**FEED, "submit": ("198.18.0.1", 8080, "catalogo", "unsafe", 4000)}
+FEED = {"feed": ("127.198.18.1", 8443, "catalogo", "safe", 3000)}
+ROUTES = {**FEED, "submit": ("127.198.18.1", 8080, "catalogo", "unsafe", 4000)}
 CALLERS = 24
 BUSY = 4.5  # for_s of platform_down (busy) in lomoclaro-edge
 
